--- /dev/null
+++ b/baobabpond/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command line as ``python -m baobabpond``."""
+
+from .ui import main
+
+main.main()
--- /dev/null
+++ b/baobabpond/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Run non-idempotent requests at most once."""
--- /dev/null
+++ b/baobabpond/claims/keeper.py
@@ -0,0 +1,268 @@
+"""Claim a key in the log, run the request, record the outcome."""
+
+import base64
+import collections.abc
+import threading
+import time
+import typing
+import uuid
+
+from returns import result
+
+from .. import answers
+from .. import metrics as metrics_module
+from .. import verdicts
+from ..gen import records as schema
+from ..log import follower as follower_module
+from ..log import state as state_module
+from ..log import writer as writer_module
+
+from . import fold as fold_module
+
+RETRY_AFTER_S = 2.0
+HOLDER_CHECK_S = 0.5
+
+Outcome = result.Result[answers.Answer, verdicts.Refusal]
+Dispatch = collections.abc.Callable[[], Outcome]
+IsLost = collections.abc.Callable[[str, int], bool]
+
+
+class ClaimedRequest(typing.NamedTuple):
+    """Describe one non-idempotent request; the deadline is monotonic."""
+
+    key: str
+    body_digest: str
+    deadline: float
+    keep_s: float
+    max_stored_answer_bytes: int
+
+
+class AbandonedClaim(typing.NamedTuple):
+    """Hold a claim whose request was given up before it landed."""
+
+    key: str
+    claim_id: str
+    pending: writer_module.PendingItem
+
+
+class ClaimKeeper:
+    """Let each key run once, whichever instances it reaches."""
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: int,
+        state: state_module.State,
+        follower: follower_module.Follower,
+        writer: writer_module.Writer,
+        metrics: metrics_module.Metrics,
+        is_lost: IsLost,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._state = state
+        self._fold = state.fold(fold_module.ClaimFold)
+        self._follower = follower
+        self._writer = writer
+        self._metrics = metrics
+        self._is_lost = is_lost
+        self._abandoned: list[AbandonedClaim] = []
+        self._abandoned_lock = threading.Lock()
+
+    def run(self, request: ClaimedRequest, dispatch: Dispatch) -> Outcome:
+        """Run a request under its key, or answer from the first run."""
+        while True:
+            entry = self._fold.get(request.key)
+            if entry is not None:
+                outcome = self._follow(request, entry)
+                if outcome is not None:
+                    return outcome
+                continue
+            if not self._follower.healthy:
+                self._metrics.count('claims.refused_log_down')
+                return result.Failure(_log_down())
+            claim_id = uuid.uuid4().hex
+            refusal = self._claim(request, claim_id)
+            if refusal is not None:
+                return result.Failure(refusal)
+            if self._owns(request.key, claim_id):
+                return self._dispatch(request, claim_id, dispatch)
+
+    def settle_abandoned(self) -> None:
+        """Release the claims that landed after their request gave up."""
+        with self._abandoned_lock:
+            decided = [
+                claim
+                for claim in self._abandoned
+                if self._decided(claim.pending)
+            ]
+            for claim in decided:
+                self._abandoned.remove(claim)
+        for claim in decided:
+            if self._owns(claim.key, claim.claim_id):
+                self._record(
+                    claim.key, claim.claim_id, verdicts.Verdict.NOT_RUN
+                )
+
+    def _owns(self, key: str, claim_id: str) -> bool:
+        entry = self._fold.get(key)
+        return entry is not None and entry.claim_id == claim_id
+
+    def _claim(
+        self, request: ClaimedRequest, claim_id: str
+    ) -> verdicts.Refusal | None:
+        item: schema.Claim = {
+            'type': 'claim',
+            'claim_id': claim_id,
+            'key': request.key,
+            'holder': self._instance,
+            'incarnation': self._incarnation,
+            'body_digest': request.body_digest,
+            'keep_s': request.keep_s,
+        }
+        started = time.monotonic()
+        pending = self._writer.submit(item)
+        if self._state.wait_for(
+            lambda: self._decided(pending), request.deadline
+        ):
+            self._metrics.record('claims.claim', time.monotonic() - started)
+            return None
+        if not self._writer.cancel(pending):
+            with self._abandoned_lock:
+                self._abandoned.append(
+                    AbandonedClaim(request.key, claim_id, pending)
+                )
+        self._metrics.count('claims.given_up')
+        return verdicts.deadline_passed(verdicts.Verdict.NOT_RUN)
+
+    def _decided(self, pending: writer_module.PendingItem) -> bool:
+        return pending.seq is not None and self._state.seen(
+            self._writer.sender, pending.seq
+        )
+
+    def _dispatch(
+        self, request: ClaimedRequest, claim_id: str, dispatch: Dispatch
+    ) -> Outcome:
+        # The process may have been frozen since the claim was read back.
+        if time.monotonic() >= request.deadline:
+            self._record(request.key, claim_id, verdicts.Verdict.NOT_RUN)
+            return result.Failure(
+                verdicts.deadline_passed(verdicts.Verdict.NOT_RUN)
+            )
+        outcome = dispatch()
+        self._metrics.count('claims.dispatched')
+        if isinstance(outcome, result.Success):
+            answer = outcome.unwrap()
+            stored = _store(answer, request.max_stored_answer_bytes)
+            self._record(request.key, claim_id, verdicts.Verdict.RAN, stored)
+        else:
+            self._record(request.key, claim_id, outcome.failure().verdict)
+        return outcome
+
+    def _record(
+        self,
+        key: str,
+        claim_id: str,
+        verdict: verdicts.Verdict,
+        answer: schema.StoredAnswer | None = None,
+    ) -> None:
+        item: schema.Outcome = {
+            'type': 'outcome',
+            'key': key,
+            'claim_id': claim_id,
+            'verdict': verdict.value,
+        }
+        if answer is not None:
+            item['answer'] = answer
+        self._writer.submit(item)
+
+    def _follow(
+        self, request: ClaimedRequest, entry: fold_module.ClaimEntry
+    ) -> Outcome | None:
+        """Return the first run's end, or None if the key is free again."""
+        if entry.body_digest != request.body_digest:
+            return result.Failure(_key_reused())
+        self._metrics.count('claims.repeated_keys')
+        if not entry.settled:
+            return self._await_holder(request, entry)
+        assert entry.outcome is not None
+        return _replay(entry.outcome)
+
+    def _await_holder(
+        self, request: ClaimedRequest, entry: fold_module.ClaimEntry
+    ) -> Outcome | None:
+        def moved() -> bool:
+            current = self._fold.get(request.key)
+            return (
+                current is None
+                or current.claim_id != entry.claim_id
+                or current.settled
+            )
+
+        while not moved():
+            if self._is_lost(entry.holder, entry.incarnation):
+                return result.Failure(_holder_lost())
+            now = time.monotonic()
+            if now >= request.deadline:
+                return result.Failure(
+                    verdicts.deadline_passed(verdicts.Verdict.MAY_HAVE_RUN)
+                )
+            self._state.wait_for(
+                moved, min(request.deadline, now + HOLDER_CHECK_S)
+            )
+        return None
+
+
+def _store(
+    answer: answers.Answer, max_bytes: int
+) -> schema.StoredAnswer | None:
+    if len(answer.body) > max_bytes:
+        return None
+    return {
+        'status': answer.status,
+        'content_type': answer.content_type,
+        'body_base64': base64.b64encode(answer.body).decode(),
+    }
+
+
+def _replay(outcome: schema.Outcome) -> Outcome:
+    if outcome['verdict'] == verdicts.Verdict.MAY_HAVE_RUN.value:
+        return result.Failure(
+            verdicts.uncertain('earlier_attempt', 'an earlier attempt may run')
+        )
+    stored = outcome.get('answer')
+    if stored is None:
+        return result.Failure(
+            verdicts.Refusal(
+                verdicts.Verdict.RAN,
+                409,
+                'answer_not_kept',
+                'the request ran before; its answer was too large to keep',
+            )
+        )
+    return result.Success(
+        answers.Answer(
+            stored['status'],
+            stored['content_type'],
+            base64.b64decode(stored['body_base64']),
+            replayed=True,
+        )
+    )
+
+
+def _log_down() -> verdicts.Refusal:
+    return verdicts.unavailable(
+        'log_down', 'no claim can be made while the log is down', RETRY_AFTER_S
+    )
+
+
+def _key_reused() -> verdicts.Refusal:
+    return verdicts.bad_request(
+        'key_reused', 'the key was used with another body', status=422
+    )
+
+
+def _holder_lost() -> verdicts.Refusal:
+    return verdicts.uncertain(
+        'holder_lost', 'the instance that claimed the key was lost'
+    )
--- /dev/null
+++ b/baobabpond/errors.py
@@ -0,0 +1,9 @@
+"""Define the error that is shown to a user as one line."""
+
+
+class UserError(Exception):
+    """Report a mistake or a failure that the user can act on."""
+
+    def __init__(self, message: str, exit_code: int = 1) -> None:
+        super().__init__(message)
+        self.exit_code = exit_code
--- /dev/null
+++ b/baobabpond/gen/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the code generated from baobabpond/schema by tools/generate."""
--- /dev/null
+++ b/baobabpond/http/adapters.py
@@ -0,0 +1,213 @@
+"""Define how a protocol towards upstreams is plugged in."""
+
+import abc
+import time
+import typing
+
+from returns import result
+import urllib3
+
+from .. import answers
+from .. import registry
+from .. import verdicts
+from ..gen import tree as tree_schema
+from ..routing import service
+from ..routing import streams
+from ..routing import upstreams
+
+CONNECT_TIMEOUT_S = 1.0
+POLL_TIMEOUT_S = 2.0
+MIN_TIMEOUT_S = 0.001
+CONNECTIONS_PER_UPSTREAM = 64
+MAX_POOLS = 1000
+REQUEST_ID_HEADER = 'X-Request-Id'
+KEY_HEADER = 'Idempotency-Key'
+RETRYABLE_STATUSES = (429, 502, 503, 504)
+FIRST_FAULT_STATUS = 500
+
+
+class UpstreamRequest(typing.NamedTuple):
+    """Hold what is sent to an upstream."""
+
+    request_id: str
+    body: bytes
+    content_type: str
+    settings: tree_schema.NodeSettings
+    key: str | None = None
+
+
+class Adapter(abc.ABC):
+    """Speak one protocol to upstreams."""
+
+    def __init__(self) -> None:
+        self._http = urllib3.PoolManager(
+            num_pools=MAX_POOLS,
+            maxsize=CONNECTIONS_PER_UPSTREAM,
+            retries=False,
+        )
+
+    @abc.abstractmethod
+    def send(
+        self,
+        upstream: upstreams.Upstream,
+        request: UpstreamRequest,
+        deadline: float,
+    ) -> result.Result[answers.Answer, verdicts.Refusal]:
+        """Send a request and return the whole answer."""
+
+    @abc.abstractmethod
+    def open_stream(
+        self,
+        upstream: upstreams.Upstream,
+        request: UpstreamRequest,
+        deadline: float,
+    ) -> result.Result[streams.Stream, verdicts.Refusal]:
+        """Send a request and return the answer as a stream."""
+
+    @abc.abstractmethod
+    def poll_load(
+        self, upstream: upstreams.Upstream
+    ) -> upstreams.LoadReport | None:
+        """Return the upstream's load, or None if it does not answer."""
+
+    def _post(
+        self,
+        upstream: upstreams.Upstream,
+        request: UpstreamRequest,
+        deadline: float,
+        preload: bool,
+    ) -> result.Result[urllib3.BaseHTTPResponse, verdicts.Refusal]:
+        headers = {
+            'Content-Type': request.content_type,
+            REQUEST_ID_HEADER: request.request_id,
+        }
+        if request.key is not None:
+            headers[KEY_HEADER] = request.key
+        remaining_s = max(MIN_TIMEOUT_S, deadline - time.monotonic())
+        timeout = urllib3.Timeout(
+            connect=min(CONNECT_TIMEOUT_S, remaining_s), read=remaining_s
+        )
+        try:
+            response = self._http.request(
+                'POST',
+                url(upstream, request.settings['path']),
+                body=request.body,
+                headers=headers,
+                timeout=timeout,
+                preload_content=preload,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return result.Failure(_transport_refusal(error))
+        return _check(response, request)
+
+    def _get_json(self, upstream: upstreams.Upstream, path: str) -> typing.Any:
+        try:
+            response = self._http.request(
+                'GET', url(upstream, path), timeout=POLL_TIMEOUT_S
+            )
+            return response.json() if response.status == 200 else None
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return None
+
+
+adapters: registry.Registry[type[Adapter]] = registry.Registry('adapter')
+
+
+class AdapterSet:
+    """Hold one adapter of each protocol."""
+
+    def __init__(self) -> None:
+        self._adapters = {
+            name: adapters.get(name)() for name in adapters.names
+        }
+
+    def get(self, settings: tree_schema.NodeSettings) -> Adapter:
+        """Return the adapter that a node's settings name."""
+        return self._adapters[settings['adapter']]
+
+    def named(self, name: str) -> Adapter:
+        """Return the adapter of a protocol."""
+        return self._adapters[name]
+
+    def poll_load(
+        self,
+        upstream: upstreams.Upstream,
+        settings: tree_schema.NodeSettings,
+    ) -> upstreams.LoadReport | None:
+        """Return an upstream's load, or None if it does not answer."""
+        return self.get(settings).poll_load(upstream)
+
+
+def url(upstream: upstreams.Upstream, path: str) -> str:
+    """Return the URL of a path at an upstream."""
+    return f'http://{upstream.address}:{upstream.port}{path}'
+
+
+def _transport_refusal(
+    error: urllib3.exceptions.HTTPError,
+) -> verdicts.Refusal:
+    not_sent = (
+        urllib3.exceptions.NewConnectionError,
+        urllib3.exceptions.ConnectTimeoutError,
+    )
+    if isinstance(error, not_sent):
+        return verdicts.Refusal(
+            verdicts.Verdict.NOT_RUN,
+            503,
+            'upstream_unreachable',
+            'the upstream accepted no connection',
+            service.NO_UPSTREAM_RETRY_S,
+        )
+    if isinstance(error, urllib3.exceptions.TimeoutError):
+        return verdicts.Refusal(
+            verdicts.Verdict.MAY_HAVE_RUN,
+            504,
+            service.TIMEOUT_CODE,
+            'the upstream did not answer before the deadline',
+        )
+    return verdicts.uncertain(
+        service.CUT_CODE, 'the upstream cut its answer short'
+    )
+
+
+def _check(
+    response: urllib3.BaseHTTPResponse, request: UpstreamRequest
+) -> result.Result[urllib3.BaseHTTPResponse, verdicts.Refusal]:
+    refusal = _refusal_of(response, request)
+    if refusal is None:
+        return result.Success(response)
+    response.close()
+    return result.Failure(refusal)
+
+
+def _refusal_of(
+    response: urllib3.BaseHTTPResponse, request: UpstreamRequest
+) -> verdicts.Refusal | None:
+    settings = request.settings
+    echoed = response.headers.get(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request.request_id:
+        return verdicts.uncertain(
+            'crossed_answer', 'the upstream answered another request'
+        )
+    if response.status in settings['not_run_statuses']:
+        return verdicts.unavailable(
+            service.REFUSED_CODE,
+            f'the upstream refused with status {response.status}',
+            service.NO_UPSTREAM_RETRY_S,
+        )
+    retryable = response.status in RETRYABLE_STATUSES
+    fault = response.status >= FIRST_FAULT_STATUS
+    if retryable or (fault and not settings['idempotent']):
+        return verdicts.uncertain(
+            'upstream_error', f'the upstream answered {response.status}'
+        )
+    if not _is_delimited(response):
+        return verdicts.uncertain(
+            service.CUT_CODE, 'the answer has neither length nor end marker'
+        )
+    return None
+
+
+def _is_delimited(response: urllib3.BaseHTTPResponse) -> bool:
+    chunked = response.headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in response.headers or chunked == 'chunked'
--- /dev/null
+++ b/baobabpond/http/completions.py
@@ -0,0 +1,251 @@
+"""Speak the OpenAI completions API to model engines."""
+
+import collections.abc
+import json
+import re
+import time
+import typing
+
+from returns import result
+import urllib3
+
+from .. import answers
+from .. import verdicts
+from ..routing import service
+from ..routing import streams
+from ..routing import upstreams
+
+from . import adapters
+
+SERVER_INFO_PATH = '/server_info'
+UPDATE_WEIGHTS_PATH = '/update_weights_from_disk'
+EVENT_END = b'\n\n'
+DATA_PREFIX = b'data: '
+DONE_EVENT = b'data: [DONE]\n\n'
+VERSION_PATTERN = re.compile(rb'(?<!\\)"weight_version":\s*"([^"]*)"')
+UNLABELLED_CODE = 'unlabelled'
+
+
+class NotWholeError(Exception):
+    """Report that a streamed answer did not end as a whole one."""
+
+
+class CompletionStream(streams.Stream):
+    """Check the labels and the end marker of a streamed completion."""
+
+    def __init__(
+        self, response: urllib3.BaseHTTPResponse, deadline: float
+    ) -> None:
+        super().__init__()
+        self._response = response
+        self._deadline = deadline
+        self._blocks = self._read_blocks()
+        self._first: bytes | None = None
+        self._versions: dict[int, None] = {}
+        self._events = 0
+        self._end_code: str | None = streams.CANCELLED_CODE
+
+    @property
+    def units(self) -> int:
+        """Return the events received so far, one a token."""
+        return self._events
+
+    @property
+    def end_code(self) -> str | None:
+        """Return why the answer is not whole, or None if it is."""
+        return self._end_code
+
+    @property
+    def weight_versions(self) -> tuple[int, ...]:
+        """Return the versions that produced the answer, in order."""
+        return tuple(self._versions)
+
+    def read_first(self) -> None:
+        """Read the first events, or raise NotWholeError."""
+        try:
+            self._first = next(self._blocks)
+        except NotWholeError:
+            self.close()
+            raise
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        try:
+            if self._first is not None:
+                yield self._first
+                self._first = None
+            yield from self._blocks
+        finally:
+            self.close()
+
+    def _disconnect(self) -> None:
+        if self._end_code is None:
+            self._response.release_conn()
+        else:
+            self._response.close()
+
+    def _read_blocks(self) -> collections.abc.Iterator[bytes]:
+        rest = b''
+        try:
+            for piece in self._response.stream():
+                rest += piece
+                end = rest.rfind(EVENT_END)
+                if end < 0:
+                    continue
+                block, rest = rest[: end + 2], rest[end + 2 :]
+                if self._take(block):
+                    # Reading on to the end lets the connection be reused.
+                    self._response.drain_conn()
+                    self._end_code = None
+                    yield block
+                    return
+                yield block
+        except urllib3.exceptions.HTTPError as error:
+            self._fail(service.CUT_CODE, str(error))
+        self._fail(service.CUT_CODE, 'the stream ended without its marker')
+
+    def _take(self, block: bytes) -> bool:
+        """Account for whole events; tell whether the marker is there."""
+        done = block.endswith(DONE_EVENT)
+        events = block.count(EVENT_END) - done
+        labels = VERSION_PATTERN.findall(block)
+        if len(labels) != events:
+            self._fail(UNLABELLED_CODE, 'an event names no weight version')
+        for label in labels:
+            if not label.isdigit():
+                self._fail(UNLABELLED_CODE, f'unknown version {label!r}')
+            self._versions[int(label)] = None
+        self._events += events
+        if time.monotonic() > self._deadline:
+            self._fail(service.TIMEOUT_CODE, 'the deadline has passed')
+        return done
+
+    def _fail(self, code: str, message: str) -> typing.NoReturn:
+        self._end_code = code
+        raise NotWholeError(message)
+
+
+class Completion(typing.NamedTuple):
+    """Hold a whole completion and the versions that produced it."""
+
+    text: str
+    tokens: int
+    weight_versions: tuple[int, ...]
+
+
+def collect(
+    stream: CompletionStream, cancelled: typing.Callable[[], bool]
+) -> Completion:
+    """Read a stream to its end, or raise NotWholeError."""
+    texts = []
+    for block in stream:
+        if cancelled():
+            stream.close()
+            raise NotWholeError('the attempt was cancelled')
+        for event in block.split(EVENT_END):
+            data = event.removeprefix(DATA_PREFIX)
+            if data and data != b'[DONE]':
+                texts.append(json.loads(data)['choices'][0]['text'])
+    return Completion(''.join(texts), stream.units, stream.weight_versions)
+
+
+@adapters.adapters.register('completions')
+class Completions(adapters.Adapter):
+    """Post a completion request and read its server-sent events."""
+
+    def send(
+        self,
+        upstream: upstreams.Upstream,
+        request: adapters.UpstreamRequest,
+        deadline: float,
+    ) -> result.Result[answers.Answer, verdicts.Refusal]:
+        """Send a request and return the whole answer with its labels."""
+        return self._post(upstream, request, deadline, preload=True).bind(
+            _labelled_answer
+        )
+
+    def open_stream(
+        self,
+        upstream: upstreams.Upstream,
+        request: adapters.UpstreamRequest,
+        deadline: float,
+    ) -> result.Result[streams.Stream, verdicts.Refusal]:
+        """Send a request and return the stream once it has begun."""
+        return self._post(upstream, request, deadline, preload=False).bind(
+            lambda response: _begin(response, deadline)
+        )
+
+    def poll_load(
+        self, upstream: upstreams.Upstream
+    ) -> upstreams.LoadReport | None:
+        """Return the engine's requests and weight version."""
+        info = self._get_json(upstream, SERVER_INFO_PATH)
+        if info is None:
+            return None
+        label = str(info['weight_version'])
+        return upstreams.LoadReport(
+            info['num_running_reqs'],
+            info['num_waiting_reqs'],
+            int(label) if label.isdigit() else None,
+        )
+
+    def order_weights(
+        self,
+        upstream: upstreams.Upstream,
+        version: int,
+        fence: int,
+        timeout_s: float,
+    ) -> bool:
+        """Order an engine to load a version; tell whether it agreed."""
+        body = json.dumps(
+            {
+                'model_path': f'{upstream.service}/{version}',
+                'weight_version': str(version),
+                'fence': fence,
+            }
+        )
+        try:
+            response = self._http.request(
+                'POST',
+                adapters.url(upstream, UPDATE_WEIGHTS_PATH),
+                body=body.encode(),
+                headers={'Content-Type': 'application/json'},
+                timeout=timeout_s,
+            )
+        except urllib3.exceptions.HTTPError:
+            return False
+        return response.status == 200
+
+
+def _begin(
+    response: urllib3.BaseHTTPResponse, deadline: float
+) -> result.Result[streams.Stream, verdicts.Refusal]:
+    stream = CompletionStream(response, deadline)
+    try:
+        stream.read_first()
+    except NotWholeError as error:
+        return result.Failure(
+            verdicts.uncertain(stream.end_code or '', str(error))
+        )
+    return result.Success(stream)
+
+
+def _labelled_answer(
+    response: urllib3.BaseHTTPResponse,
+) -> result.Result[answers.Answer, verdicts.Refusal]:
+    labels = set(VERSION_PATTERN.findall(response.data))
+    if response.status == 200 and not _known(labels):
+        return result.Failure(
+            verdicts.uncertain(UNLABELLED_CODE, 'unknown weight version')
+        )
+    return result.Success(
+        answers.Answer(
+            response.status,
+            response.headers.get('Content-Type', ''),
+            response.data,
+            weight_versions=tuple(sorted(map(int, labels))),
+        )
+    )
+
+
+def _known(labels: set[bytes]) -> bool:
+    return bool(labels) and all(label.isdigit() for label in labels)
--- /dev/null
+++ b/baobabpond/http/parse.py
@@ -0,0 +1,166 @@
+"""Read and check what a caller sends."""
+
+import json
+import re
+import time
+import typing
+
+from returns import result
+import xxhash
+
+from .. import verdicts
+from ..gen import tree as tree_schema
+from ..settings import tree as tree_module
+
+TIMEOUT_HEADER = 'HTTP_BAOBABPOND_TIMEOUT_MS'
+CALLER_HEADER = 'HTTP_BAOBABPOND_CALLER'
+KEY_HEADER = 'HTTP_IDEMPOTENCY_KEY'
+KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,255}')
+CALLER_PATTERN = re.compile(r'[A-Za-z0-9._:-]{1,128}')
+ANONYMOUS = 'anonymous'
+MS_PER_S = 1000
+READ_BYTES = 65_536
+
+Environ = dict[str, typing.Any]
+
+
+class CallerRequest(typing.NamedTuple):
+    """Hold a checked request; the deadline is monotonic."""
+
+    service: str
+    settings: tree_schema.NodeSettings
+    caller: str
+    key: str | None
+    deadline: float
+    body: bytes
+    content_type: str
+    fields: dict[str, typing.Any]
+
+    @property
+    def wants_stream(self) -> bool:
+        """Tell whether the caller asks for a streamed answer."""
+        return self.fields.get('stream') is True
+
+    @property
+    def body_digest(self) -> str:
+        """Return a digest of the body."""
+        return xxhash.xxh3_128_hexdigest(self.body)
+
+
+Parsed = result.Result[CallerRequest, verdicts.Refusal]
+
+
+def parse_request(
+    environ: Environ, path: str, tree: tree_module.Tree
+) -> Parsed:
+    """Return a checked request, or why it is refused."""
+    arrived_at = time.monotonic()
+    if not tree.has_service(path):
+        return _fail('unknown_service', f'no service {path!r}', 404)
+    settings = tree.effective(path)
+    caller = environ.get(CALLER_HEADER, ANONYMOUS)
+    if not CALLER_PATTERN.fullmatch(caller):
+        return _fail('bad_caller', 'the caller name is not valid')
+    key = environ.get(KEY_HEADER)
+    if key is not None and not KEY_PATTERN.fullmatch(key):
+        return _fail('bad_key', 'the idempotency key is not valid')
+    if key is None and not settings['idempotent']:
+        return _fail('key_required', 'Idempotency-Key is required')
+    return _timeout_s(environ, settings).bind(
+        lambda timeout_s: read_json(environ, settings).map(
+            lambda read: CallerRequest(
+                service='/'.join(path.split('/')[:2]),
+                settings=settings,
+                caller=caller,
+                key=key,
+                deadline=arrived_at + timeout_s,
+                body=read.body,
+                content_type=environ.get('CONTENT_TYPE') or 'application/json',
+                fields=read.fields,
+            )
+        )
+    )
+
+
+class JsonBody(typing.NamedTuple):
+    """Hold a body and the object it stands for."""
+
+    body: bytes
+    fields: dict[str, typing.Any]
+
+
+def read_json(
+    environ: Environ, settings: tree_schema.NodeSettings
+) -> result.Result[JsonBody, verdicts.Refusal]:
+    """Read a body within its limits and parse it."""
+    return _read_body(environ, settings).bind(_parse_json)
+
+
+def _parse_json(body: bytes) -> result.Result[JsonBody, verdicts.Refusal]:
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError):
+        return _fail('bad_json', 'the body is not JSON')
+    if not isinstance(fields, dict):
+        return _fail('bad_json', 'the body is not a JSON object')
+    return result.Success(JsonBody(body, fields))
+
+
+def _read_body(
+    environ: Environ, settings: tree_schema.NodeSettings
+) -> result.Result[bytes, verdicts.Refusal]:
+    length_text = environ.get('CONTENT_LENGTH', '')
+    if not length_text.isdigit():
+        return _fail('length_required', 'Content-Length is required', 411)
+    length = int(length_text)
+    if length > settings['max_body_bytes']:
+        allowed = settings['max_body_bytes']
+        return _fail('body_too_large', f'at most {allowed} bytes', 413)
+    deadline = time.monotonic() + settings['body_timeout_s']
+    try:
+        body = _read_until(environ['wsgi.input'], length, deadline)
+    except OSError:
+        return _fail('slow_sender', 'the body did not arrive in time', 408)
+    if len(body) < length:
+        return _fail('body_cut', 'the body is shorter than announced')
+    return result.Success(body)
+
+
+def _read_until(source: typing.Any, length: int, deadline: float) -> bytes:
+    pieces = []
+    missing = length
+    while missing > 0:
+        if time.monotonic() > deadline:
+            raise TimeoutError
+        # Peeking waits for one arrival; a plain read waits for them all.
+        buffered = len(source.rfile.peek(1))
+        piece = source.read(min(max(1, buffered), missing, READ_BYTES))
+        if not piece:
+            break
+        pieces.append(piece)
+        missing -= len(piece)
+    return b''.join(pieces)
+
+
+def _timeout_s(
+    environ: Environ, settings: tree_schema.NodeSettings
+) -> result.Result[float, verdicts.Refusal]:
+    text = environ.get(TIMEOUT_HEADER)
+    if text is None:
+        return result.Success(settings['timeout_s'])
+    try:
+        timeout_ms = int(text)
+    except ValueError:
+        return _fail('bad_deadline', 'Baobabpond-Timeout-Ms is no integer')
+    if timeout_ms <= 0:
+        return _fail('deadline_passed', 'the deadline has passed already')
+    if timeout_ms > settings['max_timeout_s'] * MS_PER_S:
+        allowed = settings['max_timeout_s']
+        return _fail('bad_deadline', f'the deadline is at most {allowed:g} s')
+    return result.Success(timeout_ms / MS_PER_S)
+
+
+def _fail(
+    code: str, message: str, status: int = 400
+) -> result.Result[typing.Any, verdicts.Refusal]:
+    return result.Failure(verdicts.bad_request(code, message, status))
--- /dev/null
+++ b/baobabpond/instance.py
@@ -0,0 +1,321 @@
+"""Assemble one entry instance from its parts."""
+
+import os
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from . import metrics as metrics_module
+from .claims import keeper as claim_keeper
+from .gen import instance as instance_schema
+from .gen.peer import ttypes
+from .http import adapters
+from .http import app as app_module
+from .http import callers
+from .http import completions
+from .http import operators
+from .http import server as http_server
+from .http import trainers as http_trainers
+from .leases import keeper as lease_keeper
+from .log import client as log_client
+from .log import follower as follower_module
+from .log import snapshots
+from .log import state as state_module
+from .log import writer as writer_module
+from .members import gossip
+from .members import instance_list
+from .members import join
+from .members import table as table_module
+from .peers import client as peer_client
+from .peers import server as peer_server
+from .rollout import trainers
+from .routing import watcher
+from .settings import current as current_module
+from .settings import fold as settings_fold
+from .settings import sync
+from .weights import owner as weight_owner
+
+# Threads kept free for health, metrics and the entry list.
+RESERVED_THREADS = 8
+TICK_S = 0.2
+SPREAD_S = 2.0
+LINGER_S = 0.5
+FLUSH_S = 5.0
+US_PER_S = 1_000_000
+
+LOG = structlog.get_logger(__name__)
+
+
+class Instance:
+    """Run all the parts of one entry instance."""
+
+    def __init__(self, settings: instance_schema.InstanceSettings) -> None:
+        self._settings = settings
+        self._metrics = metrics_module.Metrics()
+        self._rng = random.Random()
+        self._leave_requested = threading.Event()
+        started_us = int(time.time() * US_PER_S)
+        self._own = ttypes.Member(
+            instance=settings['instance'],
+            incarnation=0,
+            address=settings['address'],
+            http_port=settings['http_port'],
+            peer_port=settings['peer_port'],
+            data_centre=settings['data_centre'],
+            state=table_module.State.ALIVE,
+            settings_revision=0,
+            started_us=started_us,
+        )
+        self._build_log()
+        self._build_members()
+        self._build_work()
+        self._build_http()
+
+    def start(self) -> None:
+        """Start all tasks and serve."""
+        peer_server.start(
+            self._own.address,
+            self._own.peer_port,
+            peer_server.PeerHandler(
+                self._table, self._current, self._serve_peer_call
+            ),
+        )
+        for part in self._parts:
+            part.start()
+        threading.Thread(target=self._tick, name='tick', daemon=True).start()
+        threading.Thread(
+            target=self._server.safe_start, name='http', daemon=True
+        ).start()
+        LOG.info('serving', address=self._own.address)
+
+    def request_leave(self) -> None:
+        """Ask the instance to drain and leave."""
+        self._leave_requested.set()
+
+    def run_until_left(self) -> bool:
+        """Wait for the request to leave, and drain; tell if all ended."""
+        self._leave_requested.wait()
+        settings = self._current.tree.effective('')
+        LOG.info('leaving')
+        self._gate.start_leaving()
+        self._table.update_own(state=table_module.State.LEAVING)
+        self._gossip.announce()
+        # Callers may keep the list they have until it is no longer valid.
+        time.sleep(SPREAD_S + settings['entry_validity_s'])
+        self._gate.close()
+        drained = self._gate.wait_empty(settings['drain_timeout_s'])
+        self._trainers.stop()
+        self._weights.stop()
+        self._writer.flush(time.monotonic() + FLUSH_S)
+        time.sleep(LINGER_S)
+        self._server.stop()
+        LOG.info('left', drained=drained)
+        return drained
+
+    def _build_log(self) -> None:
+        settings = self._settings
+        client = log_client.LogClient(settings['log_url'], settings['topic'])
+        self._state = state_module.State()
+        self._follower = follower_module.Follower(
+            client, self._state, self._metrics
+        )
+        self._writer = writer_module.Writer(
+            f'{self._own.instance}@{self._own.started_us}',
+            client,
+            self._state,
+            self._metrics,
+        )
+        self._snapshots = snapshots.Snapshotter(
+            self._follower,
+            self._state,
+            self._writer,
+            self._metrics,
+            settings['log_retention_s'],
+            self._rank,
+        )
+        self._current = current_module.CurrentSettings()
+
+    def _build_members(self) -> None:
+        settings = self._settings
+        self._table = table_module.MemberTable(self._own, self._metrics)
+        self._peers = peer_client.PeerClients()
+        self._listed = instance_list.InstanceList(
+            settings['instance_list_url']
+        )
+        self._gossip = gossip.Gossip(self._table, self._metrics, self._rng)
+        self._joiner = join.Joiner(
+            self._table,
+            self._gossip,
+            self._listed,
+            self._peers,
+            self._metrics,
+            self._rng,
+        )
+        self._sync = sync.SettingsSync(
+            self._table, self._current, self._peers, self._metrics, self._rng
+        )
+
+    def _build_work(self) -> None:
+        self._adapters = adapters.AdapterSet()
+        self._routers = watcher.Routers(
+            self._own.instance,
+            self._current,
+            self._listed,
+            self._adapters.poll_load,
+            self._metrics,
+            self._rng,
+        )
+        self._claims = claim_keeper.ClaimKeeper(
+            self._own.instance,
+            self._own.started_us,
+            self._state,
+            self._follower,
+            self._writer,
+            self._metrics,
+            self._table.is_lost,
+        )
+        self._trainers = trainers.Trainers(
+            self._table,
+            self._current,
+            self._routers,
+            self._adapters,
+            self._state,
+            self._writer,
+            self._peers,
+            self._metrics,
+        )
+        self._weights = weight_owner.WeightOwners(
+            self._current,
+            self._state,
+            self._make_lease_keeper,
+            self._listed,
+            typing.cast(
+                completions.Completions, self._adapters.named('completions')
+            ),
+            self._metrics,
+            self._rng,
+        )
+        self._parts = (
+            self._follower,
+            self._writer,
+            self._snapshots,
+            self._gossip,
+            self._joiner,
+            self._sync,
+            self._routers,
+            self._weights,
+        )
+
+    def _build_http(self) -> None:
+        threads = self._settings['http_threads']
+        self._gate = app_module.Gate(max(1, threads - RESERVED_THREADS))
+        app = app_module.App(self._gate, self._metrics)
+        handler = callers.CallerHandler(
+            self._current,
+            self._routers,
+            self._claims,
+            self._adapters,
+            self._metrics,
+        )
+        app.add('POST', '/v1/requests/(.+)', handler.handle)
+        self._add_trainer_routes(app)
+        self._add_operator_routes(app)
+        self._server = http_server.Server(
+            self._own.address,
+            self._own.http_port,
+            app,
+            threads,
+            self._metrics,
+        )
+
+    def _add_trainer_routes(self, app: app_module.App) -> None:
+        handlers = http_trainers.TrainerHandlers(
+            self._trainers, self._current, self._metrics
+        )
+        step = r'/v1/trainers/([^/]+/[^/]+/[^/]+/steps/\d{1,9})'
+        app.add('PUT', step, handlers.open_step)
+        app.add('POST', step + '/pull', handlers.pull)
+        app.add(
+            'POST',
+            '/v1/trainers/([^/]+/[^/]+/[^/]+)/versions',
+            handlers.announce,
+        )
+
+    def _add_operator_routes(self, app: app_module.App) -> None:
+        handlers = operators.OperatorHandlers(
+            self._table,
+            self._current,
+            self._routers,
+            self._metrics,
+            self._is_ready,
+            self._extra_status,
+        )
+        for path, handler in (
+            ('/v1/entries', handlers.entries),
+            ('/healthz', handlers.health),
+            ('/readyz', handlers.ready),
+            ('/v1/metrics', handlers.metrics),
+            ('/v1/status', handlers.status),
+        ):
+            app.add('GET', path, handler, is_work=False)
+
+    def _make_lease_keeper(self, name: str) -> lease_keeper.LeaseKeeper:
+        return lease_keeper.LeaseKeeper(
+            name,
+            self._writer.sender,
+            self._state,
+            self._follower,
+            self._writer,
+            self._metrics,
+        )
+
+    def _serve_peer_call(
+        self, message: ttypes.TrainerCall
+    ) -> ttypes.TrainerReply:
+        call = trainers.decode_call(message)
+        return trainers.encode_reply(self._trainers.serve(call))
+
+    def _rank(self) -> int:
+        names = sorted(m.instance for m in self._table.serving())
+        own = self._own.instance
+        return names.index(own) if own in names else len(names)
+
+    def _is_ready(self) -> bool:
+        if self._gate.leaving or not self._joiner.joined:
+            return False
+        if self._follower.complete:
+            fold = self._state.fold(settings_fold.SettingsFold)
+            return self._current.revision >= fold.revision
+        return self._current.revision > 0
+
+    def _extra_status(self) -> dict[str, typing.Any]:
+        return {
+            'pid': os.getpid(),
+            'ready': self._is_ready(),
+            'in_flight': self._gate.in_flight,
+            'log': {
+                'healthy': self._follower.healthy,
+                'next_offset': self._state.next_offset,
+                'snapshot_offset': self._state.snapshot_offset,
+            },
+            'weight_leases': self._weights.held(),
+        }
+
+    def _tick(self) -> None:
+        """Carry changes from the folds to the parts that act on them."""
+        fold = self._state.fold(settings_fold.SettingsFold)
+        while True:
+            seen = self._state.next_offset
+            self._current.offer_fold(fold)
+            self._claims.settle_abandoned()
+            self._trainers.release_foreign()
+            leaving = self._current.tree.effective('')['leaving_instances']
+            if self._own.instance in leaving:
+                self.request_leave()
+            self._state.wait_for(
+                lambda: self._state.next_offset != seen,  # noqa: B023
+                time.monotonic() + TICK_S,
+            )
--- /dev/null
+++ b/baobabpond/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Grant leases with fencing numbers through the log."""
--- /dev/null
+++ b/baobabpond/leases/keeper.py
@@ -0,0 +1,140 @@
+"""Acquire and renew one lease, and tell when it is safe to act."""
+
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..gen import records as schema
+from ..log import follower as follower_module
+from ..log import state as state_module
+from ..log import writer as writer_module
+
+from . import fold as fold_module
+
+RENEW_SHARE = 1 / 3
+# Others wait longer than the holder acts, against clocks that drift.
+TAKEOVER_SHARE = 1.25
+SETTLE_WAIT_S = 2.0
+
+LOG = structlog.get_logger(__name__)
+
+
+class Held(typing.NamedTuple):
+    """Hold the fence of a lease and its end on the monotonic clock."""
+
+    fence: int
+    expires_at: float
+
+
+class LeaseKeeper:
+    """Hold one lease for this process whenever nobody else does."""
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        state: state_module.State,
+        follower: follower_module.Follower,
+        writer: writer_module.Writer,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._name = name
+        self._holder = holder
+        self._state = state
+        self._fold = state.fold(fold_module.LeaseFold)
+        self._follower = follower
+        self._writer = writer
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._held: Held | None = None
+        self._watched_offset: int | None = None
+        self._watched_since = 0.0
+
+    @property
+    def held(self) -> Held | None:
+        """Return the lease if it is safe to act on it now."""
+        held = self._held
+        if held is None or time.monotonic() >= held.expires_at:
+            return None
+        return held
+
+    def maintain(self, lease_s: float) -> Held | None:
+        """Renew the lease or take it over if it is free, and return it."""
+        with self._lock:
+            held = self.held
+            if held is not None and not self._renewal_due(held, lease_s):
+                return held
+            if not self._follower.healthy:
+                return held
+            if held is None and not self._free(lease_s):
+                return None
+            self._append(lease_s, released=False)
+            return self.held
+
+    def release(self) -> None:
+        """Give the lease up, so that another need not wait for its end."""
+        with self._lock:
+            if self.held is None:
+                return
+            self._held = None
+            self._submit(released=True)
+
+    def _renewal_due(self, held: Held, lease_s: float) -> bool:
+        remaining = held.expires_at - time.monotonic()
+        return remaining < lease_s * (1 - RENEW_SHARE)
+
+    def _free(self, lease_s: float) -> bool:
+        entry = self._fold.get(self._name)
+        if entry is None or entry.released or entry.holder == self._holder:
+            return True
+        now = time.monotonic()
+        if entry.last_offset != self._watched_offset:
+            self._watched_offset = entry.last_offset
+            self._watched_since = now
+            return False
+        return now - self._watched_since >= lease_s * TAKEOVER_SHARE
+
+    def _append(self, lease_s: float, released: bool) -> None:
+        # Counted from before the append, when no one else can have begun.
+        started = time.monotonic()
+        pending = self._submit(released)
+        settled = self._state.wait_for(
+            lambda: (
+                pending.seq is not None
+                and self._state.seen(self._writer.sender, pending.seq)
+            ),
+            started + SETTLE_WAIT_S,
+        )
+        if not settled:
+            self._writer.cancel(pending)
+            return
+        entry = self._fold.get(self._name)
+        if entry is None or entry.holder != self._holder or entry.released:
+            self._lose()
+            return
+        if self._held is None or self._held.fence != entry.fence:
+            self._metrics.count('leases.acquired')
+            LOG.info('lease acquired', name=self._name, fence=entry.fence)
+        self._held = Held(entry.fence, started + lease_s)
+
+    def _lose(self) -> None:
+        if self._held is not None:
+            self._metrics.count('leases.lost')
+            LOG.warning('lease lost', name=self._name)
+        self._held = None
+
+    def _submit(self, released: bool) -> writer_module.PendingItem:
+        entry = self._fold.get(self._name)
+        item: schema.Lease = {
+            'type': 'lease',
+            'name': self._name,
+            'holder': self._holder,
+            'previous_offset': fold_module.NEVER_HELD
+            if entry is None
+            else entry.last_offset,
+            'released': released,
+        }
+        return self._writer.submit(item)
--- /dev/null
+++ b/baobabpond/log/__init__.py
@@ -0,0 +1,1 @@
+"""Read and append the records of the platform's log service."""
--- /dev/null
+++ b/baobabpond/log/snapshots.py
@@ -0,0 +1,86 @@
+"""Append a snapshot before the records it stands for expire."""
+
+import collections.abc
+import threading
+import time
+
+from .. import metrics as metrics_module
+from ..gen import records as schema
+
+from . import client
+from . import follower as follower_module
+from . import state as state_module
+from . import writer as writer_module
+
+CHECK_S = 1.0
+MAX_RECORDS_BETWEEN = 2000
+# A snapshot is due when it is this share of the retention old.
+AGE_SHARE = 0.25
+# Instances of a lower rank wait longer, so that one of them is enough.
+RANK_STEP = 0.25
+MAX_RANK = 4
+
+
+class Snapshotter:
+    """Watch the age of the newest snapshot and append the next one."""
+
+    def __init__(
+        self,
+        follower: follower_module.Follower,
+        state: state_module.State,
+        writer: writer_module.Writer,
+        metrics: metrics_module.Metrics,
+        retention_s: float,
+        rank: collections.abc.Callable[[], int],
+    ) -> None:
+        self._follower = follower
+        self._state = state
+        self._writer = writer
+        self._metrics = metrics
+        self._retention_s = retention_s
+        self._rank = rank
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Start the task that checks whether a snapshot is due."""
+        threading.Thread(
+            target=self._run, name='snapshots', daemon=True
+        ).start()
+
+    def stop(self) -> None:
+        """Ask the task to end."""
+        self._stopping.set()
+
+    def append_if_due(self) -> bool:
+        """Append a snapshot if one is due; tell whether it was."""
+        if not self._follower.healthy or self._state.next_offset == 0:
+            return False
+        patience = 1.0 + RANK_STEP * min(self._rank(), MAX_RANK)
+        if self.urgency() < patience:
+            return False
+        with self._state.changed:
+            item: schema.Snapshot = {
+                'type': 'snapshot',
+                'offset': self._state.next_offset - 1,
+                'state': self._state.dump(),
+            }
+        self._writer.submit(item)
+        self._metrics.count('log.snapshots')
+        self._writer.flush(time.monotonic() + CHECK_S)
+        return True
+
+    def urgency(self) -> float:
+        """Return the need for a snapshot; one is due from 1.0 on."""
+        uncovered = self._state.next_offset - self._state.snapshot_offset - 1
+        age_s = time.time() - self._state.snapshot_time_s
+        return max(
+            uncovered / MAX_RECORDS_BETWEEN,
+            age_s / (self._retention_s * AGE_SHARE),
+        )
+
+    def _run(self) -> None:
+        while not self._stopping.wait(CHECK_S):
+            try:
+                self.append_if_due()
+            except client.LogError:
+                self._metrics.count('log.read_errors')
--- /dev/null
+++ b/baobabpond/members/__init__.py
@@ -0,0 +1,1 @@
+"""Know which entry instances and upstreams are there."""
--- /dev/null
+++ b/baobabpond/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Call other instances, and answer their calls, by Thrift."""
--- /dev/null
+++ b/baobabpond/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Generate the samples of a trainer's steps and hand them over."""
--- /dev/null
+++ b/baobabpond/rollout/generator.py
@@ -0,0 +1,127 @@
+"""Generate one sample at an engine of the service."""
+
+import json
+import time
+import typing
+import uuid
+
+from returns import result
+
+from .. import metrics as metrics_module
+from .. import verdicts
+from ..gen import tree as tree_schema
+from ..http import adapters
+from ..http import completions
+from ..routing import service as service_module
+from ..routing import upstreams
+from ..routing import watcher
+
+from . import step as step_module
+
+ADMISSION_PAUSE_S = 0.05
+JSON_TYPE = 'application/json'
+
+
+class Generator:
+    """Carry attempts of one trainer to the engines."""
+
+    def __init__(
+        self,
+        caller: str,
+        router: service_module.ServiceRouter,
+        adapter: adapters.Adapter,
+        get_settings: typing.Callable[[], tree_schema.NodeSettings],
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._caller = caller
+        self._router = router
+        self._adapter = adapter
+        self._get_settings = get_settings
+        self._metrics = metrics
+
+    def generate(
+        self, attempt: step_module.Attempt, minimum_version: int
+    ) -> step_module.Sample | None:
+        """Return a whole, labelled sample, or None."""
+        settings = self._get_settings()
+        context = service_module.RequestContext(
+            settings,
+            self._caller,
+            time.monotonic() + settings['timeout_s'],
+            attempt.slot.spec.prompt,
+        )
+        ticket = self._router.admit(context)
+        if isinstance(ticket, verdicts.Refusal):
+            time.sleep(ADMISSION_PAUSE_S)
+            return None
+        try:
+            return self._run(attempt, context, minimum_version)
+        finally:
+            self._router.release(ticket)
+
+    def _run(
+        self,
+        attempt: step_module.Attempt,
+        context: service_module.RequestContext,
+        minimum_version: int,
+    ) -> step_module.Sample | None:
+        used = {
+            other.upstream
+            for other in attempt.slot.attempts
+            if other.upstream is not None
+        }
+        state = self._router.choose(
+            context, used, watcher.version_at_least(minimum_version)
+        )
+        if state is None:
+            return None
+        attempt.upstream = state.upstream.instance
+        opened = self._router.open_at(
+            context,
+            state,
+            lambda chosen, deadline: self._open(
+                attempt, context, chosen, deadline
+            ),
+        )
+        if not isinstance(opened, result.Success):
+            return None
+        stream = typing.cast(completions.CompletionStream, opened.unwrap())
+        return self._collect(attempt, stream)
+
+    def _open(
+        self,
+        attempt: step_module.Attempt,
+        context: service_module.RequestContext,
+        state: upstreams.UpstreamState,
+        deadline: float,
+    ) -> typing.Any:
+        body = json.dumps(
+            {
+                'prompt': attempt.slot.spec.prompt,
+                'max_tokens': attempt.slot.spec.max_tokens,
+                'stream': True,
+                'seed': attempt.slot.index,
+            }
+        )
+        request = adapters.UpstreamRequest(
+            uuid.uuid4().hex, body.encode(), JSON_TYPE, context.settings
+        )
+        return self._adapter.open_stream(state.upstream, request, deadline)
+
+    def _collect(
+        self,
+        attempt: step_module.Attempt,
+        stream: completions.CompletionStream,
+    ) -> step_module.Sample | None:
+        try:
+            completion = completions.collect(stream, lambda: attempt.cancelled)
+        except completions.NotWholeError:
+            self._metrics.count(f'rollout.cut.{stream.end_code}')
+            self._metrics.count('rollout.tokens_wasted', stream.units)
+            return None
+        return step_module.Sample(
+            completion.text,
+            completion.tokens,
+            completion.weight_versions,
+            time.monotonic(),
+        )
--- /dev/null
+++ b/baobabpond/routing/admission.py
@@ -0,0 +1,113 @@
+"""Admit a request to a service or refuse it at once."""
+
+import collections
+import threading
+import time
+import typing
+
+from .. import verdicts
+from ..gen import tree as tree_schema
+
+# Shares of the limit open to each priority; what is left of the whole
+# keeps the next lower one from starving.
+PRIORITY_SHARES = {'high': 1.0, 'ordinary': 0.8, 'low': 0.5}
+RESERVED_SHARE = 0.15
+CONTENTION_S = 1.0
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+
+
+class Ticket(typing.NamedTuple):
+    """Stand for one admitted request."""
+
+    caller: str
+    priority: str
+
+
+class Admission:
+    """Share a service's concurrency limit among priorities and callers."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._by_priority: collections.Counter[str] = collections.Counter()
+        self._by_caller: collections.Counter[str] = collections.Counter()
+        self._refused_at: dict[str, float] = {}
+        self._callers_seen: dict[str, float] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Return the admitted requests that have not ended."""
+        return self._in_flight
+
+    def admit(
+        self,
+        settings: tree_schema.NodeSettings,
+        caller: str,
+        limit: float,
+        expected_s: float,
+        deadline: float,
+    ) -> Ticket | verdicts.Refusal:
+        """Return a ticket, or the refusal with when to come back."""
+        now = time.monotonic()
+        priority = settings['priority']
+        with self._lock:
+            self._callers_seen[caller] = now
+            if now + expected_s > deadline:
+                return _refuse('deadline_too_short', expected_s)
+            if self._in_flight >= self._open_to(priority, limit, now):
+                self._refused_at[priority] = now
+                return _refuse('no_capacity', expected_s)
+            if self._over_share(caller, settings['caller_share'], limit, now):
+                return _refuse('caller_share', expected_s)
+            ticket = Ticket(caller, priority)
+            self._in_flight += 1
+            self._by_priority[priority] += 1
+            self._by_caller[caller] += 1
+            return ticket
+
+    def release(self, ticket: Ticket) -> None:
+        """Give an admitted request's place back."""
+        with self._lock:
+            self._in_flight -= 1
+            self._by_priority[ticket.priority] -= 1
+            self._by_caller[ticket.caller] -= 1
+            if not self._by_caller[ticket.caller]:
+                del self._by_caller[ticket.caller]
+
+    def _open_to(self, priority: str, limit: float, now: float) -> float:
+        share = PRIORITY_SHARES[priority]
+        if priority == 'high' and self._contended('ordinary', now):
+            share -= RESERVED_SHARE
+        # One request must always be able to go, at any priority.
+        return max(1.0, limit * share)
+
+    def _contended(self, priority: str, now: float) -> bool:
+        refused_at = self._refused_at.get(priority)
+        return refused_at is not None and now - refused_at < CONTENTION_S
+
+    def _over_share(
+        self, caller: str, share: float, limit: float, now: float
+    ) -> bool:
+        if self._by_caller[caller] < max(1.0, limit * share):
+            return False
+        recent = [
+            name
+            for name, seen_at in self._callers_seen.items()
+            if now - seen_at < CONTENTION_S
+        ]
+        if len(self._callers_seen) > 2 * len(recent) + 16:
+            self._callers_seen = {
+                name: self._callers_seen[name] for name in recent
+            }
+        return len(recent) > 1
+
+
+def _refuse(code: str, expected_s: float) -> verdicts.Refusal:
+    retry_after_s = min(max(expected_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+    messages = {
+        'deadline_too_short': 'the deadline is nearer than the expected time',
+        'no_capacity': 'the service is at its concurrency limit',
+        'caller_share': 'the caller is at its share of the service',
+    }
+    return verdicts.unavailable(code, messages[code], retry_after_s)
--- /dev/null
+++ b/baobabpond/routing/choice.py
@@ -0,0 +1,72 @@
+"""Choose one of the usable upstreams of a service."""
+
+import itertools
+import random
+import typing
+
+from .. import registry
+from ..gen import tree as tree_schema
+from ..members import entries
+
+from . import upstreams
+
+
+class ChoiceContext(typing.NamedTuple):
+    """Hold what a choice may depend on besides the candidates."""
+
+    settings: tree_schema.NodeSettings
+    affinity_key: str
+    rng: random.Random
+    turn: 'itertools.count[int]'
+
+
+Choice = typing.Callable[
+    [list[upstreams.UpstreamState], ChoiceContext], upstreams.UpstreamState
+]
+choices: registry.Registry[Choice] = registry.Registry('choice')
+
+
+@choices.register('round_robin')
+def round_robin(
+    candidates: list[upstreams.UpstreamState], context: ChoiceContext
+) -> upstreams.UpstreamState:
+    """Return each candidate in turn, whatever its load."""
+    return candidates[next(context.turn) % len(candidates)]
+
+
+@choices.register('two_choices')
+def two_choices(
+    candidates: list[upstreams.UpstreamState], context: ChoiceContext
+) -> upstreams.UpstreamState:
+    """Return the less loaded of two candidates drawn at random."""
+    if len(candidates) == 1:
+        return candidates[0]
+    first, second = context.rng.sample(candidates, 2)
+    slow_start_s = context.settings['slow_start_s']
+    if second.score(slow_start_s) < first.score(slow_start_s):
+        return second
+    return first
+
+
+@choices.register('prefix_affinity')
+def prefix_affinity(
+    candidates: list[upstreams.UpstreamState], context: ChoiceContext
+) -> upstreams.UpstreamState:
+    """Return the candidate preferred for the prefix unless overloaded."""
+    if not context.affinity_key:
+        return two_choices(candidates, context)
+    slow_start_s = context.settings['slow_start_s']
+    scores = [state.score(slow_start_s) for state in candidates]
+    bound = context.settings['affinity_load_factor'] * (
+        sum(scores) / len(scores)
+    )
+    ranked = sorted(
+        zip(candidates, scores, strict=True),
+        key=lambda pair: entries.rendezvous_rank(
+            context.affinity_key, pair[0].upstream.instance
+        ),
+    )
+    for state, score in ranked:
+        if score <= bound:
+            return state
+    return two_choices(candidates, context)
--- /dev/null
+++ b/baobabpond/routing/service.py
@@ -0,0 +1,304 @@
+"""Carry requests to the upstreams of one service."""
+
+import collections.abc
+import itertools
+import random
+import time
+import typing
+
+from returns import result
+
+from .. import answers
+from .. import metrics as metrics_module
+from .. import verdicts
+from ..gen import tree as tree_schema
+
+from . import admission
+from . import budget
+from . import choice
+from . import limits
+from . import streams
+from . import upstreams
+
+BACKOFF_FACTOR = 2.0
+TIMEOUT_CODE = 'upstream_timeout'
+REFUSED_CODE = 'upstream_refused'
+CUT_CODE = 'upstream_cut'
+BLAMELESS_CODES = (REFUSED_CODE, streams.CANCELLED_CODE)
+LATENCY_WEIGHT = 0.1
+NO_UPSTREAM_RETRY_S = 1.0
+
+Attempt = collections.abc.Callable[
+    [upstreams.UpstreamState, float],
+    result.Result[answers.Answer, verdicts.Refusal],
+]
+Opener = collections.abc.Callable[
+    [upstreams.UpstreamState, float],
+    result.Result[streams.Stream, verdicts.Refusal],
+]
+T = typing.TypeVar('T')
+Accept = collections.abc.Callable[[upstreams.UpstreamState], bool]
+
+
+class RequestContext(typing.NamedTuple):
+    """Describe a request to the router; the deadline is monotonic."""
+
+    settings: tree_schema.NodeSettings
+    caller: str
+    deadline: float
+    affinity_key: str = ''
+
+
+class ServiceRouter:
+    """Admit, place, retry and account for the requests of a service."""
+
+    def __init__(
+        self,
+        service: str,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._service = service
+        self._metrics = metrics
+        self._rng = rng
+        self._pool = upstreams.UpstreamSet(service, metrics, rng)
+        self._admission = admission.Admission()
+        self._budget = budget.RetryBudget()
+        self._limits: dict[str, limits.Limit] = {}
+        self._turn = itertools.count()
+        self._expected_s = 0.0
+
+    @property
+    def pool(self) -> upstreams.UpstreamSet:
+        """Return the upstreams of the service."""
+        return self._pool
+
+    @property
+    def in_flight(self) -> int:
+        """Return the admitted requests that have not ended."""
+        return self._admission.in_flight
+
+    def admit(
+        self, context: RequestContext
+    ) -> admission.Ticket | verdicts.Refusal:
+        """Return a ticket that must be released, or a refusal."""
+        outcome = self._admission.admit(
+            context.settings,
+            context.caller,
+            self.limit(context.settings),
+            self._expected_s,
+            context.deadline,
+        )
+        refused = isinstance(outcome, verdicts.Refusal)
+        name = 'refused' if refused else 'admitted'
+        self._metrics.count(f'routing.{name}.{self._service}')
+        return outcome
+
+    def release(self, ticket: admission.Ticket) -> None:
+        """Give a ticket back."""
+        self._admission.release(ticket)
+
+    def limit(self, settings: tree_schema.NodeSettings) -> float:
+        """Return how many requests may be in flight in all."""
+        per_upstream = self._limit_policy(settings).value(settings)
+        return per_upstream * max(1, len(self._pool.usable()))
+
+    def choose(
+        self,
+        context: RequestContext,
+        excluded: collections.abc.Container[str] = (),
+        accept: Accept | None = None,
+    ) -> upstreams.UpstreamState | None:
+        """Return the upstream for the next attempt, if there is one."""
+        usable = self._pool.usable()
+        if accept is not None:
+            usable = [state for state in usable if accept(state)]
+        fresh = [
+            state
+            for state in usable
+            if state.upstream.instance not in excluded
+        ]
+        candidates = fresh or usable
+        if not candidates:
+            return None
+        pick = choice.choices.get(context.settings['choice'])
+        return pick(
+            candidates,
+            choice.ChoiceContext(
+                context.settings, context.affinity_key, self._rng, self._turn
+            ),
+        )
+
+    def send(
+        self, context: RequestContext, attempt: Attempt
+    ) -> result.Result[answers.Answer, verdicts.Refusal]:
+        """Attempt an admitted request until it ends or is given up."""
+        return self._try_until_final(
+            context, lambda state: self._attempt(context, state, attempt)
+        )
+
+    def open_stream(
+        self, context: RequestContext, opener: Opener
+    ) -> result.Result[streams.Stream, verdicts.Refusal]:
+        """Open a stream at an upstream, retrying until its first bytes."""
+        return self._try_until_final(
+            context, lambda state: self.open_at(context, state, opener)
+        )
+
+    def open_at(
+        self,
+        context: RequestContext,
+        state: upstreams.UpstreamState,
+        opener: Opener,
+    ) -> result.Result[streams.Stream, verdicts.Refusal]:
+        """Open a stream at one upstream; its end is accounted for later."""
+        started = time.monotonic()
+        state.begin()
+        outcome = opener(state, context.deadline)
+        if isinstance(outcome, result.Success):
+            stream = outcome.unwrap()
+            stream.on_end(
+                lambda: self._finish(
+                    context,
+                    state,
+                    time.monotonic() - started,
+                    stream.end_code,
+                    stream.units,
+                )
+            )
+        else:
+            elapsed_s = time.monotonic() - started
+            self._finish(context, state, elapsed_s, outcome.failure().code, 1)
+        return outcome
+
+    def _try_until_final(
+        self,
+        context: RequestContext,
+        try_one: collections.abc.Callable[
+            [upstreams.UpstreamState], result.Result[T, verdicts.Refusal]
+        ],
+    ) -> result.Result[T, verdicts.Refusal]:
+        settings = context.settings
+        self._budget.deposit(settings['retry_budget'])
+        tried: set[str] = set()
+        may_have_run = False
+        refusal = no_upstream()
+        for number in range(1, settings['max_attempts'] + 1):
+            state = self.choose(context, tried)
+            if state is None:
+                break
+            tried.add(state.upstream.instance)
+            outcome = try_one(state)
+            if isinstance(outcome, result.Success):
+                return outcome
+            refusal = outcome.failure()
+            may_have_run |= refusal.verdict is not verdicts.Verdict.NOT_RUN
+            if not self._may_retry(context, refusal, number):
+                break
+            self._back_off(context, number)
+        return result.Failure(_final(refusal, may_have_run))
+
+    def _attempt(
+        self,
+        context: RequestContext,
+        state: upstreams.UpstreamState,
+        attempt: Attempt,
+    ) -> result.Result[answers.Answer, verdicts.Refusal]:
+        started = time.monotonic()
+        state.begin()
+        outcome = attempt(state, context.deadline)
+        code = None
+        if not isinstance(outcome, result.Success):
+            code = outcome.failure().code
+        self._finish(context, state, time.monotonic() - started, code, 1)
+        return outcome
+
+    def _finish(
+        self,
+        context: RequestContext,
+        state: upstreams.UpstreamState,
+        elapsed_s: float,
+        code: str | None,
+        units: int,
+    ) -> None:
+        settings = context.settings
+        unit_s = elapsed_s / max(1, units)
+        self._limit_policy(settings).record(
+            settings,
+            unit_s if code is None else None,
+            code is not None and code != streams.CANCELLED_CODE,
+            self.in_flight / max(1.0, self.limit(settings)),
+        )
+        failed = code is not None and self._is_fault(code, elapsed_s, settings)
+        self._pool.finish(
+            state, unit_s if code is None else None, failed, settings
+        )
+        if code is not None:
+            self._metrics.count(f'routing.failed_attempts.{self._service}')
+            return
+        self._metrics.record(f'routing.attempt.{self._service}', elapsed_s)
+        self._expected_s += LATENCY_WEIGHT * (elapsed_s - self._expected_s)
+
+    def _is_fault(
+        self,
+        code: str,
+        elapsed_s: float,
+        settings: tree_schema.NodeSettings,
+    ) -> bool:
+        """Tell whether a failure speaks against the upstream's health."""
+        if code in BLAMELESS_CODES:
+            return False
+        if code != TIMEOUT_CODE:
+            return True
+        # A caller's short deadline is no fault of the upstream.
+        usual_s = self._expected_s * settings['ejection_latency_factor']
+        return elapsed_s >= usual_s
+
+    def _limit_policy(
+        self, settings: tree_schema.NodeSettings
+    ) -> limits.Limit:
+        name = settings['limit_policy']
+        policy = self._limits.get(name)
+        if policy is None:
+            policy = limits.limits.get(name)()
+            self._limits[name] = policy
+        return policy
+
+    def _may_retry(
+        self, context: RequestContext, refusal: verdicts.Refusal, number: int
+    ) -> bool:
+        settings = context.settings
+        if number >= settings['max_attempts']:
+            return False
+        if refusal.verdict is verdicts.Verdict.RAN:
+            return False
+        not_run = refusal.verdict is verdicts.Verdict.NOT_RUN
+        if not (settings['idempotent'] or not_run):
+            return False
+        if time.monotonic() >= context.deadline:
+            return False
+        if not self._budget.withdraw():
+            self._metrics.count('routing.retry_budget_empty')
+            return False
+        self._metrics.count(f'routing.retries.{self._service}')
+        return True
+
+    def _back_off(self, context: RequestContext, number: int) -> None:
+        mean_s = context.settings['backoff_initial_s']
+        mean_s *= BACKOFF_FACTOR ** (number - 1)
+        delay_s = self._rng.uniform(0, 2 * mean_s)
+        remaining_s = max(0.0, context.deadline - time.monotonic())
+        time.sleep(min(delay_s, remaining_s))
+
+
+def no_upstream() -> verdicts.Refusal:
+    """Return the refusal of a request that nothing can serve now."""
+    return verdicts.unavailable(
+        'no_upstream', 'the service has no upstream', NO_UPSTREAM_RETRY_S
+    )
+
+
+def _final(refusal: verdicts.Refusal, may_have_run: bool) -> verdicts.Refusal:
+    if may_have_run and refusal.verdict is verdicts.Verdict.NOT_RUN:
+        return refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
+    return refusal
--- /dev/null
+++ b/baobabpond/routing/upstreams.py
@@ -0,0 +1,247 @@
+"""Track the load and the health of each upstream of a service."""
+
+import random
+import statistics
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..gen import tree as tree_schema
+
+LATENCY_WEIGHT = 0.2
+MIN_SAMPLES = 10
+MIN_SHARE = 0.1
+MAX_EJECTION_DOUBLINGS = 5
+REPORT_MAX_AGE_S = 10.0
+
+LOG = structlog.get_logger(__name__)
+
+
+class Upstream(typing.NamedTuple):
+    """Identify one upstream of a service."""
+
+    instance: str
+    service: str
+    address: str
+    port: int
+    data_centre: str
+
+
+class LoadReport(typing.NamedTuple):
+    """Hold what an upstream says of itself; the version is None if unknown."""
+
+    running: int
+    waiting: int
+    weight_version: int | None = None
+
+
+class UpstreamState:
+    """Combine an upstream's late load reports with what is known here."""
+
+    def __init__(self, upstream: Upstream) -> None:
+        self.upstream = upstream
+        self.leaving = False
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._reported = LoadReport(0, 0)
+        self._reported_at = -REPORT_MAX_AGE_S
+        self._in_flight_at_report = 0
+        self._latency_s: float | None = None
+        self._samples = 0
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until = 0.0
+        self._returned_at: float | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests that this process has sent and not finished."""
+        return self._in_flight
+
+    @property
+    def latency_s(self) -> float | None:
+        """Return the smoothed latency, once enough requests have ended."""
+        return self._latency_s if self._samples >= MIN_SAMPLES else None
+
+    @property
+    def failures(self) -> int:
+        """Return the failures in a row."""
+        return self._failures
+
+    @property
+    def weight_version(self) -> int | None:
+        """Return the weight version that was last reported."""
+        return self._reported.weight_version
+
+    @property
+    def ejected(self) -> bool:
+        """Tell whether the upstream is kept out for now."""
+        return time.monotonic() < self._ejected_until
+
+    def load(self) -> float:
+        """Return the estimated requests at the upstream now.
+
+        The report is corrected by what this process has sent and
+        finished since; a report too old to trust counts for nothing.
+        """
+        if time.monotonic() - self._reported_at > REPORT_MAX_AGE_S:
+            return float(self._in_flight)
+        total = self._reported.running + self._reported.waiting
+        change = self._in_flight - self._in_flight_at_report
+        return float(max(total + change, self._in_flight))
+
+    def score(self, slow_start_s: float) -> float:
+        """Return the load relative to the share the upstream may take."""
+        return (self.load() + 1) / self._share(slow_start_s)
+
+    def report(self, report: LoadReport) -> None:
+        """Take in a load report."""
+        with self._lock:
+            self._reported = report
+            self._reported_at = time.monotonic()
+            self._in_flight_at_report = self._in_flight
+
+    def begin(self) -> None:
+        """Count a request as sent."""
+        with self._lock:
+            self._in_flight += 1
+
+    def end(self, latency_s: float | None, failed: bool) -> None:
+        """Count a request as finished, with its latency if it tells."""
+        with self._lock:
+            self._in_flight -= 1
+            self._failures = self._failures + 1 if failed else 0
+            if not failed and latency_s is not None:
+                self._record_latency(latency_s)
+
+    def eject(self, ejection_s: float) -> None:
+        """Keep the upstream out; longer each time it is repeated."""
+        with self._lock:
+            doublings = min(self._ejections, MAX_EJECTION_DOUBLINGS)
+            until = time.monotonic() + ejection_s * 2**doublings
+            self._ejections += 1
+            self._ejected_until = until
+            self._returned_at = until
+            self._failures = 0
+            self._latency_s = None
+            self._samples = 0
+
+    def recover(self) -> None:
+        """Forget earlier ejections after a long run of health."""
+        with self._lock:
+            self._ejections = 0
+
+    def _record_latency(self, latency_s: float) -> None:
+        self._samples += 1
+        if self._latency_s is None:
+            self._latency_s = latency_s
+            return
+        self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+
+    def _share(self, slow_start_s: float) -> float:
+        if self._returned_at is None or slow_start_s <= 0:
+            return 1.0
+        elapsed_s = time.monotonic() - self._returned_at
+        if elapsed_s >= slow_start_s:
+            return 1.0
+        return max(MIN_SHARE, elapsed_s / slow_start_s)
+
+
+class UpstreamSet:
+    """Hold the upstreams of one service that this instance uses."""
+
+    def __init__(
+        self,
+        service: str,
+        metrics: metrics_module.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._service = service
+        self._metrics = metrics
+        self._rng = rng
+        self._lock = threading.Lock()
+        self._states: dict[str, UpstreamState] = {}
+
+    def states(self) -> list[UpstreamState]:
+        """Return all upstreams."""
+        with self._lock:
+            return list(self._states.values())
+
+    def get(self, instance: str) -> UpstreamState | None:
+        """Return an upstream by its name."""
+        return self._states.get(instance)
+
+    def replace(
+        self, upstreams: list[Upstream], leaving: typing.Container[str]
+    ) -> None:
+        """Take over the list of upstreams, keeping what is known of each."""
+        with self._lock:
+            kept: dict[str, UpstreamState] = {}
+            for upstream in upstreams:
+                state = self._states.get(upstream.instance)
+                if state is None or state.upstream != upstream:
+                    state = UpstreamState(upstream)
+                state.leaving = upstream.instance in leaving
+                kept[upstream.instance] = state
+            self._states = kept
+
+    def usable(self) -> list[UpstreamState]:
+        """Return the upstreams that may get new work."""
+        present = [state for state in self.states() if not state.leaving]
+        healthy = [state for state in present if not state.ejected]
+        return healthy or present
+
+    def finish(
+        self,
+        state: UpstreamState,
+        latency_s: float | None,
+        failed: bool,
+        settings: tree_schema.NodeSettings,
+    ) -> None:
+        """Count a request as finished and eject an outlier."""
+        state.end(latency_s, failed)
+        if state.ejected:
+            return
+        if state.failures >= settings['ejection_failures']:
+            self._eject(state, settings, 'failures')
+        elif self._is_slow(state, settings):
+            self._eject(state, settings, 'latency')
+
+    def _is_slow(
+        self, state: UpstreamState, settings: tree_schema.NodeSettings
+    ) -> bool:
+        own = state.latency_s
+        if own is None:
+            return False
+        others = [
+            other.latency_s
+            for other in self.states()
+            if other is not state and other.latency_s is not None
+        ]
+        if not others:
+            return False
+        median = statistics.median(others)
+        return own > median * settings['ejection_latency_factor']
+
+    def _eject(
+        self,
+        state: UpstreamState,
+        settings: tree_schema.NodeSettings,
+        reason: str,
+    ) -> None:
+        states = self.states()
+        ejected = sum(other.ejected for other in states)
+        if ejected + 1 > len(states) * settings['ejection_max_share']:
+            self._metrics.count('routing.ejections_capped')
+            return
+        state.eject(settings['ejection_s'])
+        self._metrics.count('routing.ejections')
+        LOG.warning(
+            'upstream ejected',
+            upstream=state.upstream.instance,
+            service=self._service,
+            reason=reason,
+        )
--- /dev/null
+++ b/baobabpond/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the tree of settings and the settings of one process."""
--- /dev/null
+++ b/baobabpond/settings/fold.py
@@ -0,0 +1,115 @@
+"""Fold publishes into the tree, and keep the audit trail."""
+
+import typing
+
+from ..gen import records as schema
+from ..log import state
+
+from . import tree as tree_module
+
+MAX_AUDIT_ENTRIES = 1000
+
+
+class AuditEntry(typing.NamedTuple):
+    """Record one publish: who, when, what, and how it ended."""
+
+    publish_id: str
+    author: str
+    time_s: float
+    message: str
+    base_revision: int
+    revision: int
+    changes: list[schema.Change]
+    accepted: bool
+    reason: str
+
+
+@state.folds.register('settings')
+class SettingsFold(state.Fold):
+    """Accept each publish that is valid and based on the newest revision."""
+
+    item_types = ('publish',)
+
+    def __init__(self) -> None:
+        self._tree = tree_module.Tree()
+        self._revision = 0
+        self._audit: list[AuditEntry] = []
+
+    @property
+    def tree(self) -> tree_module.Tree:
+        """Return the accepted tree."""
+        return self._tree
+
+    @property
+    def revision(self) -> int:
+        """Return how many publishes have been accepted."""
+        return self._revision
+
+    @property
+    def audit(self) -> list[AuditEntry]:
+        """Return the audit trail, oldest first."""
+        return self._audit
+
+    def entry(self, publish_id: str) -> AuditEntry | None:
+        """Return the audit entry of a publish."""
+        for entry in reversed(self._audit):
+            if entry.publish_id == publish_id:
+                return entry
+        return None
+
+    def apply(self, item: schema.Publish, position: state.Position) -> None:
+        """Accept or refuse a publish."""
+        if self.entry(item['publish_id']) is not None:
+            return
+        candidate = self._tree.apply(item['changes'])
+        reason = self._refusal(item, candidate)
+        if not reason:
+            self._tree = candidate
+            self._revision += 1
+        self._audit.append(
+            AuditEntry(
+                publish_id=item['publish_id'],
+                author=item['author'],
+                time_s=position.log_time_s,
+                message=item['message'],
+                base_revision=item['base_revision'],
+                revision=self._revision,
+                changes=item['changes'],
+                accepted=not reason,
+                reason=reason,
+            )
+        )
+        del self._audit[:-MAX_AUDIT_ENTRIES]
+
+    def dump(self) -> typing.Any:
+        """Return the tree and the audit trail."""
+        return {
+            'revision': self._revision,
+            'nodes': self._tree.nodes,
+            'audit': [list(entry) for entry in self._audit],
+        }
+
+    def load(self, dumped: typing.Any) -> None:
+        """Replace the tree and the audit trail."""
+        self._revision = dumped['revision']
+        self._tree = tree_module.Tree(dumped['nodes'])
+        self._audit = [AuditEntry(*entry) for entry in dumped['audit']]
+
+    def _refusal(
+        self, item: schema.Publish, candidate: tree_module.Tree
+    ) -> str:
+        if item['base_revision'] != self._revision:
+            return self._stale_reason(item['base_revision'])
+        return '; '.join(map(str, candidate.problems()))
+
+    def _stale_reason(self, base_revision: int) -> str:
+        winner = next(
+            (entry for entry in reversed(self._audit) if entry.accepted), None
+        )
+        reason = (
+            f'based on revision {base_revision}, '
+            f'but the newest is {self._revision}'
+        )
+        if winner is not None:
+            reason += f', published by {winner.author}: {winner.message}'
+        return reason
--- /dev/null
+++ b/baobabpond/settings/tree.py
@@ -0,0 +1,143 @@
+"""Inherit settings from the root down to a workload."""
+
+import collections.abc
+import json
+import typing
+
+import xxhash
+
+from ..gen import records as schema
+from ..gen import tree as tree_schema
+
+from . import check
+
+MAX_DEPTH = 3
+ROOT = ''
+
+
+class Tree:
+    """Hold the overrides of each node; never changed once built."""
+
+    def __init__(
+        self,
+        nodes: collections.abc.Mapping[str, dict[str, typing.Any]]
+        | None = None,
+    ) -> None:
+        self._nodes = {path: dict(own) for path, own in (nodes or {}).items()}
+        self._effective: dict[str, tree_schema.NodeSettings] = {}
+
+    @property
+    def nodes(self) -> dict[str, dict[str, typing.Any]]:
+        """Return the overrides of each node by its path."""
+        return self._nodes
+
+    @property
+    def digest(self) -> str:
+        """Return a digest of the whole tree."""
+        return xxhash.xxh3_64_hexdigest(self.to_json().encode())
+
+    def effective(self, path: str) -> tree_schema.NodeSettings:
+        """Return the settings in force at a node."""
+        found = self._effective.get(path)
+        if found is None:
+            found = self._inherit(path)
+            self._effective[path] = found
+        return found
+
+    def has_service(self, path: str) -> bool:
+        """Tell whether a deployment/service is named in the tree."""
+        parts = path.split('/')
+        service = '/'.join(parts[:2])
+        return len(parts) >= 2 and any(
+            node == service or node.startswith(service + '/')
+            for node in self._nodes
+        )
+
+    def services(self) -> list[str]:
+        """Return the paths of all services."""
+        return sorted(
+            {
+                '/'.join(node.split('/')[:2])
+                for node in self._nodes
+                if node.count('/') >= 1
+            }
+        )
+
+    def apply(
+        self, changes: collections.abc.Iterable[schema.Change]
+    ) -> 'Tree':
+        """Return a new tree with some changes made."""
+        nodes = {path: dict(own) for path, own in self._nodes.items()}
+        for change in changes:
+            own = nodes.setdefault(change['node'], {})
+            if 'value' in change:
+                own[change['key']] = change['value']
+            else:
+                own.pop(change['key'], None)
+        return Tree(nodes)
+
+    def problems(self) -> list[check.Problem]:
+        """Return all that is wrong with the tree."""
+        found = []
+        for path, own in sorted(self._nodes.items()):
+            found += _path_problems(path)
+            found += check.problems('tree', own, path)
+            if not found:
+                found += _relation_problems(path, self.effective(path))
+        return found
+
+    def to_json(self) -> str:
+        """Return the tree as canonical JSON."""
+        return json.dumps(self._nodes, sort_keys=True)
+
+    def _inherit(self, path: str) -> tree_schema.NodeSettings:
+        values: dict[str, typing.Any] = dict(check.default_tree())
+        values.update(self._nodes.get(ROOT, {}))
+        parts = path.split('/') if path else []
+        for depth in range(1, len(parts) + 1):
+            values.update(self._nodes.get('/'.join(parts[:depth]), {}))
+        return typing.cast(tree_schema.NodeSettings, values)
+
+
+def from_json(text: str) -> Tree:
+    """Return the tree that to_json wrote."""
+    return Tree(json.loads(text))
+
+
+def _path_problems(path: str) -> list[check.Problem]:
+    if path == ROOT:
+        return []
+    parts = path.split('/')
+    if len(parts) > MAX_DEPTH or not all(parts):
+        return [
+            check.Problem(
+                path,
+                'not a node',
+                'deployment, deployment/service or '
+                'deployment/service/workload',
+            )
+        ]
+    return []
+
+
+def _relation_problems(
+    path: str, values: tree_schema.NodeSettings
+) -> list[check.Problem]:
+    found = []
+    if values['limit_min'] > values['limit_max']:
+        found.append(
+            check.Problem(
+                f'{path}/limit_min',
+                f'{values["limit_min"]} is above limit_max',
+                f'at most {values["limit_max"]}',
+            )
+        )
+    if values['timeout_s'] > values['max_timeout_s']:
+        found.append(
+            check.Problem(
+                f'{path}/timeout_s',
+                f'{values["timeout_s"]} is above max_timeout_s',
+                f'at most {values["max_timeout_s"]}',
+            )
+        )
+    return found
--- /dev/null
+++ b/baobabpond/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- /dev/null
+++ b/baobabpond/ui/serve.py
@@ -0,0 +1,28 @@
+"""Run an entry instance."""
+
+import signal
+import sys
+
+from .. import errors
+from .. import instance as instance_module
+from .. import logs
+from ..settings import check
+
+NOT_DRAINED_EXIT_CODE = 5
+
+
+def serve(config: str | None) -> None:
+    """Serve until told to leave, or raise UserError."""
+    settings = check.load_instance(config)
+    logs.configure(settings['log_level'], settings['instance'])
+    try:
+        instance = instance_module.Instance(settings)
+    except OSError as error:
+        raise errors.UserError(
+            f'cannot listen on {settings["address"]}: {error}', exit_code=3
+        ) from error
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: instance.request_leave())
+    instance.start()
+    if not instance.run_until_left():
+        sys.exit(NOT_DRAINED_EXIT_CODE)
--- /dev/null
+++ b/baobabpond/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Bring each engine to the newest weight version."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, the upstreams, trainers and routers."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,174 @@
+"""Run the whole path on an embedded default and check what arrives."""
+
+import argparse
+import json
+import signal
+import subprocess
+import sys
+import time
+import typing
+
+from . import cluster as cluster_module
+
+DATA_CENTRES = ['kl-bengkel', 'ipoh-kilang']
+LOOKUPS = 'pasak-lestari/order-lookup'
+ENTRIES = 'valparaiso/field-records'
+MODEL = 'pasak-lestari/peg-sizing'
+TREE = {
+    LOOKUPS: {
+        'path': '/orders',
+        'idempotent': True,
+        'timeout_s': 2,
+    },
+    ENTRIES: {'path': '/orders', 'idempotent': False},
+    MODEL: {
+        'adapter': 'completions',
+        'path': '/v1/completions',
+        'idempotent': True,
+        'timeout_s': 60,
+        'choice': 'prefix_affinity',
+    },
+    f'{MODEL}/rollout': {'priority': 'high'},
+}
+COUNTS = {'lookup': 200, 'checklist': 60, 'training': 24}
+STEP_SAMPLES = 32
+
+
+def start(cluster: cluster_module.Cluster) -> None:
+    """Start the platform, the upstreams and three instances."""
+    cluster.start_platform()
+    for upstreams in (
+        cluster_module.Upstreams(LOOKUPS, 'plain_service', 1),
+        cluster_module.Upstreams(ENTRIES, 'plain_service', 1),
+        cluster_module.Upstreams(MODEL, 'engine', 4),
+    ):
+        cluster.start_upstreams(upstreams, DATA_CENTRES)
+    published = cluster.publish(TREE, author='demo')
+    if published.returncode != 0:
+        raise RuntimeError(published.stderr)
+    for index in range(3):
+        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        cluster.start_instance(f'entry-{index + 1}', data_centre)
+    cluster.wait_ready()
+
+
+def _spawn(module: str, *arguments: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, '-m', f'standins.{module}', *arguments],
+        cwd=cluster_module.ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
+def run(cluster: cluster_module.Cluster) -> dict[str, typing.Any]:
+    """Run a trainer and a router, each a process, and return the report."""
+    urls = ','.join(process.url for process in cluster.instances.values())
+    plans = []
+    for kind, path in (
+        ('lookup', LOOKUPS),
+        ('checklist', ENTRIES),
+        ('training', MODEL),
+    ):
+        plans += ['--plan', f'{kind}={path}={COUNTS[kind]}']
+    seed = str(cluster.seed)
+    trainer = _spawn(
+        'trainer',
+        *('--path', f'{MODEL}/rollout', '--instances', urls, '--seed', seed),
+    )
+    router = _spawn(
+        'router',
+        *('--seeds', urls, '--data-centre', DATA_CENTRES[0], '--seed', seed),
+        *plans,
+    )
+    children = (trainer, router)
+    try:
+        outputs = [child.communicate(timeout=60)[0] for child in children]
+    finally:
+        for child in children:
+            child.kill()
+            child.wait()
+    report = {
+        'router': json.loads(outputs[1]),
+        'trainer': json.loads(outputs[0]),
+    }
+    report['executions'] = _executions(cluster)
+    return report
+
+
+def _executions(cluster: cluster_module.Cluster) -> dict[str, int]:
+    shown = cluster.call('field-records-0', 'GET', '/executions')['started']
+    return {
+        'entries': len(shown),
+        'doubled': sum(count - 1 for count in shown.values()),
+    }
+
+
+def problems(report: dict[str, typing.Any]) -> list[str]:
+    """Return what was lost or doubled."""
+    found = []
+    for kind, counts in report['router'].items():
+        if counts['delivered'] != COUNTS[kind]:
+            found.append(f'{kind}: {counts}')
+    if report['executions'] != {
+        'entries': COUNTS['checklist'],
+        'doubled': 0,
+    }:
+        found.append(f'executions: {report["executions"]}')
+    trainer = report['trainer']
+    if (trainer['samples'], trainer['doubled'], trainer['missing']) != (
+        STEP_SAMPLES,
+        0,
+        0,
+    ):
+        found.append(f'trainer: {trainer}')
+    return found
+
+
+def show(report: dict[str, typing.Any]) -> None:
+    """Print the report as a table."""
+    print(
+        f'{"kind":<12}{"asked":>7}{"delivered":>11}{"refused":>9}{"lost":>6}'
+    )
+    for kind, counts in report['router'].items():
+        print(
+            f'{kind:<12}{counts["asked"]:>7}{counts["delivered"]:>11}'
+            f'{counts["refused"]:>9}{counts["lost"]:>6}'
+        )
+    trainer = report['trainer']
+    print(
+        f'checklist entries run: {report["executions"]["entries"]}, '
+        f'doubled: {report["executions"]["doubled"]}'
+    )
+    print(
+        f'samples handed to the trainer: {trainer["samples"]}, '
+        f'doubled: {trainer["doubled"]}, missing: {trainer["missing"]}, '
+        f'by versions of lag: {trainer["lags"]}'
+    )
+
+
+def main() -> None:
+    """Run the demo and exit 0 only if nothing was lost or doubled."""
+    arguments = argparse.ArgumentParser()
+    arguments.add_argument('--seed', type=int, default=1)
+    options = arguments.parse_args()
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(130))
+    started = time.monotonic()
+    print(f'seed {options.seed}')
+    try:
+        with cluster_module.Cluster(options.seed) as cluster:
+            start(cluster)
+            report = run(cluster)
+    except KeyboardInterrupt:
+        print('interrupted; all processes have ended', file=sys.stderr)
+        sys.exit(130)
+    show(report)
+    print(f'took {time.monotonic() - started:.1f} s')
+    found = problems(report)
+    for problem in found:
+        print(f'PROBLEM {problem}')
+    sys.exit(1 if found else 0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/instance_list.py
@@ -0,0 +1,63 @@
+"""Stand in for the instance list, at Consul's health endpoint.
+
+Faults: down, lag_s (changes show up late).
+"""
+
+import time
+
+from . import base
+
+
+class InstanceListService(base.StandIn):
+    """Keep what has been registered, and show it with a lag."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._services: dict[str, dict[str, object]] = {}
+        self._changes: list[tuple[float, str, str, object]] = []
+        self.route('GET', '/v1/health/service/([^/]+)', self._list)
+        self.route('PUT', '/register/([^/]+)/([^/]+)', self._register)
+        self.route('DELETE', '/register/([^/]+)/([^/]+)', self._deregister)
+
+    def _list(self, _request: base.Request, service: str) -> base.Reply:
+        if self.fault('down'):
+            return base.Reply({'message': 'unavailable'}, 503)
+        with self.lock:
+            self._settle()
+            return base.Reply(list(self._services.get(service, {}).values()))
+
+    def _register(
+        self, request: base.Request, service: str, instance: str
+    ) -> base.Reply:
+        return self._change(service, instance, request.json())
+
+    def _deregister(
+        self, _request: base.Request, service: str, instance: str
+    ) -> base.Reply:
+        return self._change(service, instance, None)
+
+    def _change(
+        self, service: str, instance: str, entry: object
+    ) -> base.Reply:
+        with self.lock:
+            due = time.monotonic() + self.fault('lag_s')
+            self._changes.append((due, service, instance, entry))
+        return base.Reply({})
+
+    def _settle(self) -> None:
+        now = time.monotonic()
+        waiting = []
+        for change in self._changes:
+            due, service, instance, entry = change
+            if due > now:
+                waiting.append(change)
+            elif entry is None:
+                self._services.get(service, {}).pop(instance, None)
+            else:
+                self._services.setdefault(service, {})[instance] = entry
+        self._changes = waiting
+
+
+if __name__ == '__main__':
+    options = base.parser().parse_args()
+    base.serve(InstanceListService(), options.address, options.port)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Check the project and report on it."""
--- /dev/null
+++ b/tools/models.py
@@ -0,0 +1,82 @@
+"""Check the Promela models, and that their broken variants are rejected."""
+
+import pathlib
+import re
+import subprocess
+import tempfile
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FOLDER = ROOT / 'models'
+VARIANT_PATTERN = re.compile(r'^#ifdef (BROKEN_\w+)', re.MULTILINE)
+STATES_PATTERN = re.compile(r'^\s*([\d.e+]+) states, stored', re.MULTILINE)
+ERRORS_PATTERN = re.compile(r'errors: (\d+)')
+DEPTH = 1_000_000
+TIMEOUT_S = 300
+
+
+class Report(typing.NamedTuple):
+    """Hold the end of one search."""
+
+    name: str
+    expect_errors: bool
+    errors: int
+    states: int
+    complete: bool
+
+    @property
+    def as_expected(self) -> bool:
+        """Tell whether the search ended as it should."""
+        if self.expect_errors:
+            return self.errors > 0
+        return self.errors == 0 and self.complete
+
+    def line(self) -> str:
+        """Return the report as one line."""
+        wanted = 'rejected' if self.expect_errors else 'holds'
+        end = 'ok' if self.as_expected else 'FAILED'
+        return (
+            f'model {self.name}: {end} (must be {wanted}; '
+            f'{self.errors} errors, {self.states} states)'
+        )
+
+
+def run_all() -> list[Report]:
+    """Check every model and each of its broken variants."""
+    reports = []
+    for path in sorted(FOLDER.glob('*.pml')):
+        reports.append(_run(path, None))
+        variants = VARIANT_PATTERN.findall(path.read_text(encoding='utf-8'))
+        for variant in sorted(set(variants)):
+            reports.append(_run(path, variant))
+    return reports
+
+
+def _run(path: pathlib.Path, variant: str | None) -> Report:
+    name = path.stem if variant is None else f'{path.stem}/{variant}'
+    defines = [] if variant is None else [f'-D{variant}']
+    with tempfile.TemporaryDirectory() as folder:
+        for command in (
+            ['spin', '-a', *defines, str(path)],
+            ['gcc', '-O2', '-DSAFETY', '-DCOLLAPSE', '-o', 'pan', 'pan.c'],
+        ):
+            subprocess.run(
+                command, cwd=folder, check=True, capture_output=True
+            )
+        searched = subprocess.run(
+            ['./pan', f'-m{DEPTH}'],
+            cwd=folder,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        ).stdout
+    errors = ERRORS_PATTERN.search(searched)
+    states = STATES_PATTERN.search(searched)
+    return Report(
+        name,
+        variant is not None,
+        int(errors.group(1)) if errors else -1,
+        int(float(states.group(1))) if states else 0,
+        'max search depth too small' not in searched,
+    )
--- /dev/null
+++ b/tools/shares.py
@@ -0,0 +1,48 @@
+"""Print how the lines of code are shared out."""
+
+import pathlib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FOLDERS = ('baobabpond', 'standins', 'measure', 'tools', 'test', 'scenarios')
+TESTS = ('test', 'scenarios')
+RESILIENCE = (
+    'routing',
+    'members',
+    'claims',
+    'leases',
+    'log',
+    'rollout',
+    'weights',
+)
+
+
+def count(folder: pathlib.Path) -> int:
+    """Return the lines of code below a folder, without blank ones."""
+    lines = 0
+    for path in folder.rglob('*.py'):
+        if 'gen' in path.parts:
+            continue
+        text = path.read_text(encoding='utf-8')
+        lines += sum(bool(line.strip()) for line in text.splitlines())
+    return lines
+
+
+def main() -> None:
+    """Print the lines and shares."""
+    totals = {folder: count(ROOT / folder) for folder in FOLDERS}
+    everything = sum(totals.values())
+    for folder, lines in totals.items():
+        print(f'{folder:<12}{lines:>7}  {lines / everything:>6.1%}')
+    tests = sum(totals[folder] for folder in TESTS)
+    resilience = sum(
+        count(ROOT / 'baobabpond' / folder) for folder in RESILIENCE
+    )
+    print(f'tests: {tests / everything:.1%} of all (below a third)')
+    print(
+        'routing, limits, retries, membership, state, recovery: '
+        f'{resilience / everything:.1%} of all (a quarter or more)'
+    )
+
+
+if __name__ == '__main__':
+    main()
