--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -14,6 +14,8 @@
 
 import urllib3
 
+from standins import relay
+
 HTTP_PORT = 8080
 PEER_PORT = 8081
 START_TIMEOUT_S = 30.0
@@ -87,6 +89,7 @@
         self._services: dict[str, str] = {}
         self.http = urllib3.PoolManager(num_pools=50, retries=False)
         self.log_url = ''
+        self.links: dict[str, relay.Relay] = {}
         self.log_retention_s = 604_800.0
 
     def __enter__(self) -> 'Cluster':
@@ -96,7 +99,9 @@
         self.close()
 
     def close(self) -> None:
-        """End every process."""
+        """End every process and link."""
+        for link in self.links.values():
+            link.close()
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGKILL)
@@ -152,6 +157,8 @@
         """Start an entry instance; it may not be ready yet."""
         known = self.instances.get(name)
         address = known.address if known else self._address()
+        if name in self.links:
+            overrides['log_url'] = self.links[name].url
         settings = {
             'instance': name,
             'address': address,
@@ -179,6 +186,16 @@
         self.register(name)
         return process
 
+    def link_to_log(self, name: str) -> str:
+        """Return the URL of a link to the log that can be cut."""
+        if name not in self.links:
+            self.links[name] = relay.Relay(
+                self._address(),
+                HTTP_PORT,
+                (self.processes['log'].address, HTTP_PORT),
+            )
+        return self.links[name].url
+
     def wait_ready(self, *names: str) -> None:
         """Wait until instances say that they are ready."""
         for name in names or tuple(self.instances):
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -95,7 +95,8 @@
                 time.sleep(self._token_s * (self.fault('slow') or 1))
                 self._tokens += 1
                 label = '' if unlabelled else self._version
-                yield _event(f'{index} ', label)
+                # The text tells the version that truly produced it.
+                yield _event(f'v{self._version} ', label)
                 if cut and index >= tokens // 2:
                     raise base.CutError
             yield b'data: [DONE]\n\n'
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -23,6 +23,12 @@
     slot: tuple[int, str, int]
     weight_versions: tuple[int, ...]
     trainer_version: int
+    text: str
+
+    @property
+    def true_versions(self) -> set[int]:
+        """Return the versions that the text itself tells of."""
+        return {int(token[1:]) for token in self.text.split()}
 
     @property
     def lag(self) -> int:
@@ -136,6 +142,7 @@
                         (number, group['name'], index),
                         tuple(sample['weight_versions']),
                         self.version,
+                        sample['text'],
                     )
                 )
 
