Prove the promises by scenarios; an instance is ready with its upstreams

Change: readiness waits for the first read of the instance list, and that read follows a change of settings at once.

Conclusion: readiness must cover everything that a request needs.

--- a/baobabpond/gen/instance.py
+++ b/baobabpond/gen/instance.py
@@ -22,5 +22,6 @@
     instance_list_url: str
     topic: str
     log_retention_s: float
+    snapshot_records: int
     http_threads: int
     log_level: Literal['debug', 'info', 'warning', 'error']
--- a/baobabpond/instance.py
+++ b/baobabpond/instance.py
@@ -134,6 +134,7 @@
             self._writer,
             self._metrics,
             settings['log_retention_s'],
+            settings['snapshot_records'],
             self._rank,
         )
         self._current = current_module.CurrentSettings()
@@ -286,6 +287,9 @@
     def _is_ready(self) -> bool:
         if self._gate.leaving or not self._joiner.joined:
             return False
+        # Without its upstreams an instance would refuse every request.
+        if self._current.revision and not self._routers.refreshed_revision:
+            return False
         if self._follower.complete:
             fold = self._state.fold(settings_fold.SettingsFold)
             return self._current.revision >= fold.revision
--- a/baobabpond/log/snapshots.py
+++ b/baobabpond/log/snapshots.py
@@ -13,7 +13,6 @@
 from . import writer as writer_module
 
 CHECK_S = 1.0
-MAX_RECORDS_BETWEEN = 2000
 # A snapshot is due when it is this share of the retention old.
 AGE_SHARE = 0.25
 # Instances of a lower rank wait longer, so that one of them is enough.
@@ -31,6 +30,7 @@
         writer: writer_module.Writer,
         metrics: metrics_module.Metrics,
         retention_s: float,
+        max_records: int,
         rank: collections.abc.Callable[[], int],
     ) -> None:
         self._follower = follower
@@ -38,6 +38,7 @@
         self._writer = writer
         self._metrics = metrics
         self._retention_s = retention_s
+        self._max_records = max_records
         self._rank = rank
         self._stopping = threading.Event()
 
@@ -74,7 +75,7 @@
         uncovered = self._state.next_offset - self._state.snapshot_offset - 1
         age_s = time.time() - self._state.snapshot_time_s
         return max(
-            uncovered / MAX_RECORDS_BETWEEN,
+            uncovered / self._max_records,
             age_s / (self._retention_s * AGE_SHARE),
         )
 
--- a/baobabpond/routing/watcher.py
+++ b/baobabpond/routing/watcher.py
@@ -51,6 +51,14 @@
         self._watched: set[upstreams.Upstream] = set()
         self._stopping = threading.Event()
         self._list_reachable = True
+        self._refreshed_revision = 0
+        self._settings_changed = threading.Event()
+        current.subscribe(lambda _settings: self._settings_changed.set())
+
+    @property
+    def refreshed_revision(self) -> int:
+        """Return the settings revision whose upstreams have been read."""
+        return self._refreshed_revision
 
     def start(self) -> None:
         """Start the task that reads the instance list."""
@@ -61,6 +69,7 @@
     def stop(self) -> None:
         """Ask all tasks to end."""
         self._stopping.set()
+        self._settings_changed.set()
 
     def get(self, service: str) -> service_module.ServiceRouter:
         """Return the router of a service."""
@@ -80,8 +89,10 @@
 
     def refresh(self) -> None:
         """Read the upstreams of all services, or raise ListError."""
-        for service in self._current.tree.services():
+        settings = self._current.settings
+        for service in settings.tree.services():
             self._refresh_service(service)
+        self._refreshed_revision = settings.revision
 
     def _run(self) -> None:
         while not self._stopping.is_set():
@@ -95,7 +106,8 @@
                 if self._list_reachable:
                     self._list_reachable = False
                     LOG.warning('instance list unreachable', error=str(error))
-            self._stopping.wait(LIST_POLL_S)
+            self._settings_changed.wait(LIST_POLL_S)
+            self._settings_changed.clear()
 
     def _refresh_service(self, service: str) -> None:
         settings = self._current.tree.effective(service)
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Prove the promises by scripted scenarios with real processes."""
