Test the parts, and reserve room for ordinary requests

Cause: the test that ordinary requests are not starved failed first. High-priority requests alone could keep 8.5 of 10 places, and ordinary ones were admitted only below 8, so a steady high load shut them out.

Ruled out: a lower ceiling for high priority (it wastes places when no ordinary request comes).

Conclusion: a share of a common limit protects only with a floor of its own.

--- a/baobabpond/routing/admission.py
+++ b/baobabpond/routing/admission.py
@@ -8,9 +8,9 @@
 from .. import verdicts
 from ..gen import tree as tree_schema
 
-# Shares of the limit open to each priority; what is left of the whole
-# keeps the next lower one from starving.
+# Shares of the limit up to which each priority is admitted.
 PRIORITY_SHARES = {'high': 1.0, 'ordinary': 0.8, 'low': 0.5}
+# Share that each lower priority may hold however busy the service is.
 RESERVED_SHARE = 0.15
 CONTENTION_S = 1.0
 MIN_RETRY_AFTER_S = 0.1
@@ -55,7 +55,7 @@
             self._callers_seen[caller] = now
             if now + expected_s > deadline:
                 return _refuse('deadline_too_short', expected_s)
-            if self._in_flight >= self._open_to(priority, limit, now):
+            if not self._has_room(priority, limit, now):
                 self._refused_at[priority] = now
                 return _refuse('no_capacity', expected_s)
             if self._over_share(caller, settings['caller_share'], limit, now):
@@ -75,12 +75,17 @@
             if not self._by_caller[ticket.caller]:
                 del self._by_caller[ticket.caller]
 
-    def _open_to(self, priority: str, limit: float, now: float) -> float:
+    def _has_room(self, priority: str, limit: float, now: float) -> bool:
+        # One request must always be able to go, at any priority.
+        limit = max(1.0, limit)
+        own = self._by_priority[priority]
+        reserved = max(1.0, limit * RESERVED_SHARE)
+        if priority != 'high' and own < reserved:
+            return self._in_flight < limit
         share = PRIORITY_SHARES[priority]
         if priority == 'high' and self._contended('ordinary', now):
-            share -= RESERVED_SHARE
-        # One request must always be able to go, at any priority.
-        return max(1.0, limit * share)
+            return own < limit - reserved and self._in_flight < limit
+        return self._in_flight < max(1.0, limit * share)
 
     def _contended(self, priority: str, now: float) -> bool:
         refused_at = self._refused_at.get(priority)
--- a/scenarios/steps/settings.py
+++ b/scenarios/steps/settings.py
@@ -6,8 +6,8 @@
 from behave import then
 from behave import when
 
-from scenarios import world as world_module
 from scenarios.steps import cluster as cluster_steps
+from scenarios import world as world_module
 
 
 @when('operators {first} and {second} publish against the same revision')
--- a/scenarios/steps/training.py
+++ b/scenarios/steps/training.py
@@ -3,7 +3,6 @@
 from behave import then
 from behave import when
 
-from scenarios import world as world_module
 from scenarios.steps import cluster as cluster_steps
 from standins import trainer as trainer_module
 
--- /dev/null
+++ b/test/claims/test_keeper.py
@@ -0,0 +1,181 @@
+"""Test that a key runs at most once."""
+
+import datetime
+import threading
+import time
+import unittest
+
+import freezegun
+from returns import result
+
+from baobabpond import answers
+from baobabpond.claims import fold
+from baobabpond.claims import keeper
+from baobabpond import verdicts
+from test import helpers
+
+Verdict = verdicts.Verdict
+
+
+class KeeperTest(unittest.TestCase):
+    """Run keys at two instances over one log."""
+
+    def setUp(self):
+        self.log = helpers.FakeLog()
+        self.lost = set()
+        self.nodes = {}
+        self.keepers = {}
+        for name in ('a', 'b'):
+            node = helpers.start_node(self.log, name)
+            self.addCleanup(helpers.stop_node, node)
+            self.nodes[name] = node
+            self.keepers[name] = keeper.ClaimKeeper(
+                name,
+                1,
+                node.state,
+                node.follower,
+                node.writer,
+                node.metrics,
+                lambda holder, _incarnation: holder in self.lost,
+            )
+        self.runs = 0
+        self.lock = threading.Lock()
+
+    def request(self, timeout_s=5.0, digest='d'):
+        deadline = time.monotonic() + timeout_s
+        return keeper.ClaimedRequest('k', digest, deadline, 100, 1000)
+
+    def dispatch(self):
+        with self.lock:
+            self.runs += 1
+        return result.Success(answers.Answer(200, 'text/plain', b'done'))
+
+    def wait_settled(self, name):
+        claims = self.nodes[name].state.fold(fold.ClaimFold)
+        self.assertTrue(
+            self.nodes[name].state.wait_for(
+                lambda: (
+                    claims.get('k') is not None and claims.get('k').settled
+                ),
+                time.monotonic() + 5,
+            )
+        )
+
+    def test_same_key_at_both_runs_once_and_both_get_the_answer(self):
+        ended = []
+
+        def run(name):
+            ended.append(self.keepers[name].run(self.request(), self.dispatch))
+
+        threads = [threading.Thread(target=run, args=(n,)) for n in 'abab']
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(1, self.runs)
+        bodies = {outcome.unwrap().body for outcome in ended}
+        self.assertEqual({b'done'}, bodies)
+
+    def test_key_with_another_body_is_refused(self):
+        self.keepers['a'].run(self.request(), self.dispatch)
+        self.wait_settled('b')
+        outcome = self.keepers['b'].run(
+            self.request(digest='other'), self.dispatch
+        )
+        self.assertEqual(422, outcome.failure().status)
+
+    def test_lost_holder_means_may_have_run(self):
+        begun = threading.Event()
+        hold = threading.Event()
+        self.addCleanup(hold.set)
+
+        def stuck():
+            begun.set()
+            hold.wait()
+            return self.dispatch()
+
+        threading.Thread(
+            target=self.keepers['a'].run,
+            args=(self.request(), stuck),
+            daemon=True,
+        ).start()
+        begun.wait()
+        self.lost.add('a')
+        outcome = self.keepers['b'].run(self.request(), self.dispatch)
+        self.assertEqual(Verdict.MAY_HAVE_RUN, outcome.failure().verdict)
+        self.assertEqual(0, self.runs)
+
+    def test_not_run_frees_the_key(self):
+        refused = verdicts.unavailable('no_upstream', '', 1.0)
+        first = self.keepers['a'].run(
+            self.request(), lambda: result.Failure(refused)
+        )
+        self.assertEqual(Verdict.NOT_RUN, first.failure().verdict)
+        second = self.keepers['b'].run(self.request(), self.dispatch)
+        self.assertEqual(b'done', second.unwrap().body)
+
+    def test_log_down_refuses_at_once_as_not_run(self):
+        self.log.down = True
+        with freezegun.freeze_time() as clock:
+            clock.tick(datetime.timedelta(seconds=60))
+            refusal = (
+                self.keepers['a']
+                .run(self.request(600), self.dispatch)
+                .failure()
+            )
+        self.assertEqual(
+            (Verdict.NOT_RUN, 'log_down', 0),
+            (refusal.verdict, refusal.code, self.runs),
+        )
+        self.assertIsNotNone(refusal.retry_after_s)
+
+    def test_late_claim_never_runs_and_is_released(self):
+        self.log.hold_back = 1000
+        refusal = (
+            self.keepers['a'].run(self.request(0.2), self.dispatch).failure()
+        )
+        self.assertEqual(Verdict.NOT_RUN, refusal.verdict)
+        self.log.hold_back = 0
+        self.log.land_held()
+        self.nodes['a'].writer.flush(time.monotonic() + 5)
+        deadline = time.monotonic() + 5
+        claims = self.nodes['a'].state.fold(fold.ClaimFold)
+        while claims.get('k') is not None and time.monotonic() < deadline:
+            self.keepers['a'].settle_abandoned()
+            time.sleep(0.01)
+        second = self.keepers['b'].run(self.request(), self.dispatch)
+        self.assertEqual((b'done', 1), (second.unwrap().body, self.runs))
+
+    def test_holder_that_wakes_after_the_deadline_does_not_dispatch(self):
+        claims = self.nodes['a'].state.fold(fold.ClaimFold)
+        request = self.request(0.5)
+        original = self.keepers['a']._owns
+
+        def owns_after_a_freeze(key, claim_id):
+            time.sleep(0.6)
+            return original(key, claim_id)
+
+        self.keepers['a']._owns = owns_after_a_freeze
+        refusal = self.keepers['a'].run(request, self.dispatch).failure()
+        self.assertEqual((Verdict.NOT_RUN, 0), (refusal.verdict, self.runs))
+        self.assertTrue(
+            self.nodes['a'].state.wait_for(
+                lambda: claims.get('k') is None, time.monotonic() + 5
+            )
+        )
+
+    def test_answer_too_large_to_keep_is_said_to_have_run(self):
+        def large():
+            self.runs += 1
+            return result.Success(answers.Answer(200, '', b'x' * 2000))
+
+        self.keepers['a'].run(self.request(), large)
+        self.wait_settled('b')
+        refusal = (
+            self.keepers['b'].run(self.request(), self.dispatch).failure()
+        )
+        self.assertEqual((Verdict.RAN, 1), (refusal.verdict, self.runs))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/test/leases/test_keeper.py
@@ -0,0 +1,134 @@
+"""Test leases under freezes and late records."""
+
+import datetime
+import unittest
+
+import freezegun
+
+from baobabpond.leases import fold
+from baobabpond.leases import keeper
+from baobabpond.log import state
+from test import helpers
+
+LEASE_S = 6.0
+
+
+def lease_item(holder, previous, released=False):
+    """Return a lease record."""
+    return {
+        'type': 'lease',
+        'name': 'w',
+        'holder': holder,
+        'previous_offset': previous,
+        'released': released,
+    }
+
+
+class FoldTest(unittest.TestCase):
+    """Compare each record with the lease's last one."""
+
+    def setUp(self):
+        self.state = state.State()
+        self.fold = self.state.fold(fold.LeaseFold)
+        self.seqs = {}
+
+    def land(self, item):
+        sender = item['holder']
+        self.seqs[sender] = self.seqs.get(sender, 0) + 1
+        helpers.apply(
+            self.state, [helpers.envelope(sender, self.seqs[sender], item)]
+        )
+
+    def test_first_of_two_takeovers_wins(self):
+        self.land(lease_item('a', -1))
+        self.land(lease_item('b', 0))
+        self.land(lease_item('c', 0))
+        entry = self.fold.get('w')
+        self.assertEqual(('b', 1), (entry.holder, entry.fence))
+
+    def test_renewal_keeps_the_fence_and_stops_a_takeover(self):
+        self.land(lease_item('a', -1))
+        self.land(lease_item('a', 0))
+        self.land(lease_item('b', 0))
+        entry = self.fold.get('w')
+        self.assertEqual(('a', 0, 1), entry[:3])
+
+    def test_only_the_holder_releases(self):
+        self.land(lease_item('a', -1))
+        self.land(lease_item('b', 0, released=True))
+        self.assertFalse(self.fold.get('w').released)
+        self.land(lease_item('a', 0, released=True))
+        self.assertTrue(self.fold.get('w').released)
+
+    def test_new_term_after_a_release_has_a_higher_fence(self):
+        self.land(lease_item('a', -1))
+        self.land(lease_item('a', 0, released=True))
+        self.land(lease_item('a', 1))
+        self.assertEqual(2, self.fold.get('w').fence)
+
+
+class KeeperTest(unittest.TestCase):
+    """Hold a lease at one of two instances."""
+
+    def setUp(self):
+        self.log = helpers.FakeLog()
+        self.keepers = {}
+        self.nodes = {}
+        for name in ('a', 'b'):
+            node = helpers.start_node(self.log, name)
+            self.addCleanup(helpers.stop_node, node)
+            self.nodes[name] = node
+            self.keepers[name] = keeper.LeaseKeeper(
+                'w',
+                name,
+                node.state,
+                node.follower,
+                node.writer,
+                node.metrics,
+            )
+
+    def catch_up(self, name):
+        self.nodes[name].follower.catch_up()
+
+    def test_frozen_holder_stops_before_another_begins(self):
+        start = datetime.datetime(2026, 1, 1)
+        with freezegun.freeze_time(start) as clock:
+            self.catch_up('a')
+            first = self.keepers['a'].maintain(LEASE_S)
+            self.catch_up('b')
+            self.assertIsNone(self.keepers['b'].maintain(LEASE_S))
+            clock.tick(LEASE_S - 0.1)
+            self.assertIsNotNone(self.keepers['a'].held)
+            clock.tick(0.2)
+            self.assertIsNone(self.keepers['a'].held)
+            self.catch_up('b')
+            self.assertIsNone(self.keepers['b'].maintain(LEASE_S))
+            clock.tick(LEASE_S)
+            self.catch_up('b')
+            second = self.keepers['b'].maintain(LEASE_S)
+            self.assertGreater(second.fence, first.fence)
+            self.catch_up('a')
+            self.assertIsNone(self.keepers['a'].maintain(LEASE_S))
+
+    def test_released_lease_is_free_at_once(self):
+        first = self.keepers['a'].maintain(LEASE_S)
+        self.keepers['a'].release()
+        self.assertIsNone(self.keepers['a'].held)
+        self.nodes['a'].writer.flush(10**9)
+        self.catch_up('b')
+        second = self.keepers['b'].maintain(LEASE_S)
+        self.assertGreater(second.fence, first.fence)
+
+    def test_holder_without_a_log_keeps_the_lease_only_to_its_end(self):
+        with freezegun.freeze_time() as clock:
+            self.catch_up('a')
+            self.assertIsNotNone(self.keepers['a'].maintain(LEASE_S))
+            self.log.down = True
+            clock.tick(LEASE_S - 1)
+            self.assertIsNotNone(self.keepers['a'].maintain(LEASE_S))
+            clock.tick(2)
+            self.assertIsNone(self.keepers['a'].maintain(LEASE_S))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/test/log/test_writer.py
@@ -0,0 +1,148 @@
+"""Test the writer and the follower against a failing log."""
+
+import time
+import unittest
+
+from baobabpond.claims import fold as claim_fold
+from baobabpond.log import follower
+from baobabpond.log import snapshots
+from baobabpond.log import state
+from test import helpers
+
+WAIT_S = 10.0
+
+
+class WriterTest(unittest.TestCase):
+    """Settle appends whose answer is lost."""
+
+    def setUp(self):
+        self.log = helpers.FakeLog()
+        self.node = helpers.start_node(self.log, 'a')
+        self.addCleanup(helpers.stop_node, self.node)
+        self.claims = self.node.state.fold(claim_fold.ClaimFold)
+
+    def submit(self, claim_id, key):
+        return self.node.writer.submit(helpers.claim_item(claim_id, key))
+
+    def wait_claim(self, key):
+        self.assertTrue(
+            self.node.state.wait_for(
+                lambda: self.claims.get(key) is not None,
+                time.monotonic() + WAIT_S,
+            )
+        )
+
+    def test_lost_answer_is_settled_by_reading(self):
+        self.log.lose_answers = 1
+        self.submit('c1', 'k')
+        self.wait_claim('k')
+        self.assertEqual(1, len(self.log.records))
+
+    def test_late_copy_of_a_retried_append_counts_once(self):
+        self.log.hold_back = 1
+        self.submit('c1', 'k')
+        self.wait_claim('k')
+        self.log.land_held()
+        self.submit('c2', 'k2')
+        self.wait_claim('k2')
+        self.assertEqual(1, len({self.claims.get('k').offset}))
+        self.assertEqual(3, len(self.log.records))
+
+    def test_items_share_an_append_while_one_is_in_flight(self):
+        self.log.down = True
+        pending = [self.submit(f'c{n}', f'k{n}') for n in range(50)]
+        self.log.down = False
+        self.wait_claim('k49')
+        self.assertLessEqual(len(self.log.records), 3)
+        self.assertTrue(all(item.seq is not None for item in pending))
+
+    def test_item_in_the_queue_can_be_withdrawn_for_good(self):
+        self.log.down = True
+        self.submit('c1', 'k1')
+        time.sleep(0.05)
+        second = self.submit('c2', 'k2')
+        self.assertTrue(self.node.writer.cancel(second))
+        self.log.down = False
+        self.submit('c3', 'k3')
+        self.wait_claim('k3')
+        self.assertIsNone(self.claims.get('k2'))
+
+    def test_item_under_way_cannot_be_withdrawn(self):
+        self.log.down = True
+        pending = self.submit('c1', 'k1')
+        deadline = time.monotonic() + WAIT_S
+        while pending.seq is None and time.monotonic() < deadline:
+            time.sleep(0.01)
+        self.assertFalse(self.node.writer.cancel(pending))
+
+
+class RetentionTest(unittest.TestCase):
+    """Bridge the end of retention by snapshots."""
+
+    def setUp(self):
+        self.log = helpers.FakeLog()
+        self.node = helpers.start_node(self.log, 'a')
+        self.addCleanup(helpers.stop_node, self.node)
+
+    def snapshotter(self, rank=0, max_records=5):
+        return snapshots.Snapshotter(
+            self.node.follower,
+            self.node.state,
+            self.node.writer,
+            self.node.metrics,
+            3600.0,
+            max_records,
+            lambda: rank,
+        )
+
+    def fill(self, count):
+        for number in range(count):
+            self.log.land(
+                helpers.envelope(
+                    f's{number}',
+                    1,
+                    helpers.claim_item(f'c{number}', f'k{number}'),
+                    time_s=time.time(),
+                )
+            )
+        self.assertTrue(
+            self.node.state.wait_for(
+                lambda: self.node.state.next_offset >= len(self.log.records),
+                time.monotonic() + WAIT_S,
+            )
+        )
+
+    def test_fresh_reader_starts_from_the_snapshot(self):
+        self.fill(8)
+        self.assertTrue(self.snapshotter().append_if_due())
+        self.fill(1)
+        self.log.first = 8
+        shared = state.State()
+        reader = follower.Follower(self.log, shared, self.node.metrics)
+        reader.catch_up()
+        claims = shared.fold(claim_fold.ClaimFold)
+        self.assertEqual('c0', claims.get('k0').claim_id)
+        self.assertEqual(self.node.state.next_offset, shared.next_offset)
+
+    def test_gap_without_a_snapshot_is_an_error_not_an_empty_state(self):
+        self.fill(3)
+        self.log.first = 2
+        reader = follower.Follower(self.log, state.State(), self.node.metrics)
+        with self.assertRaises(follower.NoSnapshotError):
+            reader.catch_up()
+        self.assertFalse(reader.complete)
+
+    def test_snapshot_is_due_by_count_and_by_rank(self):
+        self.fill(5)
+        self.assertFalse(self.snapshotter(rank=1).append_if_due())
+        self.assertTrue(self.snapshotter(rank=0).append_if_due())
+        self.assertFalse(self.snapshotter(rank=0).append_if_due())
+
+    def test_snapshot_is_due_before_its_own_record_expires(self):
+        self.log.land(helpers.envelope('s', 1, time_s=time.time() - 1000))
+        self.fill(1)
+        self.assertTrue(self.snapshotter(max_records=1000).append_if_due())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/test/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Test rollout."""
--- /dev/null
+++ b/test/rollout/test_rollout.py
@@ -0,0 +1,190 @@
+"""Test steps, cursors, staleness and second attempts."""
+
+import threading
+import time
+import unittest
+
+from baobabpond import metrics
+from baobabpond.rollout import session
+from baobabpond.rollout import specs
+from baobabpond.rollout import step
+from test import helpers
+
+WAIT_S = 10.0
+
+
+def make_spec(number=1, groups=4, samples=2, max_tokens=10):
+    """Return a step's specification."""
+    return specs.parse_step(
+        number,
+        {
+            'groups': [
+                {
+                    'name': f'g{index}',
+                    'prompt': 'p',
+                    'samples': samples,
+                    'max_tokens': max_tokens,
+                }
+                for index in range(groups)
+            ]
+        },
+    ).unwrap()
+
+
+def sample(*versions):
+    """Return a whole sample."""
+    return step.Sample('t', 10, versions or (1,), time.monotonic())
+
+
+class SpecTest(unittest.TestCase):
+    """Check steps and cursors."""
+
+    def test_bad_steps_are_refused_with_the_path(self):
+        group = {'name': 'g', 'prompt': 'p', 'samples': 1, 'max_tokens': 1}
+        for groups, path in (
+            ([], 'groups'),
+            ([{**group, 'samples': 0}], 'groups/0'),
+            ([group, {**group, 'prompt': 3}], 'groups/1'),
+            ([group, group], 'groups'),
+        ):
+            refusal = specs.parse_step(1, {'groups': groups}).failure()
+            self.assertTrue(refusal.message.startswith(path))
+
+    def test_cursor_survives_its_text_form(self):
+        spec = make_spec()
+        cursor = specs.Cursor(spec.digest, 0).with_group(3).with_group(0)
+        parsed = specs.parse_cursor(str(cursor), spec).unwrap()
+        self.assertEqual(cursor, parsed)
+        self.assertTrue(parsed.has(3) and not parsed.has(1))
+
+    def test_foreign_and_broken_cursors_are_refused(self):
+        spec = make_spec()
+        other = str(specs.Cursor(make_spec(number=2).digest, 1))
+        broken = ('x', f'{spec.digest}.zz', f'{spec.digest}.ffff', 3, other)
+        for text in broken:
+            refusal = specs.parse_cursor(text, spec).failure()
+            self.assertEqual('bad_step', refusal.code)
+
+
+class SessionTest(unittest.TestCase):
+    """Run a session over a fake generator."""
+
+    def setUp(self):
+        self.versions = (1,)
+        self.settings = helpers.settings(step_concurrency=4)
+        self.started = []
+        self.metrics = metrics.Metrics()
+        self.hold = threading.Event()
+        self.hold.set()
+        self.slow_first = False
+        self.session = session.Session(
+            lambda: self.settings, self.generate, self.metrics
+        )
+        self.addCleanup(self.session.stop)
+        self.addCleanup(self.hold.set)
+
+    def generate(self, attempt, _minimum):
+        self.started.append(attempt)
+        key = (attempt.slot.group, attempt.slot.index)
+        first = len(attempt.slot.attempts) == 1
+        if self.slow_first and key == (0, 0) and first:
+            while not attempt.cancelled:
+                time.sleep(0.01)
+            return None
+        time.sleep(0.002)
+        self.hold.wait()
+        return sample(*self.versions)
+
+    def pull(self, cursor='', version=1, number=1, groups=64, wait_s=WAIT_S):
+        return self.session.pull(
+            number, cursor, version, groups, time.monotonic() + wait_s
+        )
+
+    def pull_all(self, version=1, cursor=''):
+        names = []
+        while True:
+            batch = self.pull(cursor, version, groups=1).unwrap()
+            names += [group.name for group in batch.groups]
+            cursor = str(batch.cursor)
+            if batch.done:
+                return names
+
+    def test_each_group_is_handed_over_once(self):
+        self.session.open(make_spec(), 1)
+        self.session.open(make_spec(), 1)
+        self.assertEqual(['g0', 'g1', 'g2', 'g3'], sorted(self.pull_all()))
+
+    def test_same_cursor_gets_the_same_place_again(self):
+        self.session.open(make_spec(), 1)
+        first = self.pull(groups=1).unwrap()
+        again = self.pull(groups=1).unwrap()
+        self.assertEqual(first, again)
+
+    def test_unknown_step_must_be_opened_again(self):
+        self.assertEqual('step_not_open', self.pull().failure().code)
+
+    def test_new_owner_goes_on_from_the_cursor(self):
+        self.session.open(make_spec(), 1)
+        batch = self.pull(groups=2).unwrap()
+        while len(batch.groups) < 2:
+            batch = self.pull(groups=2).unwrap()
+        other = session.Session(
+            lambda: self.settings, self.generate, self.metrics
+        )
+        self.addCleanup(other.stop)
+        other.open(make_spec(), 1)
+        self.session = other
+        rest = self.pull_all(cursor=str(batch.cursor))
+        names = [group.name for group in batch.groups] + rest
+        self.assertEqual(['g0', 'g1', 'g2', 'g3'], sorted(names))
+
+    def test_stale_samples_are_generated_again(self):
+        self.settings['staleness_bound'] = 1
+        self.session.open(make_spec(), 1)
+        self.pull(version=1)
+        self.versions = (4, 5)
+        batch = self.pull(version=5).unwrap()
+        for group in batch.groups:
+            self.assertTrue(all(s.lag(5) <= 1 for s in group.samples))
+        self.assertGreater(self.metrics.counter('rollout.stale_dropped'), 0)
+
+    def test_sample_that_is_stale_on_arrival_is_dropped(self):
+        self.settings['staleness_bound'] = 0
+        self.session.open(make_spec(groups=1), 3)
+        batch = self.pull(version=3, wait_s=0.3).unwrap()
+        self.assertEqual([], batch.groups)
+        self.versions = (3,)
+        self.assertEqual(1, len(self.pull(version=3).unwrap().groups))
+
+    def test_steps_ahead_start_only_within_the_bound(self):
+        self.settings.update(staleness_bound=0, run_ahead_steps=1)
+        self.session.open(make_spec(number=1, groups=1), 1)
+        self.session.open(make_spec(number=2, groups=1), 1)
+        self.pull_all()
+        time.sleep(0.2)
+        numbers = {a.slot.step.spec.number for a in self.started}
+        self.assertEqual({1}, numbers)
+        self.settings['staleness_bound'] = 1
+        deadline = time.monotonic() + WAIT_S
+        while 2 not in numbers and time.monotonic() < deadline:
+            time.sleep(0.02)
+            numbers = {a.slot.step.spec.number for a in self.started}
+        self.assertIn(2, numbers)
+
+    def test_straggler_gets_a_second_attempt_and_the_loser_is_cancelled(self):
+        self.settings['straggler_budget'] = 0.1
+        self.slow_first = True
+        self.session.open(make_spec(groups=10, samples=4), 1)
+        self.assertEqual(10, len(self.pull_all()))
+        self.assertEqual(1, self.metrics.counter('rollout.second_attempts'))
+
+    def test_second_attempts_have_a_budget(self):
+        self.settings['straggler_budget'] = 0.0
+        self.slow_first = True
+        self.session.open(make_spec(groups=10, samples=4), 1)
+        time.sleep(0.5)
+        self.assertEqual(0, self.metrics.counter('rollout.second_attempts'))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/test/settings/test_settings.py
@@ -0,0 +1,131 @@
+"""Test the settings tree, its checks and its audit trail."""
+
+import unittest
+
+from baobabpond import errors
+from baobabpond.log import state
+from baobabpond.settings import check
+from baobabpond.settings import current
+from baobabpond.settings import fold
+from baobabpond.settings import publish
+from baobabpond.settings import tree
+from test import helpers
+
+
+class TreeTest(unittest.TestCase):
+    """Inherit, override and check."""
+
+    def test_nodes_inherit_and_override(self):
+        built = tree.Tree(
+            {
+                '': {'timeout_s': 1},
+                'd': {'timeout_s': 2, 'max_attempts': 5},
+                'd/s/w': {'timeout_s': 3},
+            }
+        )
+        self.assertEqual(3, built.effective('d/s/w')['timeout_s'])
+        self.assertEqual(5, built.effective('d/s/w')['max_attempts'])
+        self.assertEqual(2, built.effective('d/s')['timeout_s'])
+        self.assertEqual(1, built.effective('other')['timeout_s'])
+        self.assertEqual(['d/s'], built.services())
+        self.assertTrue(built.has_service('d/s/unknown-workload'))
+        self.assertFalse(built.has_service('d'))
+
+    def test_removed_override_inherits_again(self):
+        built = tree.Tree({'d': {'timeout_s': 2}})
+        changed = built.apply([{'node': 'd', 'key': 'timeout_s'}])
+        default = check.default_tree()['timeout_s']
+        self.assertEqual(default, changed.effective('d')['timeout_s'])
+
+    def test_bad_settings_name_path_wrong_and_allowed(self):
+        cases = (
+            ('d', 'no_such_key', 1, 'no_such_key', 'the keys'),
+            ('d', 'timeout_s', 'soon', 'd/timeout_s', 'number'),
+            ('d', 'max_attempts', 99, 'd/max_attempts', 'from 1 to 10'),
+            ('d', 'choice', 'best', 'd/choice', 'two_choices'),
+            ('a/b/c/e', 'timeout_s', 1, 'a/b/c/e', 'deployment/service'),
+            ('d', 'limit_min', 300, 'd/limit_min', 'at most 256'),
+            ('d', 'timeout_s', 5000, 'd/timeout_s', 'to 3600'),
+            ('d', 'max_timeout_s', 5, 'd/timeout_s', 'at most 5'),
+        )
+        for node, key, value, wrong, allowed in cases:
+            with self.subTest(key=key, value=value):
+                found = tree.Tree({node: {key: value}}).problems()
+                text = str(found[0])
+                self.assertIn(wrong, text)
+                self.assertIn(allowed, text)
+
+    def test_defaults_name_every_setting_and_are_valid(self):
+        schema = check.load_schema('tree')
+        self.assertEqual(
+            sorted(schema['properties']), sorted(check.default_tree())
+        )
+        self.assertEqual([], check.problems('tree', check.default_tree()))
+        self.assertTrue(check.load_instance(None))
+
+
+class FoldTest(unittest.TestCase):
+    """Accept one of several racing publishes."""
+
+    def setUp(self):
+        self.state = state.State()
+        self.fold = self.state.fold(fold.SettingsFold)
+
+    def publish(self, sender, item):
+        helpers.apply(self.state, [helpers.envelope(sender, 1, item)])
+
+    def test_stale_base_loses_and_names_the_winner(self):
+        change = ('d/s', 'timeout_s', 3)
+        self.publish('x', helpers.publish_item('p1', 0, change))
+        self.publish('y', helpers.publish_item('p2', 0, change, author='budi'))
+        self.assertEqual(1, self.fold.revision)
+        refused = self.fold.entry('p2')
+        self.assertFalse(refused.accepted)
+        self.assertIn('published by ayu', refused.reason)
+
+    def test_bad_tree_is_recorded_and_ignored(self):
+        bad = helpers.publish_item('p1', 0, ('d/s', 'timeout_s', -1))
+        self.publish('x', bad)
+        self.assertEqual(0, self.fold.revision)
+        self.assertFalse(self.fold.entry('p1').accepted)
+        self.assertEqual({}, self.fold.tree.nodes)
+
+    def test_same_publish_twice_counts_once(self):
+        item = helpers.publish_item('p1', 0, ('d/s', 'timeout_s', 3))
+        self.publish('x', item)
+        self.publish('y', item)
+        self.assertEqual(1, len(self.fold.audit))
+
+
+class CurrentTest(unittest.TestCase):
+    """Move forward only."""
+
+    def test_older_revision_is_not_taken(self):
+        held = current.CurrentSettings()
+        newer = current.Settings(3, tree.Tree({'d': {'timeout_s': 3}}))
+        older = current.Settings(2, tree.Tree())
+        seen = []
+        held.subscribe(lambda settings: seen.append(settings.revision))
+        self.assertTrue(held.offer(newer, 'peer'))
+        self.assertFalse(held.offer(older, 'log'))
+        self.assertFalse(held.offer(newer, 'log'))
+        self.assertEqual(([3], 3), (seen, held.revision))
+
+
+class PublishTest(unittest.TestCase):
+    """Read an operator's file."""
+
+    def test_null_takes_an_override_away(self):
+        changes = publish.parse_changes({'root': {'timeout_s': None}}, 'f')
+        self.assertEqual([{'node': '', 'key': 'timeout_s'}], changes)
+
+    def test_wrong_shapes_are_user_errors(self):
+        for nodes in ([], {'d': 3}):
+            with self.assertRaises(errors.UserError):
+                publish.parse_changes(nodes, 'f')
+        with self.assertRaises(errors.UserError):
+            check.parse('{', 'f')
+
+
+if __name__ == '__main__':
+    unittest.main()
