Follow leaving upstreams while the instance list is down

Cause: with the list down, reading a service's upstreams failed before the settings' own leaving_upstreams were looked at, so an upstream that operators had set as leaving went on getting work.

Ruled out: slow settings (the revision was in force within 0.1 s).

Change: the known list is applied with the newest settings first, and the instance list is read after. The check for promise 7 now also asks that the other upstreams got work meanwhile; before, it could pass on silence. The measurements and the mutants (mechanisms taken away, whose scenarios must fail) come with this commit; they have not been run.

Conclusion: a settings change must never wait for another service.

--- a/baobabpond/rollout/trainers.py
+++ b/baobabpond/rollout/trainers.py
@@ -288,4 +288,5 @@
         'text': sample.text,
         'tokens': sample.tokens,
         'weight_versions': list(sample.weight_versions),
+        'age_s': round(time.monotonic() - sample.generated_at, 3),
     }
--- a/baobabpond/routing/watcher.py
+++ b/baobabpond/routing/watcher.py
@@ -48,6 +48,7 @@
         self._rng = rng
         self._lock = threading.Lock()
         self._routers: dict[str, service_module.ServiceRouter] = {}
+        self._known: dict[str, list[instance_list.ListedInstance]] = {}
         self._watched: set[upstreams.Upstream] = set()
         self._stopping = threading.Event()
         self._list_reachable = True
@@ -88,30 +89,45 @@
             return dict(self._routers)
 
     def refresh(self) -> None:
-        """Read the upstreams of all services, or raise ListError."""
+        """Read the upstreams of all services, keeping lists unread anew."""
         settings = self._current.settings
+        # The settings may have changed even if the list is down or slow.
+        for service, listed in self._known.items():
+            self._apply(service, listed)
+        failure: instance_list.ListError | None = None
         for service in settings.tree.services():
-            self._refresh_service(service)
-        self._refreshed_revision = settings.revision
+            try:
+                self._known[service] = self._listed.instances(service)
+            except instance_list.ListError as error:
+                failure = error
+                break
+            self._apply(service, self._known[service])
+        self._note_list(failure)
+        if failure is None:
+            self._refreshed_revision = settings.revision
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            try:
-                self.refresh()
-                if not self._list_reachable:
-                    self._list_reachable = True
-                    LOG.info('instance list reachable')
-            except instance_list.ListError as error:
-                self._metrics.count('members.list_errors')
-                if self._list_reachable:
-                    self._list_reachable = False
-                    LOG.warning('instance list unreachable', error=str(error))
+            self.refresh()
             self._settings_changed.wait(LIST_POLL_S)
             self._settings_changed.clear()
 
-    def _refresh_service(self, service: str) -> None:
+    def _note_list(self, failure: instance_list.ListError | None) -> None:
+        if failure is not None:
+            self._metrics.count('members.list_errors')
+        reachable = failure is None
+        if reachable == self._list_reachable:
+            return
+        self._list_reachable = reachable
+        if reachable:
+            LOG.info('instance list reachable')
+        else:
+            LOG.warning('instance list unreachable', error=str(failure))
+
+    def _apply(
+        self, service: str, listed: list[instance_list.ListedInstance]
+    ) -> None:
         settings = self._current.tree.effective(service)
-        listed = self._listed.instances(service)
         leaving = set(settings['leaving_upstreams'])
         leaving.update(item.instance for item in listed if item.leaving)
         subset = self._subset(listed, settings['subset_size'])
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the decisions against a baseline, and the cost of control."""
--- /dev/null
+++ b/measure/registry.py
@@ -0,0 +1,13 @@
+"""Collect the measurements by name."""
+
+import argparse
+import collections.abc
+import typing
+
+from baobabpond import registry
+
+Row = dict[str, typing.Any]
+Measurement = collections.abc.Callable[
+    [argparse.Namespace], collections.abc.Iterator[Row]
+]
+measurements: registry.Registry[Measurement] = registry.Registry('measurement')
--- a/scenarios/steps/requests.py
+++ b/scenarios/steps/requests.py
@@ -248,6 +248,8 @@
         shown = cluster.call(name, 'GET', path)['started']
         return sum(shown.values())
 
+    traffic = context.world.traffic
+    delivered = count_delivered(traffic)
     deadline = time.monotonic() + seconds
     quiet_since, last = time.monotonic(), begun()
     while time.monotonic() < deadline + 3:
@@ -257,3 +259,15 @@
             assert time.monotonic() < deadline, f'{name} still gets work'
             quiet_since, last = time.monotonic(), now
     assert time.monotonic() - quiet_since >= 3
+    # Quiet means something only while the other upstreams get work.
+    grown = count_delivered(traffic) - delivered
+    assert grown >= 20, f'only {grown} requests were answered meanwhile'
+
+
+def count_delivered(traffic):
+    """Return how many requests to plain services were answered."""
+    return sum(
+        outcome.delivered
+        for kind in ('lookup', 'checklist')
+        for outcome in list(traffic.ended[kind])
+    )
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -24,6 +24,7 @@
     weight_versions: tuple[int, ...]
     trainer_version: int
     text: str
+    age_s: float
 
     @property
     def true_versions(self) -> set[int]:
@@ -143,6 +144,7 @@
                         tuple(sample['weight_versions']),
                         self.version,
                         sample['text'],
+                        sample['age_s'],
                     )
                 )
 
--- /dev/null
+++ b/tools/mutants.py
@@ -0,0 +1,201 @@
+"""Take each mechanism away and check that its scenario notices."""
+
+import argparse
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+IGNORED = shutil.ignore_patterns('.git', '.venv', '__pycache__', 'docs')
+TIMEOUT_S = 240
+
+
+class Mutant(typing.NamedTuple):
+    """Name a change that must make a scenario fail."""
+
+    promise: int
+    mechanism: str
+    path: str
+    old: str
+    new: str
+    scenario: str
+
+
+MUTANTS = (
+    Mutant(
+        1,
+        'unknown versions are quarantined',
+        'baobabpond/http/completions.py',
+        'if len(labels) != events:',
+        'if False:',
+        'An engine does not label its answers while another is killed',
+    ),
+    Mutant(
+        1,
+        'labels come from each event',
+        'baobabpond/http/completions.py',
+        'return tuple(self._versions)',
+        'return tuple(self._versions)[:1]',
+        'A swap falls in the middle of streams',
+    ),
+    Mutant(
+        2,
+        'staleness is judged at hand-off',
+        'baobabpond/rollout/step.py',
+        'and slot.sample.lag(trainer_version) > bound',
+        'and False',
+        'The owner is killed in the middle of a step with a bound of 0',
+    ),
+    Mutant(
+        3,
+        "the trainer's cursor is the truth",
+        'baobabpond/rollout/step.py',
+        'if not cursor.has(index)\n            and all',
+        'if all',
+        'The owner is killed between hand-off and acknowledgement',
+    ),
+    Mutant(
+        4,
+        'a stream without its marker is not whole',
+        'baobabpond/http/completions.py',
+        "self._fail(service.CUT_CODE, 'the stream ended without its marker')",
+        'return',
+        'An engine is killed while it streams',
+    ),
+    Mutant(
+        4,
+        'answers are matched to their request',
+        'baobabpond/http/adapters.py',
+        'if echoed is not None and echoed != request.request_id:',
+        'if False:',
+        'A service cuts, crosses and loses answers',
+    ),
+    Mutant(
+        5,
+        'a refused request is not sent',
+        'baobabpond/claims/keeper.py',
+        'return result.Failure(_log_down())',
+        'return dispatch()',
+        'The log is down',
+    ),
+    Mutant(
+        5,
+        'a claim that lands late is released',
+        'baobabpond/claims/keeper.py',
+        'if self._owns(claim.key, claim.claim_id):',
+        'if False:',
+        'A claim lands after its request was given up',
+    ),
+    Mutant(
+        6,
+        'a key is claimed before it runs',
+        'baobabpond/http/callers.py',
+        "if request.settings['idempotent']:\n            return dispatch()",
+        'if True:\n            return dispatch()',
+        'The same key reaches two instances at once',
+    ),
+    Mutant(
+        6,
+        'keys outlive retention in snapshots',
+        'baobabpond/claims/fold.py',
+        'return {key: list(entry) for key, entry in self._entries.items()}',
+        'return {}',
+        'Retention passes between the first and the second request',
+    ),
+    Mutant(
+        7,
+        'leaving upstreams are not used',
+        'baobabpond/routing/upstreams.py',
+        'if not state.leaving]',
+        ']',
+        'The instance list says so, with a lag',
+    ),
+    Mutant(
+        7,
+        'the settings name leaving upstreams',
+        'baobabpond/routing/watcher.py',
+        "leaving = set(settings['leaving_upstreams'])",
+        'leaving = set()',
+        'The settings say so while an instance is cut from the log',
+    ),
+    Mutant(
+        8,
+        'an instance serves on until its requests have ended',
+        'baobabpond/http/app.py',
+        'lambda: self._in_flight == 0, timeout_s',
+        'lambda: True, timeout_s',
+        'An instance leaves during long streams while another is frozen',
+    ),
+    Mutant(
+        9,
+        'a stale base loses',
+        'baobabpond/settings/fold.py',
+        "if item['base_revision'] != self._revision:",
+        'if False:',
+        'Operators race each other',
+    ),
+    Mutant(
+        9,
+        'settings spread by gossip',
+        'baobabpond/settings/sync.py',
+        'if not ahead:',
+        'if True:',
+        'An instance is cut from the log',
+    ),
+    Mutant(
+        9,
+        'settings move forward only',
+        'baobabpond/settings/current.py',
+        'if settings.revision <= self._settings.revision:',
+        'if settings.revision == self._settings.revision:',
+        'An instance is cut from the log',
+    ),
+)
+
+
+def run(mutant: Mutant) -> bool:
+    """Run a mutant's scenario in a copy; tell whether it was noticed."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder) / 'copy'
+        shutil.copytree(ROOT, copy, ignore=IGNORED)
+        path = copy / mutant.path
+        text = path.read_text(encoding='utf-8')
+        if mutant.old not in text:
+            raise SystemExit(f'{mutant.path}: no longer has {mutant.old!r}')
+        path.write_text(text.replace(mutant.old, mutant.new), 'utf-8')
+        done = subprocess.run(
+            [sys.executable, '-m', 'behave', '-n', mutant.scenario]
+            + ['scenarios'],
+            cwd=copy,
+            env={'PYTHONPATH': str(copy), 'PATH': '/usr/bin:/bin'},
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        return done.returncode != 0
+
+
+def main() -> None:
+    """Run all mutants, or those of a promise."""
+    arguments = argparse.ArgumentParser(prog='./run mutants')
+    arguments.add_argument('--promise', type=int)
+    options = arguments.parse_args()
+    missed = 0
+    for mutant in MUTANTS:
+        if options.promise not in (None, mutant.promise):
+            continue
+        noticed = run(mutant)
+        missed += not noticed
+        print(
+            f'promise {mutant.promise}, without "{mutant.mechanism}": '
+            f'{"scenario fails" if noticed else "NOT NOTICED"}',
+            flush=True,
+        )
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == '__main__':
+    main()
