--- a/baobabpond/http/callers.py
+++ b/baobabpond/http/callers.py
@@ -193,11 +193,13 @@
     request: parse.CallerRequest,
 ) -> service_module.RequestContext:
     prompt = request.fields.get('prompt')
+    max_tokens = request.fields.get('max_tokens', 1)
     return service_module.RequestContext(
         request.settings,
         request.caller,
         request.deadline,
         prompt if isinstance(prompt, str) else '',
+        max_tokens if isinstance(max_tokens, int) else 1,
     )
 
 
--- a/baobabpond/rollout/generator.py
+++ b/baobabpond/rollout/generator.py
@@ -49,6 +49,7 @@
             self._caller,
             time.monotonic() + settings['timeout_s'],
             attempt.slot.spec.prompt,
+            attempt.slot.spec.max_tokens,
         )
         ticket = self._router.admit(context)
         if isinstance(ticket, verdicts.Refusal):
--- a/baobabpond/routing/service.py
+++ b/baobabpond/routing/service.py
@@ -16,6 +16,7 @@
 from . import admission
 from . import budget
 from . import choice
+from . import estimate
 from . import limits
 from . import streams
 from . import upstreams
@@ -25,7 +26,6 @@
 REFUSED_CODE = 'upstream_refused'
 CUT_CODE = 'upstream_cut'
 BLAMELESS_CODES = (REFUSED_CODE, streams.CANCELLED_CODE)
-LATENCY_WEIGHT = 0.1
 NO_UPSTREAM_RETRY_S = 1.0
 
 Attempt = collections.abc.Callable[
@@ -47,6 +47,7 @@
     caller: str
     deadline: float
     affinity_key: str = ''
+    units: int = 1
 
 
 class ServiceRouter:
@@ -66,7 +67,7 @@
         self._budget = budget.RetryBudget()
         self._limits: dict[str, limits.Limit] = {}
         self._turn = itertools.count()
-        self._expected_s = 0.0
+        self._unit_time = estimate.TimeEstimate()
 
     @property
     def pool(self) -> upstreams.UpstreamSet:
@@ -86,7 +87,7 @@
             context.settings,
             context.caller,
             self.limit(context.settings),
-            self._expected_s,
+            self._unit_time.value_s * context.units,
             context.deadline,
         )
         refused = isinstance(outcome, verdicts.Refusal)
@@ -229,7 +230,10 @@
             code is not None and code != streams.CANCELLED_CODE,
             self.in_flight / max(1.0, self.limit(settings)),
         )
-        failed = code is not None and self._is_fault(code, elapsed_s, settings)
+        expected_s = self._unit_time.value_s * context.units
+        failed = code is not None and _is_fault(
+            code, elapsed_s, expected_s, settings
+        )
         self._pool.finish(
             state, unit_s if code is None else None, failed, settings
         )
@@ -237,22 +241,7 @@
             self._metrics.count(f'routing.failed_attempts.{self._service}')
             return
         self._metrics.record(f'routing.attempt.{self._service}', elapsed_s)
-        self._expected_s += LATENCY_WEIGHT * (elapsed_s - self._expected_s)
-
-    def _is_fault(
-        self,
-        code: str,
-        elapsed_s: float,
-        settings: tree_schema.NodeSettings,
-    ) -> bool:
-        """Tell whether a failure speaks against the upstream's health."""
-        if code in BLAMELESS_CODES:
-            return False
-        if code != TIMEOUT_CODE:
-            return True
-        # A caller's short deadline is no fault of the upstream.
-        usual_s = self._expected_s * settings['ejection_latency_factor']
-        return elapsed_s >= usual_s
+        self._unit_time.record(unit_s)
 
     def _limit_policy(
         self, settings: tree_schema.NodeSettings
@@ -298,6 +287,21 @@
     )
 
 
+def _is_fault(
+    code: str,
+    elapsed_s: float,
+    expected_s: float,
+    settings: tree_schema.NodeSettings,
+) -> bool:
+    """Tell whether a failure speaks against the upstream's health."""
+    if code in BLAMELESS_CODES:
+        return False
+    if code != TIMEOUT_CODE:
+        return True
+    # A caller's short deadline is no fault of the upstream.
+    return elapsed_s >= expected_s * settings['ejection_latency_factor']
+
+
 def _final(refusal: verdicts.Refusal, may_have_run: bool) -> verdicts.Refusal:
     if may_have_run and refusal.verdict is verdicts.Verdict.NOT_RUN:
         return refusal._replace(verdict=verdicts.Verdict.MAY_HAVE_RUN)
--- a/test/routing/test_routing.py
+++ b/test/routing/test_routing.py
@@ -211,6 +211,48 @@
         self.assertEqual('caller_share', self.admit(caller='greedy').code)
 
 
+class ExpectedTimeTest(unittest.TestCase):
+    """Refuse by the expected time, but not for ever."""
+
+    def setUp(self):
+        self.router = service.ServiceRouter(
+            'd/s', metrics.Metrics(), random.Random(1)
+        )
+        found = [helpers.upstream_state('u0').upstream]
+        self.router.pool.replace(found, ())
+
+    def context(self, timeout_s, units=1):
+        return service.RequestContext(
+            helpers.settings(), 'c', time.monotonic() + timeout_s, units=units
+        )
+
+    def run_for(self, clock, seconds):
+        def attempt(_state, _deadline):
+            clock.tick(seconds)
+            return answer()
+
+        self.router.send(self.context(1000), attempt)
+
+    def test_slow_spell_does_not_shut_a_service_for_ever(self):
+        with freezegun.freeze_time() as clock:
+            for _ in range(20):
+                self.run_for(clock, 10.0)
+            refused = self.router.admit(self.context(0.5))
+            self.assertEqual('deadline_too_short', refused.code)
+            clock.tick(20)
+            ticket = self.router.admit(self.context(0.5))
+            self.assertIsInstance(ticket, admission.Ticket)
+
+    def test_short_work_is_not_judged_by_long_work(self):
+        with freezegun.freeze_time() as clock:
+            for _ in range(20):
+                self.run_for(clock, 0.1)
+            short = self.router.admit(self.context(1.0, units=5))
+            self.assertIsInstance(short, admission.Ticket)
+            long = self.router.admit(self.context(1.0, units=50))
+            self.assertEqual('deadline_too_short', long.code)
+
+
 class RetryTest(unittest.TestCase):
     """Retry within the rules of the verdict and the budget."""
 
--- /dev/null
+++ b/test/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Test the project's own tools."""
