--- a/baobabpond/log/snapshots.py
+++ b/baobabpond/log/snapshots.py
@@ -7,7 +7,6 @@
 from .. import metrics as metrics_module
 from ..gen import records as schema
 
-from . import client
 from . import follower as follower_module
 from . import state as state_module
 from . import writer as writer_module
@@ -54,10 +53,7 @@
 
     def append_if_due(self) -> bool:
         """Append a snapshot if one is due; tell whether it was."""
-        if not self._follower.healthy or self._state.next_offset == 0:
-            return False
-        patience = 1.0 + RANK_STEP * min(self._rank(), MAX_RANK)
-        if self.urgency() < patience:
+        if not self._is_due():
             return False
         with self._state.changed:
             item: schema.Snapshot = {
@@ -79,9 +75,14 @@
             age_s / (self._retention_s * AGE_SHARE),
         )
 
+    def _is_due(self) -> bool:
+        if not self._follower.healthy or self._state.next_offset == 0:
+            return False
+        patience = 1.0 + RANK_STEP * min(self._rank(), MAX_RANK)
+        return self.urgency() >= patience
+
     def _run(self) -> None:
-        while not self._stopping.wait(CHECK_S):
-            try:
-                self.append_if_due()
-            except client.LogError:
-                self._metrics.count('log.read_errors')
+        while not self._stopping.is_set():
+            # Woken by each record: a burst may outrun any fixed interval.
+            self._state.wait_for(self._is_due, time.monotonic() + CHECK_S)
+            self.append_if_due()
--- a/test/log/test_writer.py
+++ b/test/log/test_writer.py
@@ -138,6 +138,18 @@
         self.assertTrue(self.snapshotter(rank=0).append_if_due())
         self.assertFalse(self.snapshotter(rank=0).append_if_due())
 
+    def test_burst_of_records_is_covered_at_once(self):
+        running = self.snapshotter(max_records=5)
+        running.start()
+        self.addCleanup(running.stop)
+        time.sleep(0.05)
+        self.fill(6)
+        started = time.monotonic()
+        self.node.state.wait_for(
+            lambda: self.node.state.snapshot_offset >= 4, started + WAIT_S
+        )
+        self.assertLess(time.monotonic() - started, snapshots.CHECK_S / 2)
+
     def test_snapshot_is_due_before_its_own_record_expires(self):
         self.log.land(helpers.envelope('s', 1, time_s=time.time() - 1000))
         self.fill(1)
