--- a/baobabpond/gen/tree.py
+++ b/baobabpond/gen/tree.py
@@ -31,7 +31,7 @@
     subset_size: NotRequired[int]
     limit_policy: NotRequired[Literal['adaptive', 'fixed', 'none']]
     limit_initial: NotRequired[int]
-    limit_min: NotRequired[int]
+    limit_min: NotRequired[float]
     limit_max: NotRequired[int]
     latency_tolerance: NotRequired[float]
     caller_share: NotRequired[float]
--- a/baobabpond/http/parse.py
+++ b/baobabpond/http/parse.py
@@ -17,6 +17,9 @@
 KEY_HEADER = 'HTTP_IDEMPOTENCY_KEY'
 KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,255}')
 CALLER_PATTERN = re.compile(r'[A-Za-z0-9._:-]{1,128}')
+# Time kept back for the answer's way to the caller.
+REPLY_MARGIN_S = 0.02
+MAX_REPLY_MARGIN_SHARE = 0.1
 ANONYMOUS = 'anonymous'
 MS_PER_S = 1000
 READ_BYTES = 65_536
@@ -73,7 +76,7 @@
                 settings=settings,
                 caller=caller,
                 key=key,
-                deadline=arrived_at + timeout_s,
+                deadline=arrived_at + timeout_s - _reply_margin_s(timeout_s),
                 body=read.body,
                 content_type=environ.get('CONTENT_TYPE') or 'application/json',
                 fields=read.fields,
@@ -160,6 +163,10 @@
     return result.Success(timeout_ms / MS_PER_S)
 
 
+def _reply_margin_s(timeout_s: float) -> float:
+    return min(REPLY_MARGIN_S, timeout_s * MAX_REPLY_MARGIN_SHARE)
+
+
 def _fail(
     code: str, message: str, status: int = 400
 ) -> result.Result[typing.Any, verdicts.Refusal]:
--- a/baobabpond/instance.py
+++ b/baobabpond/instance.py
@@ -166,6 +166,7 @@
             self._current,
             self._listed,
             self._adapters.poll_load,
+            lambda: len(self._table.serving()),
             self._metrics,
             self._rng,
         )
--- a/baobabpond/routing/service.py
+++ b/baobabpond/routing/service.py
@@ -14,6 +14,7 @@
 from ..gen import tree as tree_schema
 
 from . import admission
+from . import baseline
 from . import budget
 from . import choice
 from . import estimate
@@ -68,6 +69,7 @@
         self._limits: dict[str, limits.Limit] = {}
         self._turn = itertools.count()
         self._unit_time = estimate.TimeEstimate()
+        self._baseline = baseline.LatencyBaseline()
 
     @property
     def pool(self) -> upstreams.UpstreamSet:
@@ -87,7 +89,7 @@
             context.settings,
             context.caller,
             self.limit(context.settings),
-            self._unit_time.value_s * context.units,
+            self._expected_unit_s(context.settings) * context.units,
             context.deadline,
         )
         refused = isinstance(outcome, verdicts.Refusal)
@@ -101,8 +103,8 @@
 
     def limit(self, settings: tree_schema.NodeSettings) -> float:
         """Return how many requests may be in flight in all."""
-        per_upstream = self._limit_policy(settings).value(settings)
-        return per_upstream * max(1, len(self._pool.usable()))
+        upstream_count = len(self._pool.usable())
+        return self._limit_policy(settings).value(settings, upstream_count)
 
     def choose(
         self,
@@ -224,12 +226,7 @@
     ) -> None:
         settings = context.settings
         unit_s = elapsed_s / max(1, units)
-        self._limit_policy(settings).record(
-            settings,
-            unit_s if code is None else None,
-            code is not None and code != streams.CANCELLED_CODE,
-            self.in_flight / max(1.0, self.limit(settings)),
-        )
+        self._record_limit(settings, elapsed_s, unit_s, code)
         expected_s = self._unit_time.value_s * context.units
         failed = code is not None and _is_fault(
             code, elapsed_s, expected_s, settings
@@ -243,6 +240,42 @@
         self._metrics.record(f'routing.attempt.{self._service}', elapsed_s)
         self._unit_time.record(unit_s)
 
+    def _record_limit(
+        self,
+        settings: tree_schema.NodeSettings,
+        elapsed_s: float,
+        unit_s: float,
+        code: str | None,
+    ) -> None:
+        if code == streams.CANCELLED_CODE:
+            return
+        if code is None:
+            unloaded = self.limit(settings) <= limits.LOWEST_LIMIT
+            self._baseline.record(unit_s, unloaded)
+        self._limit_policy(settings).record(
+            settings,
+            len(self._pool.usable()),
+            limits.Finished(
+                elapsed_s,
+                unit_s if code is None else None,
+                self._baseline.value_s,
+                self.in_flight,
+            ),
+        )
+
+    def _expected_unit_s(self, settings: tree_schema.NodeSettings) -> float:
+        """Return the time for a unit, by recent times and reported queues."""
+        if settings['limit_policy'] == 'none':
+            return 0.0
+        usable = self._pool.usable()
+        queue_factor = min(
+            (state.queue_factor() for state in usable), default=1.0
+        )
+        if queue_factor <= 1.0:
+            return self._unit_time.value_s
+        queued_s = self._baseline.value_s * queue_factor
+        return max(self._unit_time.value_s, queued_s)
+
     def _limit_policy(
         self, settings: tree_schema.NodeSettings
     ) -> limits.Limit:
--- a/baobabpond/routing/upstreams.py
+++ b/baobabpond/routing/upstreams.py
@@ -44,6 +44,7 @@
     def __init__(self, upstream: Upstream) -> None:
         self.upstream = upstream
         self.leaving = False
+        self.sharers = 1
         self._lock = threading.Lock()
         self._in_flight = 0
         self._reported = LoadReport(0, 0)
@@ -85,13 +86,21 @@
         """Return the estimated requests at the upstream now.
 
         The report is corrected by what this process has sent and
-        finished since; a report too old to trust counts for nothing.
+        finished since, times the instances that share the upstream:
+        they have the same report, and likely did the same. A report too
+        old to trust counts for nothing.
         """
         if time.monotonic() - self._reported_at > REPORT_MAX_AGE_S:
             return float(self._in_flight)
         total = self._reported.running + self._reported.waiting
         change = self._in_flight - self._in_flight_at_report
-        return float(max(total + change, self._in_flight))
+        return float(max(total + change * self.sharers, self._in_flight))
+
+    def queue_factor(self) -> float:
+        """Return how much longer a request takes for those that wait."""
+        if time.monotonic() - self._reported_at > REPORT_MAX_AGE_S:
+            return 1.0
+        return 1.0 + self._reported.waiting / max(1, self._reported.running)
 
     def score(self, slow_start_s: float) -> float:
         """Return the load relative to the share the upstream may take."""
@@ -175,7 +184,10 @@
         return self._states.get(instance)
 
     def replace(
-        self, upstreams: list[Upstream], leaving: typing.Container[str]
+        self,
+        upstreams: list[Upstream],
+        leaving: typing.Container[str],
+        sharers: int = 1,
     ) -> None:
         """Take over the list of upstreams, keeping what is known of each."""
         with self._lock:
@@ -185,6 +197,7 @@
                 if state is None or state.upstream != upstream:
                     state = UpstreamState(upstream)
                 state.leaving = upstream.instance in leaving
+                state.sharers = sharers
                 kept[upstream.instance] = state
             self._states = kept
 
--- a/baobabpond/routing/watcher.py
+++ b/baobabpond/routing/watcher.py
@@ -37,6 +37,7 @@
         current: current_module.CurrentSettings,
         listed: instance_list.InstanceList,
         poll_load: PollLoad,
+        count_instances: collections.abc.Callable[[], int],
         metrics: metrics_module.Metrics,
         rng: random.Random,
     ) -> None:
@@ -44,6 +45,7 @@
         self._current = current
         self._listed = listed
         self._poll_load = poll_load
+        self._count_instances = count_instances
         self._metrics = metrics
         self._rng = rng
         self._lock = threading.Lock()
@@ -141,10 +143,16 @@
             )
             for item in subset
         ]
-        self.get(service).pool.replace(found, leaving)
+        self.get(service).pool.replace(
+            found, leaving, self._sharers(len(found), len(listed))
+        )
         for upstream in found:
             self._watch(upstream)
 
+    def _sharers(self, used: int, listed: int) -> int:
+        """Return how many instances use each upstream, on average."""
+        return max(1, round(self._count_instances() * used / max(1, listed)))
+
     def _subset(
         self, listed: list[instance_list.ListedInstance], size: int
     ) -> list[instance_list.ListedInstance]:
