See slow engines while they stream; wait for room instead of asking

Ruled out: the trainer's own calls (each but the pulls under 0.1 s).

Change: workers wait for a place; the time for a token is observed while streams run and weighs the choice; what is known of slowness fades over 10 s halves and outlasts an ejection; an attempt at an ejected engine is tried elsewhere without the budget.

Conclusion: a straggling engine shows itself token by token.

--- a/baobabpond/http/completions.py
+++ b/baobabpond/http/completions.py
@@ -24,6 +24,7 @@
 DONE_EVENT = b'data: [DONE]\n\n'
 VERSION_PATTERN = re.compile(rb'(?<!\\)"weight_version":\s*"([^"]*)"')
 UNLABELLED_CODE = 'unlabelled'
+PROGRESS_EVENTS = 8
 
 
 class NotWholeError(Exception):
@@ -43,6 +44,8 @@
         self._first: bytes | None = None
         self._versions: dict[int, None] = {}
         self._events = 0
+        self._marked_events = 0
+        self._marked_at = 0.0
         self._end_code: str | None = streams.CANCELLED_CODE
 
     @property
@@ -115,10 +118,22 @@
                 self._fail(UNLABELLED_CODE, f'unknown version {label!r}')
             self._versions[int(label)] = None
         self._events += events
-        if time.monotonic() > self._deadline:
+        now = time.monotonic()
+        if now > self._deadline:
             self._fail(service.TIMEOUT_CODE, 'the deadline has passed')
+        self._mark_progress(now)
         return done
 
+    def _mark_progress(self, now: float) -> None:
+        """Report the time for a token, without the wait for the first."""
+        if not self._marked_at:
+            self._marked_events, self._marked_at = self._events, now
+            return
+        events = self._events - self._marked_events
+        if events >= PROGRESS_EVENTS:
+            self._report_progress((now - self._marked_at) / events)
+            self._marked_events, self._marked_at = self._events, now
+
     def _fail(self, code: str, message: str) -> typing.NoReturn:
         self._end_code = code
         raise NotWholeError(message)
--- a/baobabpond/rollout/generator.py
+++ b/baobabpond/rollout/generator.py
@@ -12,13 +12,14 @@
 from ..gen import tree as tree_schema
 from ..http import adapters
 from ..http import completions
+from ..routing import admission
 from ..routing import service as service_module
 from ..routing import upstreams
 from ..routing import watcher
 
 from . import step as step_module
 
-ADMISSION_PAUSE_S = 0.05
+ADMISSION_WAIT_S = 0.5
 JSON_TYPE = 'application/json'
 
 
@@ -51,15 +52,35 @@
             attempt.slot.spec.prompt,
             attempt.slot.spec.max_tokens,
         )
-        ticket = self._router.admit(context)
-        if isinstance(ticket, verdicts.Refusal):
-            time.sleep(ADMISSION_PAUSE_S)
+        ticket = self._await_ticket(attempt, context)
+        if ticket is None:
             return None
         try:
             return self._run(attempt, context, minimum_version)
         finally:
             self._router.release(ticket)
 
+    def is_ejected(self, upstream: str) -> bool:
+        """Tell whether an upstream is kept out for now."""
+        state = self._router.pool.get(upstream)
+        return state is None or state.ejected
+
+    def _await_ticket(
+        self,
+        attempt: step_module.Attempt,
+        context: service_module.RequestContext,
+    ) -> admission.Ticket | None:
+        """Wait for room: this is work of our own, which nobody awaits."""
+        while not attempt.cancelled:
+            ticket = self._router.admit(context)
+            if not isinstance(ticket, verdicts.Refusal):
+                attempt.started_at = time.monotonic()
+                return ticket
+            if time.monotonic() >= context.deadline:
+                break
+            self._router.wait_for_room(ADMISSION_WAIT_S)
+        return None
+
     def _run(
         self,
         attempt: step_module.Attempt,
--- a/baobabpond/rollout/session.py
+++ b/baobabpond/rollout/session.py
@@ -25,6 +25,7 @@
 Generate = collections.abc.Callable[
     [step_module.Attempt, int], step_module.Sample | None
 ]
+IsEjected = collections.abc.Callable[[str], bool]
 GetSettings = collections.abc.Callable[[], tree_schema.NodeSettings]
 
 
@@ -50,10 +51,12 @@
         self,
         get_settings: GetSettings,
         generate: Generate,
+        is_ejected: IsEjected,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._get_settings = get_settings
         self._generate = generate
+        self._is_ejected = is_ejected
         self._metrics = metrics
         self._changed = threading.Condition(threading.RLock())
         self._steps: dict[int, step_module.Step] = {}
@@ -253,24 +256,39 @@
         self, settings: tree_schema.NodeSettings
     ) -> step_module.Attempt | None:
         step = self._steps.get(self._trainer_step)
-        if step is None or len(self._durations) < MIN_DURATIONS:
+        if step is None:
             return None
-        allowed = self._first_attempts * settings['straggler_budget']
-        if self._second_attempts + 1 > allowed:
-            return None
-        late_s = settings['straggler_factor'] * statistics.median(
-            self._durations
-        )
         for slot in step.slots:
             if slot.sample is not None or len(slot.attempts) != 1:
                 continue
-            token_share_s = late_s * slot.spec.max_tokens
-            if slot.attempts[0].age_s > token_share_s:
+            if self._is_stuck(slot.attempts[0]):
+                self._metrics.count('rollout.moved_attempts')
+                return step_module.Attempt(slot)
+            if self._is_late(slot, settings):
                 self._second_attempts += 1
                 self._metrics.count('rollout.second_attempts')
                 return step_module.Attempt(slot)
         return None
 
+    def _is_stuck(self, attempt: step_module.Attempt) -> bool:
+        """Tell whether the upstream was ejected; needs no budget.
+
+        The number of ejected upstreams is bounded already.
+        """
+        upstream = attempt.upstream
+        return upstream is not None and self._is_ejected(upstream)
+
+    def _is_late(
+        self, slot: step_module.Slot, settings: tree_schema.NodeSettings
+    ) -> bool:
+        allowed = self._first_attempts * settings['straggler_budget']
+        if self._second_attempts + 1 > allowed:
+            return False
+        if len(self._durations) < MIN_DURATIONS:
+            return False
+        usual_s = statistics.median(self._durations) * slot.spec.max_tokens
+        return slot.attempts[0].age_s > usual_s * settings['straggler_factor']
+
     def _finish(
         self,
         attempt: step_module.Attempt,
--- a/baobabpond/rollout/trainers.py
+++ b/baobabpond/rollout/trainers.py
@@ -206,7 +206,7 @@
             self._metrics,
         )
         return session_module.Session(
-            get_settings, source.generate, self._metrics
+            get_settings, source.generate, source.is_ejected, self._metrics
         )
 
     def _stop_idle(self) -> None:
--- a/baobabpond/routing/admission.py
+++ b/baobabpond/routing/admission.py
@@ -28,7 +28,7 @@
     """Share a service's concurrency limit among priorities and callers."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
         self._in_flight = 0
         self._by_priority: collections.Counter[str] = collections.Counter()
         self._by_caller: collections.Counter[str] = collections.Counter()
@@ -51,7 +51,7 @@
         """Return a ticket, or the refusal with when to come back."""
         now = time.monotonic()
         priority = settings['priority']
-        with self._lock:
+        with self._changed:
             self._callers_seen[caller] = now
             if now + expected_s > deadline:
                 return _refuse('deadline_too_short', expected_s)
@@ -68,12 +68,18 @@
 
     def release(self, ticket: Ticket) -> None:
         """Give an admitted request's place back."""
-        with self._lock:
+        with self._changed:
             self._in_flight -= 1
             self._by_priority[ticket.priority] -= 1
             self._by_caller[ticket.caller] -= 1
             if not self._by_caller[ticket.caller]:
                 del self._by_caller[ticket.caller]
+            self._changed.notify()
+
+    def wait_for_release(self, timeout_s: float) -> None:
+        """Wait until a place is given back, or a time has passed."""
+        with self._changed:
+            self._changed.wait(timeout_s)
 
     def _has_room(self, priority: str, limit: float, now: float) -> bool:
         # One request must always be able to go, at any priority.
--- a/baobabpond/routing/service.py
+++ b/baobabpond/routing/service.py
@@ -97,6 +97,10 @@
         self._metrics.count(f'routing.{name}.{self._service}')
         return outcome
 
+    def wait_for_room(self, timeout_s: float) -> None:
+        """Wait until a request has ended; for work of this service's own."""
+        self._admission.wait_for_release(timeout_s)
+
     def release(self, ticket: admission.Ticket) -> None:
         """Give a ticket back."""
         self._admission.release(ticket)
@@ -160,6 +164,11 @@
         outcome = opener(state, context.deadline)
         if isinstance(outcome, result.Success):
             stream = outcome.unwrap()
+            stream.on_progress(
+                lambda unit_s: self._pool.observe(
+                    state, unit_s, context.settings
+                )
+            )
             stream.on_end(
                 lambda: self._finish(
                     context,
@@ -210,10 +219,14 @@
         started = time.monotonic()
         state.begin()
         outcome = attempt(state, context.deadline)
+        elapsed_s = time.monotonic() - started
         code = None
-        if not isinstance(outcome, result.Success):
+        if isinstance(outcome, result.Success):
+            unit_s = elapsed_s / max(1, context.units)
+            self._pool.observe(state, unit_s, context.settings)
+        else:
             code = outcome.failure().code
-        self._finish(context, state, time.monotonic() - started, code, 1)
+        self._finish(context, state, elapsed_s, code, context.units)
         return outcome
 
     def _finish(
@@ -231,9 +244,7 @@
         failed = code is not None and _is_fault(
             code, elapsed_s, expected_s, settings
         )
-        self._pool.finish(
-            state, unit_s if code is None else None, failed, settings
-        )
+        self._pool.finish(state, failed, settings)
         if code is not None:
             self._metrics.count(f'routing.failed_attempts.{self._service}')
             return
--- a/baobabpond/routing/streams.py
+++ b/baobabpond/routing/streams.py
@@ -5,12 +5,15 @@
 
 CANCELLED_CODE = 'cancelled'
 
+ProgressListener = collections.abc.Callable[[float], None]
+
 
 class Stream(abc.ABC):
     """Yield an upstream's answer piece by piece."""
 
     def __init__(self) -> None:
         self._end_listeners: list[collections.abc.Callable[[], None]] = []
+        self._progress_listeners: list[ProgressListener] = []
         self._ended = False
 
     @property
@@ -31,6 +34,10 @@
         """Call a listener once, when the stream has ended."""
         self._end_listeners.append(listener)
 
+    def on_progress(self, listener: ProgressListener) -> None:
+        """Call a listener now and then with the seconds a unit takes."""
+        self._progress_listeners.append(listener)
+
     def close(self) -> None:
         """End the stream, whether or not it is whole."""
         if self._ended:
@@ -40,6 +47,10 @@
         for listener in self._end_listeners:
             listener()
 
+    def _report_progress(self, unit_s: float) -> None:
+        for listener in self._progress_listeners:
+            listener(unit_s)
+
     @abc.abstractmethod
     def _disconnect(self) -> None:
         """Give the connection back or cut it."""
--- a/baobabpond/routing/upstreams.py
+++ b/baobabpond/routing/upstreams.py
@@ -14,6 +14,9 @@
 LATENCY_WEIGHT = 0.2
 MIN_SAMPLES = 10
 MIN_SHARE = 0.1
+MIN_SLOWNESS = 0.5
+MAX_SLOWNESS = 20.0
+SLOWNESS_HALF_LIFE_S = 10.0
 MAX_EJECTION_DOUBLINGS = 5
 REPORT_MAX_AGE_S = 10.0
 
@@ -52,6 +55,8 @@
         self._in_flight_at_report = 0
         self._latency_s: float | None = None
         self._samples = 0
+        self._slowness = 1.0
+        self._slowness_at = 0.0
         self._failures = 0
         self._ejections = 0
         self._ejected_until = 0.0
@@ -82,6 +87,17 @@
         """Tell whether the upstream is kept out for now."""
         return time.monotonic() < self._ejected_until
 
+    @property
+    def slowness(self) -> float:
+        """Return the latency relative to the others', fading with age.
+
+        It outlasts an ejection, so that a slow upstream that returns is
+        tried again only once in a while.
+        """
+        age_s = time.monotonic() - self._slowness_at
+        fading = 0.5 ** (age_s / SLOWNESS_HALF_LIFE_S)
+        return 1.0 + (self._slowness - 1.0) * fading
+
     def load(self) -> float:
         """Return the estimated requests at the upstream now.
 
@@ -103,8 +119,9 @@
         return 1.0 + self._reported.waiting / max(1, self._reported.running)
 
     def score(self, slow_start_s: float) -> float:
-        """Return the load relative to the share the upstream may take."""
-        return (self.load() + 1) / self._share(slow_start_s)
+        """Return the load relative to what the upstream can take."""
+        relative = (self.load() + 1) * self.slowness
+        return relative / self._share(slow_start_s)
 
     def report(self, report: LoadReport) -> None:
         """Take in a load report."""
@@ -118,13 +135,20 @@
         with self._lock:
             self._in_flight += 1
 
-    def end(self, latency_s: float | None, failed: bool) -> None:
-        """Count a request as finished, with its latency if it tells."""
+    def end(self, failed: bool) -> None:
+        """Count a request as finished."""
         with self._lock:
             self._in_flight -= 1
             self._failures = self._failures + 1 if failed else 0
-            if not failed and latency_s is not None:
-                self._record_latency(latency_s)
+
+    def observe(self, latency_s: float, usual_s: float | None) -> None:
+        """Take in a latency, and the usual one among the others."""
+        with self._lock:
+            self._record_latency(latency_s)
+            if usual_s and self._latency_s:
+                ratio = self._latency_s / usual_s
+                self._slowness = min(max(ratio, MIN_SLOWNESS), MAX_SLOWNESS)
+                self._slowness_at = time.monotonic()
 
     def eject(self, ejection_s: float) -> None:
         """Keep the upstream out; longer each time it is repeated."""
@@ -210,34 +234,36 @@
     def finish(
         self,
         state: UpstreamState,
-        latency_s: float | None,
         failed: bool,
         settings: tree_schema.NodeSettings,
     ) -> None:
-        """Count a request as finished and eject an outlier."""
-        state.end(latency_s, failed)
-        if state.ejected:
-            return
+        """Count a request as finished and eject after failures."""
+        state.end(failed)
         if state.failures >= settings['ejection_failures']:
             self._eject(state, settings, 'failures')
-        elif self._is_slow(state, settings):
+
+    def observe(
+        self,
+        state: UpstreamState,
+        latency_s: float,
+        settings: tree_schema.NodeSettings,
+    ) -> None:
+        """Take in a latency for a unit of work and eject an outlier."""
+        usual_s = self._usual_latency_s(state)
+        state.observe(latency_s, usual_s)
+        own_s = state.latency_s
+        if own_s is None or usual_s is None:
+            return
+        if own_s > usual_s * settings['ejection_latency_factor']:
             self._eject(state, settings, 'latency')
 
-    def _is_slow(
-        self, state: UpstreamState, settings: tree_schema.NodeSettings
-    ) -> bool:
-        own = state.latency_s
-        if own is None:
-            return False
+    def _usual_latency_s(self, state: UpstreamState) -> float | None:
         others = [
             other.latency_s
             for other in self.states()
             if other is not state and other.latency_s is not None
         ]
-        if not others:
-            return False
-        median = statistics.median(others)
-        return own > median * settings['ejection_latency_factor']
+        return statistics.median(others) if others else None
 
     def _eject(
         self,
@@ -245,6 +271,8 @@
         settings: tree_schema.NodeSettings,
         reason: str,
     ) -> None:
+        if state.ejected:
+            return
         states = self.states()
         ejected = sum(other.ejected for other in states)
         if ejected + 1 > len(states) * settings['ejection_max_share']:
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -21,6 +21,7 @@
     parser.add_argument('name', nargs='?', choices=registry.measurements.names)
     parser.add_argument('--seed', type=int, action='append')
     parser.add_argument('--baseline', action='store_true')
+    parser.add_argument('--policy', action='store_true')
     parser.add_argument('--user', default='pasak')
     parser.add_argument('--fault', action='append')
     parser.add_argument('--instances', default='4,8,16,32')
--- a/measure/overload.py
+++ b/measure/overload.py
@@ -22,7 +22,7 @@
     """Compare goodput with the capacity, with and without policy."""
     for seed in options.seed:
         for baseline in (False, True):
-            if options.baseline and not baseline:
+            if not registry.wanted(options, baseline):
                 continue
             yield _run(seed, baseline, options)
 
