Live ejections down; drop what nobody calls

Cause: reading for unused code: the count that doubles an ejection was never set back, so a year's ejections would all be the longest.

Ruled out: calling the unused method from the watcher (it does not know of health).

Change: a request that succeeds a minute after the return sets the count back. An unused property is gone.

Before: no test; after: ejections of 3 s, 6 s, and 3 s again.

--- a/baobabpond/http/app.py
+++ b/baobabpond/http/app.py
@@ -54,11 +54,6 @@
         """Return the requests whose responses have not ended."""
         return self._in_flight
 
-    @property
-    def closed(self) -> bool:
-        """Tell whether new work is refused."""
-        return self._closed
-
     def enter(self) -> verdicts.Refusal | None:
         """Count a request in, or return why it is refused."""
         with self._changed:
--- a/baobabpond/routing/upstreams.py
+++ b/baobabpond/routing/upstreams.py
@@ -18,6 +18,8 @@
 MAX_SLOWNESS = 20.0
 SLOWNESS_HALF_LIFE_S = 10.0
 MAX_EJECTION_DOUBLINGS = 5
+# Time after its return in which an upstream lives down its ejections.
+RECOVERED_S = 60.0
 REPORT_MAX_AGE_S = 10.0
 
 LOG = structlog.get_logger(__name__)
@@ -140,6 +142,8 @@
         with self._lock:
             self._in_flight -= 1
             self._failures = self._failures + 1 if failed else 0
+            if not failed and self._long_returned():
+                self._ejections = 0
 
     def observe(self, latency_s: float, usual_s: float | None) -> None:
         """Take in a latency, and the usual one among the others."""
@@ -162,10 +166,10 @@
             self._latency_s = None
             self._samples = 0
 
-    def recover(self) -> None:
-        """Forget earlier ejections after a long run of health."""
-        with self._lock:
-            self._ejections = 0
+    def _long_returned(self) -> bool:
+        if self._returned_at is None:
+            return False
+        return time.monotonic() - self._returned_at > RECOVERED_S
 
     def _record_latency(self, latency_s: float) -> None:
         self._samples += 1
--- a/test/routing/test_routing.py
+++ b/test/routing/test_routing.py
@@ -73,6 +73,22 @@
             clock.tick(10)
             self.assertGreater(early, 5 * state.score(5))
 
+    def test_ejections_lengthen_until_they_are_lived_down(self):
+        with freezegun.freeze_time() as clock:
+            state = helpers.upstream_state('u')
+            for seconds in (3, 6):
+                state.eject(3)
+                clock.tick(seconds - 0.1)
+                self.assertTrue(state.ejected)
+                clock.tick(0.2)
+                self.assertFalse(state.ejected)
+            clock.tick(61)
+            state.begin()
+            state.end(False)
+            state.eject(3)
+            clock.tick(3.1)
+            self.assertFalse(state.ejected)
+
 
 class EjectionTest(unittest.TestCase):
     """Eject outliers, but not too many."""
