End attempts that meet a malformed answer

Ruled out: that the label check catches it (an answer without events has no label to check).

Change: such answers are not whole; an attempt that raises is counted, logged and made again.

Conclusion: a slot needs an end to every attempt.

--- a/baobabpond/http/completions.py
+++ b/baobabpond/http/completions.py
@@ -24,6 +24,7 @@
 DONE_EVENT = b'data: [DONE]\n\n'
 VERSION_PATTERN = re.compile(rb'(?<!\\)"weight_version":\s*"([^"]*)"')
 UNLABELLED_CODE = 'unlabelled'
+MALFORMED_CODE = 'malformed'
 PROGRESS_EVENTS = 8
 PAUSE_S = 0.02
 GATHER_S = 0.001
@@ -73,6 +74,11 @@
             self.close()
             raise
 
+    def reject(self, code: str) -> None:
+        """End the stream as one that is not whole."""
+        self._end_code = code
+        self.close()
+
     def __iter__(self) -> collections.abc.Iterator[bytes]:
         try:
             if self._first is not None:
@@ -129,6 +135,8 @@
                 self._fail(UNLABELLED_CODE, f'unknown version {label!r}')
             self._versions[int(label)] = None
         self._events += events
+        if done and not self._events:
+            self._fail(UNLABELLED_CODE, 'the answer has no event')
         now = time.monotonic()
         if now > self._deadline:
             self._fail(service.TIMEOUT_CODE, 'the deadline has passed')
@@ -167,13 +175,25 @@
         if cancelled():
             stream.close()
             raise NotWholeError('the attempt was cancelled')
-        for event in block.split(EVENT_END):
-            data = event.removeprefix(DATA_PREFIX)
-            if data and data != b'[DONE]':
-                texts.append(json.loads(data)['choices'][0]['text'])
+        try:
+            texts += _texts(block)
+        except (ValueError, LookupError, TypeError) as error:
+            stream.reject(MALFORMED_CODE)
+            raise NotWholeError('an event has another shape') from error
     return Completion(''.join(texts), stream.units, stream.weight_versions)
 
 
+def _texts(block: bytes) -> list[str]:
+    data = (
+        event.removeprefix(DATA_PREFIX) for event in block.split(EVENT_END)
+    )
+    return [
+        json.loads(item)['choices'][0]['text']
+        for item in data
+        if item and item != b'[DONE]'
+    ]
+
+
 @adapters.adapters.register('completions')
 class Completions(adapters.Adapter):
     """Post a completion request and read its server-sent events."""
--- a/baobabpond/rollout/session.py
+++ b/baobabpond/rollout/session.py
@@ -8,6 +8,7 @@
 import typing
 
 from returns import result
+import structlog
 
 from .. import metrics as metrics_module
 from .. import verdicts
@@ -16,6 +17,8 @@
 from . import specs
 from . import step as step_module
 
+LOG = structlog.get_logger(__name__)
+
 IDLE_WAIT_S = 0.1
 RECENT_DURATIONS = 256
 MIN_DURATIONS = 8
@@ -213,9 +216,20 @@
             settings = self._get_settings()
             minimum = self._trainer_version - settings['staleness_bound']
             started = time.monotonic()
-            sample = self._generate(attempt, minimum)
+            sample = self._try_generate(attempt, minimum)
             self._finish(attempt, sample, time.monotonic() - started)
 
+    def _try_generate(
+        self, attempt: step_module.Attempt, minimum: int
+    ) -> step_module.Sample | None:
+        try:
+            return self._generate(attempt, minimum)
+        except Exception:
+            # The last resort: an attempt that never ends keeps its slot.
+            self._metrics.count('rollout.internal_errors')
+            LOG.exception('attempt failed')
+            return None
+
     def _next_attempt(self) -> step_module.Attempt | None:
         with self._changed:
             while not self._stopped:
--- a/test/http/test_edge.py
+++ b/test/http/test_edge.py
@@ -284,6 +284,17 @@
             self.assertIsNone(whole)
             self.assertEqual('unlabelled', stream.end_code)
 
+    def test_answer_without_an_event_is_not_whole(self):
+        whole, stream = self.collect(DONE)
+        self.assertIsNone(whole)
+        self.assertEqual('unlabelled', stream.end_code)
+
+    def test_event_of_another_shape_is_not_whole(self):
+        for body in (b'{"weight_version": "7"}', b'"weight_version": "7"'):
+            whole, stream = self.collect(b'data: ' + body + b'\n\n', DONE)
+            self.assertIsNone(whole)
+            self.assertEqual('malformed', stream.end_code)
+
     def test_label_inside_the_text_does_not_count(self):
         whole, _ = self.collect(event('"weight_version": "9"'), DONE)
         self.assertEqual((7,), whole.weight_versions)
--- a/test/rollout/test_rollout.py
+++ b/test/rollout/test_rollout.py
@@ -78,6 +78,7 @@
         self.hold.set()
         self.slow_first = False
         self.ejected = False
+        self.broken = False
         self.session = session.Session(
             lambda: self.settings,
             self.generate,
@@ -89,6 +90,8 @@
 
     def generate(self, attempt, _minimum):
         self.started.append(attempt)
+        if self.broken and len(self.started) <= 6:
+            raise RuntimeError('broken')
         attempt.upstream = 'u'
         key = (attempt.slot.group, attempt.slot.index)
         first = len(attempt.slot.attempts) == 1
@@ -119,6 +122,12 @@
         self.session.open(make_spec(), 1)
         self.assertEqual(['g0', 'g1', 'g2', 'g3'], sorted(self.pull_all()))
 
+    def test_attempt_that_raises_is_made_again(self):
+        self.broken = True
+        self.session.open(make_spec(), 1)
+        self.assertEqual(4, len(self.pull_all()))
+        self.assertEqual(6, self.metrics.counter('rollout.internal_errors'))
+
     def test_same_cursor_gets_the_same_place_again(self):
         self.session.open(make_spec(), 1)
         first = self.pull(groups=1).unwrap()
