--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -51,6 +51,8 @@
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.DEVNULL,
                 stderr=log,
+                # An interrupt is the starter's to handle.
+                start_new_session=True,
             )
 
     @property
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -58,6 +58,8 @@
         cwd=cluster_module.ROOT,
         stdout=subprocess.PIPE,
         text=True,
+        # An interrupt is this process's to handle: it ends the others.
+        start_new_session=True,
     )
 
 
@@ -143,6 +145,7 @@
     print(
         f'samples handed to the trainer: {trainer["samples"]}, '
         f'doubled: {trainer["doubled"]}, missing: {trainer["missing"]}, '
+        f'by weight versions: {trainer["versions"]}, '
         f'by versions of lag: {trainer["lags"]}'
     )
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -128,9 +128,9 @@
     def _swap(self, request: base.Request) -> base.Reply:
         order = request.json()
         with self.lock:
-            self._orders.append(order)
             if self._checks_fence and order['fence'] < self._fence:
                 return base.Reply({'message': 'old fence'}, 409)
+            self._orders.append(order)
             self._fence = max(self._fence, order['fence'])
         if self._store_url and not self._fetch(order['model_path']):
             return base.Reply({'message': 'weight store refused'}, 503)
--- a/standins/trainer.py
+++ b/standins/trainer.py
@@ -46,6 +46,7 @@
     idle_s: float
     total_s: float
     lags: dict[int, int]
+    versions: dict[str, int]
 
 
 class Trainer:
@@ -133,6 +134,12 @@
                     ).items()
                 )
             ),
+            versions=dict(
+                collections.Counter(
+                    '+'.join(map(str, entry.weight_versions))
+                    for entry in self.entries
+                )
+            ),
         )
 
     def _take(self, number: int, groups: list[dict[str, typing.Any]]) -> None:
