--- a/scenarios/steps/requests.py
+++ b/scenarios/steps/requests.py
@@ -57,27 +57,30 @@
     assert not doubled, doubled
 
 
-@then('every answered checklist entry ran')
-def answered_ran(context):
+def entries_where(context, is_wrong):
+    """Return the checklist entries whose outcome and runs are wrong."""
     world = context.world
     pairs = zip(world.traffic.keys, world.traffic.ended['checklist'])
-    wrong = [
+    return [
         (order, outcome)
         for order, outcome in pairs
-        if outcome.delivered and world.executions(order) != 1
+        if is_wrong(outcome, world.executions(order))
     ]
+
+
+@then('every answered checklist entry ran')
+def answered_ran(context):
+    wrong = entries_where(
+        context, lambda outcome, runs: outcome.delivered and runs != 1
+    )
     assert not wrong, wrong[:3]
 
 
 @then('every entry refused as not run was not run')
 def refused_not_run(context):
-    world = context.world
-    pairs = zip(world.traffic.keys, world.traffic.ended['checklist'])
-    wrong = [
-        (order, outcome)
-        for order, outcome in pairs
-        if outcome.verdict == 'not_run' and world.executions(order)
-    ]
+    wrong = entries_where(
+        context, lambda outcome, runs: outcome.verdict == 'not_run' and runs
+    )
     assert not wrong, wrong[:3]
 
 
