--- /dev/null
+++ b/baobabpond/batches/book.py
@@ -0,0 +1,237 @@
+"""Fold a shard's records into batches and their results."""
+
+import collections
+import threading
+import time
+import typing
+
+import structlog
+
+from ..ports import callers
+from ..ports import log as log_port
+
+from . import records
+
+LOG = structlog.get_logger(__name__)
+
+
+class OwnerView(typing.NamedTuple):
+    """Hold the last word of a shard's owner."""
+
+    record: records.OwnerRecord
+    # Runtime's clock when the record was read.
+    seen_at: float
+
+
+class Batch:
+    """Hold one accepted batch."""
+
+    def __init__(
+        self,
+        head: records.BatchHead,
+        items: tuple[callers.Item, ...],
+        submitted: float,
+    ) -> None:
+        self.head = head
+        self.items = items
+        # Runtime's clock at the first submission.
+        self.submitted = submitted
+        self.results: list[callers.Result] = []
+        self.listed: set[str] = set()
+        self.ended = False
+        self._by_id = {item.id: item for item in items}
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether items may still be run."""
+        return not self.ended and len(self.listed) < len(self.items)
+
+    def item(self, item_id: str) -> callers.Item | None:
+        """Return an item by its id."""
+        return self._by_id.get(item_id)
+
+    def add(self, result: callers.Result) -> bool:
+        """List a result unless its item is listed; tell if it was added."""
+        if result.id in self.listed or result.id not in self._by_id:
+            return False
+        self.listed.add(result.id)
+        self.results.append(result)
+        return True
+
+
+class Book:
+    """Hold all batches of a shard as the log tells them."""
+
+    def __init__(self) -> None:
+        self._changed = threading.Condition()
+        self._batches: dict[str, Batch] = {}
+        self._parts: dict[str, dict[int, records.BatchPart]] = (
+            collections.defaultdict(dict)
+        )
+        self._progress: dict[str, dict[int, records.Progress]] = (
+            collections.defaultdict(dict)
+        )
+        self._completed: dict[str, callers.Result] = {}
+        self._ended_early: set[str] = set()
+        self._owner: OwnerView | None = None
+        self._revision = 0
+
+    @property
+    def owner(self) -> OwnerView | None:
+        """Return the last word of the owner."""
+        return self._owner
+
+    @property
+    def revision(self) -> int:
+        """Return a number that grows with each change."""
+        return self._revision
+
+    def get(self, batch: str) -> Batch | None:
+        """Return a batch by its id."""
+        return self._batches.get(batch)
+
+    def open_batches(self) -> list[Batch]:
+        """Return the batches whose items may still be run."""
+        with self._changed:
+            return [b for b in self._batches.values() if b.is_open]
+
+    def all_batches(self) -> list[Batch]:
+        """Return all batches known."""
+        with self._changed:
+            return list(self._batches.values())
+
+    def completed(self, item: str) -> callers.Result | None:
+        """Return the whole result of an item in any batch."""
+        return self._completed.get(item)
+
+    def progress(self, item: str) -> list[tuple[str, int]]:
+        """Return the events kept of an unfinished item, with versions."""
+        with self._changed:
+            segments = sorted(self._progress.get(item, {}).items())
+        events: list[tuple[str, int]] = []
+        for first, segment in segments:
+            if first > len(events) + 1:
+                break
+            # A later run may have made some events again.
+            del events[first - 1 :]
+            events += zip(segment.data, segment.versions, strict=True)
+        return events
+
+    def progress_keys(self, item: str) -> list[str]:
+        """Return the keys of the events kept of an item."""
+        with self._changed:
+            firsts = list(self._progress.get(item, ()))
+        return [f'{records.PROGRESS}/{item}/{first}' for first in firsts]
+
+    def wait_change(self, revision: int, timeout_s: float) -> int:
+        """Wait until the book is past a revision; return the present one."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self._revision != revision, timeout_s
+            )
+            return self._revision
+
+    def wait_results(
+        self, batch: Batch, position: int, timeout_s: float
+    ) -> list[callers.Result]:
+        """Return the results from a position on, waiting for the first."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: (
+                    len(batch.results) > position
+                    or len(batch.results) == len(batch.items)
+                    or batch.ended
+                ),
+                timeout_s,
+            )
+            return batch.results[position:]
+
+    def apply(
+        self, new_records: list[log_port.Record], is_snapshot: bool
+    ) -> None:
+        """Fold records in the order of their offsets."""
+        with self._changed:
+            for record in new_records:
+                try:
+                    self._apply_one(record, is_snapshot)
+                except (ValueError, TypeError, KeyError, IndexError) as error:
+                    LOG.error(
+                        'record cannot be read; it is passed over',
+                        key=record.key,
+                        offset=record.offset,
+                        error=repr(error),
+                    )
+            self._revision += 1
+            self._changed.notify_all()
+
+    def _apply_one(self, record: log_port.Record, is_snapshot: bool) -> None:
+        kind = record.key.partition('/')[0]
+        if not record.value:
+            self._remove(kind, record.key)
+        elif kind == records.BATCH:
+            self._add_part(records.decode_batch(record.value), is_snapshot)
+        elif kind == records.RESULT:
+            self._add_results(
+                records.decode_results(record.key, record.value)
+            )
+        elif kind == records.END:
+            self._end(record.key.split('/')[1])
+        elif kind == records.PROGRESS:
+            progress = records.decode_progress(record.key, record.value)
+            self._progress[progress.item][progress.first] = progress
+        elif kind == records.OWNER_KEY:
+            owner = records.decode_owner(record.value)
+            self._owner = OwnerView(owner, time.monotonic())
+
+    def _add_part(self, part: records.BatchPart, is_snapshot: bool) -> None:
+        batch_id = part.head.id
+        if batch_id in self._batches:
+            return
+        parts = self._parts[batch_id]
+        parts[part.number] = part
+        if len(parts) < part.parts:
+            return
+        del self._parts[batch_id]
+        items = tuple(
+            item for _, one in sorted(parts.items()) for item in one.items
+        )
+        age_s = 0.0
+        if is_snapshot:
+            age_s = max(0.0, time.time() - part.head.submitted_at)
+        batch = Batch(part.head, items, time.monotonic() - age_s)
+        batch.ended = batch_id in self._ended_early
+        self._batches[batch_id] = batch
+
+    def _add_results(self, results: records.Results) -> None:
+        batch = self._batches.get(results.batch)
+        if batch is None:
+            LOG.error('results of an unknown batch', batch=results.batch)
+            return
+        for result in results.results:
+            if not batch.add(result):
+                continue
+            if result.completed:
+                self._completed[result.id] = result
+            self._progress.pop(result.id, None)
+
+    def _end(self, batch_id: str) -> None:
+        batch = self._batches.get(batch_id)
+        if batch is None:
+            self._ended_early.add(batch_id)
+        else:
+            batch.ended = True
+
+    def _remove(self, kind: str, key: str) -> None:
+        parts = key.split('/')
+        if kind == records.BATCH:
+            batch = self._batches.pop(parts[1], None)
+            for result in batch.results if batch else ():
+                if self._completed.get(result.id) is result:
+                    del self._completed[result.id]
+            self._ended_early.discard(parts[1])
+        elif kind == records.PROGRESS:
+            segments = self._progress.get(parts[1])
+            if segments is not None:
+                segments.pop(int(parts[2]), None)
+                if not segments:
+                    del self._progress[parts[1]]
--- /dev/null
+++ b/baobabpond/batches/ownership.py
@@ -0,0 +1,274 @@
+"""Hold a shard by records on its partition, fenced by epoch."""
+
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import clock
+from .. import metrics as metrics_module
+from ..ports import log as log_port
+from ..store import follower as follower_module
+
+from . import book as book_module
+from . import records
+
+PRODUCER = 'owner'
+HEARTBEAT_S = 0.25
+# Silence of an owner after which another instance takes its place.
+TAKEOVER_S = 1.2
+# An owner trusts its place for this long after a confirmed record was sent.
+TRUST_S = 0.9
+RETRY_S = 0.1
+CHECK_S = 0.1
+# Spreads the claims of several instances.
+CLAIM_SPREAD_S = 0.15
+# After a release the instance that started last claims first: during a
+# rolling restart it is the one that stays.
+RELEASE_DELAY_S = 0.3
+HALF_DELAY_UPTIME_S = 20.0
+
+LOG = structlog.get_logger(__name__)
+
+
+class Tenure(typing.NamedTuple):
+    """Describe one instance's hold on a shard."""
+
+    epoch: int
+    # Runtime's clock at which the upstreams may get orders.
+    orders_from: float
+
+
+class Owned(typing.Protocol):
+    """Do an owner's work."""
+
+    def begin(self, tenure: Tenure) -> None:
+        """Start the work of a tenure."""
+        ...
+
+    def cease(self) -> None:
+        """End the work; nothing of it may reach an upstream afterwards."""
+        ...
+
+    def outbox(self, wait_s: float) -> list[log_port.Record]:
+        """Return the records to append, waiting for some."""
+        ...
+
+    def order_age_s(self) -> float:
+        """Return the seconds since the last order to an upstream."""
+        ...
+
+
+class Ownership:
+    """Claim a shard when it has no owner, and keep it by heartbeats."""
+
+    def __init__(
+        self,
+        instance: str,
+        log: log_port.Log,
+        topic: str,
+        partition: int,
+        book: book_module.Book,
+        follower: follower_module.Follower,
+        owned: Owned,
+        order_lease_s: float,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._instance = instance
+        self._log = log
+        self._topic = topic
+        self._partition = partition
+        self._book = book
+        self._follower = follower
+        self._owned = owned
+        self._order_lease_s = order_lease_s
+        self._metrics = metrics
+        self._started = time.monotonic()
+        self._rng = random.Random()
+        self._tenure: Tenure | None = None
+        self._sequence = 0
+        self._confirmed_boot_s = float('-inf')
+        self._may_claim = threading.Event()
+        self._releasing = threading.Event()
+        self._released = threading.Event()
+
+    @property
+    def tenure(self) -> Tenure | None:
+        """Return the present hold on the shard, None if another has it."""
+        return self._tenure
+
+    @property
+    def is_trusted(self) -> bool:
+        """Tell whether no other instance can own the shard now."""
+        age_s = clock.boot_s() - self._confirmed_boot_s
+        return self._tenure is not None and age_s < TRUST_S
+
+    def start(self) -> None:
+        """Claim and hold in a task of its own."""
+        threading.Thread(target=self._run, name='owner', daemon=True).start()
+
+    def allow_claims(self) -> None:
+        """Let the instance take the shard."""
+        self._may_claim.set()
+
+    def release(self, timeout_s: float) -> None:
+        """Give the shard up and wait until the log says so."""
+        self._may_claim.clear()
+        self._releasing.set()
+        self._released.wait(timeout_s)
+
+    def _run(self) -> None:
+        while not self._releasing.is_set():
+            if not self._may_claim.wait(CHECK_S):
+                continue
+            if self._is_vacant():
+                self._claim()
+            if self._tenure is not None:
+                self._hold()
+            else:
+                self._book.wait_change(self._book.revision, CHECK_S)
+        self._released.set()
+
+    def _is_vacant(self) -> bool:
+        if not self._follower.complete:
+            return False
+        owner = self._book.owner
+        if owner is None:
+            return True
+        if owner.record.released:
+            return self._silence_s(owner) > self._release_delay_s()
+        wait_s = TAKEOVER_S
+        if owner.record.instance != self._instance:
+            wait_s += self._rng.uniform(0, CLAIM_SPREAD_S)
+        return (
+            self._silence_s(owner) > wait_s
+            and self._follower.contact_length_s > wait_s
+        )
+
+    def _silence_s(self, owner: book_module.OwnerView) -> float:
+        return time.monotonic() - owner.seen_at
+
+    def _release_delay_s(self) -> float:
+        uptime_s = time.monotonic() - self._started
+        return RELEASE_DELAY_S * uptime_s / (uptime_s + HALF_DELAY_UPTIME_S)
+
+    def _claim(self) -> None:
+        before = self._book.owner
+        try:
+            end = self._follower.catch_up()
+        except log_port.LogError as error:
+            LOG.info('claim put off: the log cannot be read', error=str(error))
+            time.sleep(RETRY_S)
+            return
+        if self._book.owner is not before:
+            return
+        # Offsets only grow, so no epoch is used twice.
+        epoch = end + 1
+        sent_boot_s = clock.boot_s()
+        owner = records.OwnerRecord(self._instance, epoch, False, 0.0)
+        answer = self._log.append(
+            self._topic,
+            self._partition,
+            [records.encode_owner(owner)],
+            expected_end=end,
+            fence=log_port.Fence(PRODUCER, epoch, 0),
+        )
+        self._metrics.count(f'ownership.claims.{answer.outcome.value}')
+        LOG.info(
+            'claimed the shard',
+            partition=self._partition,
+            epoch=epoch,
+            outcome=answer.outcome.value,
+            former=before.record.instance if before else None,
+            former_silence_s=self._silence_s(before) if before else None,
+        )
+        if answer.outcome is log_port.Outcome.DONE:
+            self._begin(epoch, before, sent_boot_s)
+
+    def _begin(
+        self,
+        epoch: int,
+        before: book_module.OwnerView | None,
+        sent_boot_s: float,
+    ) -> None:
+        lease_s = 0.0
+        if before is not None:
+            lease_s = self._order_lease_s
+            if before.record.released:
+                lease_s -= min(lease_s, before.record.order_age_s)
+        self._confirmed_boot_s = sent_boot_s
+        self._sequence = 1
+        self._tenure = Tenure(epoch, time.monotonic() + lease_s)
+        self._owned.begin(self._tenure)
+
+    def _hold(self) -> None:
+        """Append what the work gives and heartbeats, until the place is lost.
+
+        One append is in flight at a time, so the sequence settles a lost
+        answer.
+        """
+        pending: list[log_port.Record] = []
+        is_last = False
+        while True:
+            releasing = self._releasing.is_set()
+            if releasing:
+                self._owned.cease()
+            if not pending:
+                pending = self._next_records(releasing)
+                is_last = releasing
+            outcome = self._append(pending)
+            if outcome is log_port.Outcome.DONE:
+                pending = []
+                if is_last:
+                    break
+            elif outcome in (
+                log_port.Outcome.FENCED,
+                log_port.Outcome.OUT_OF_SEQUENCE,
+            ):
+                self._owned.cease()
+                break
+            else:
+                time.sleep(RETRY_S)
+        LOG.info(
+            'the shard is given up' if releasing else 'the shard was lost',
+            partition=self._partition,
+            epoch=self._tenure.epoch if self._tenure else None,
+        )
+        self._tenure = None
+
+    def _next_records(self, releasing: bool) -> list[log_port.Record]:
+        new = self._owned.outbox(0.0 if releasing else HEARTBEAT_S)
+        tenure = typing.cast(Tenure, self._tenure)
+        owner = records.OwnerRecord(
+            self._instance,
+            tenure.epoch,
+            releasing,
+            round(self._owned.order_age_s(), 3),
+        )
+        return [*new, records.encode_owner(owner)]
+
+    def _append(self, pending: list[log_port.Record]) -> log_port.Outcome:
+        tenure = typing.cast(Tenure, self._tenure)
+        sent_boot_s = clock.boot_s()
+        started = time.monotonic()
+        answer = self._log.append(
+            self._topic,
+            self._partition,
+            pending,
+            fence=log_port.Fence(PRODUCER, tenure.epoch, self._sequence),
+        )
+        self._metrics.record('ownership.append', time.monotonic() - started)
+        if answer.outcome is log_port.Outcome.DONE:
+            self._sequence += 1
+            self._confirmed_boot_s = sent_boot_s
+        else:
+            self._metrics.count(f'ownership.append.{answer.outcome.value}')
+            LOG.warning(
+                'append of the owner failed',
+                outcome=answer.outcome.value,
+                detail=answer.detail,
+                records=len(pending),
+            )
+        return answer.outcome
--- /dev/null
+++ b/baobabpond/batches/records.py
@@ -0,0 +1,167 @@
+"""Encode and decode the records of a shard's partition."""
+
+import json
+import typing
+
+from ..ports import callers
+from ..ports import log as log_port
+
+# Below the smallest record limit that platforms are known to set.
+PART_BYTES = 200_000
+BATCH = 'batch'
+RESULT = 'result'
+END = 'end'
+PROGRESS = 'progress'
+OWNER_KEY = 'owner'
+
+
+class BatchHead(typing.NamedTuple):
+    """Describe a batch apart from its items."""
+
+    id: str
+    host: str
+    route: str
+    # Time of day of the first submission, in Unix seconds.
+    submitted_at: float
+    step: int
+    model: str
+    min_version: int
+    group_count: int
+    # Newest weight version announced when the batch came.
+    newest_version: int
+
+
+class BatchPart(typing.NamedTuple):
+    """Hold a part of a batch; it counts once all parts are there."""
+
+    head: BatchHead
+    parts: int
+    number: int
+    items: tuple[callers.Item, ...]
+
+
+class OwnerRecord(typing.NamedTuple):
+    """Name the instance that runs a shard's items and gives its orders."""
+
+    instance: str
+    epoch: int
+    released: bool
+    # Seconds since the owner's last order to an upstream.
+    order_age_s: float
+
+
+class Results(typing.NamedTuple):
+    """Hold results of a batch, in their order."""
+
+    batch: str
+    results: list[callers.Result]
+
+
+class Progress(typing.NamedTuple):
+    """Hold events that a run made and that its result does not list yet."""
+
+    item: str
+    # Number of the first event here, counted from 1.
+    first: int
+    data: list[str]
+    versions: list[int]
+
+
+def encode_batch(
+    head: BatchHead, items: tuple[callers.Item, ...]
+) -> list[log_port.Record]:
+    """Return the records of a batch, none larger than a part."""
+    parts: list[list[list[typing.Any]]] = [[]]
+    size = 0
+    for item in items:
+        fields = list(item)
+        length = len(json.dumps(fields))
+        if parts[-1] and size + length > PART_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(fields)
+        size += length
+    return [
+        log_port.Record(
+            f'{BATCH}/{head.id}/{number}',
+            _dump([list(head), len(parts), number, part]),
+        )
+        for number, part in enumerate(parts)
+    ]
+
+
+def decode_batch(value: bytes) -> BatchPart:
+    """Decode a part of a batch."""
+    head, parts, number, items = json.loads(value)
+    return BatchPart(
+        BatchHead(*head),
+        parts,
+        number,
+        tuple(
+            callers.Item(*fields[:2], _pairs(fields[2]), *fields[3:])
+            for fields in items
+        ),
+    )
+
+
+def encode_results(results: Results, unique: str) -> log_port.Record:
+    """Return a record of results under a key that is used once."""
+    return log_port.Record(
+        f'{RESULT}/{results.batch}/{unique}',
+        _dump([list(result) for result in results.results]),
+    )
+
+
+def decode_results(key: str, value: bytes) -> Results:
+    """Decode results."""
+    batch = key.split('/')[1]
+    return Results(
+        batch,
+        [
+            callers.Result(*fields[:3], tuple(fields[3]))
+            for fields in json.loads(value)
+        ],
+    )
+
+
+def encode_end(batch: str) -> log_port.Record:
+    """Return the record that ends a batch."""
+    return log_port.Record(f'{END}/{batch}', b'{}')
+
+
+def encode_owner(owner: OwnerRecord) -> log_port.Record:
+    """Return the record of a shard's owner."""
+    return log_port.Record(OWNER_KEY, _dump(owner._asdict()))
+
+
+def decode_owner(value: bytes) -> OwnerRecord:
+    """Decode the record of a shard's owner."""
+    return OwnerRecord(**json.loads(value))
+
+
+def encode_progress(progress: Progress) -> log_port.Record:
+    """Return a record of events made so far."""
+    return log_port.Record(
+        f'{PROGRESS}/{progress.item}/{progress.first}',
+        _dump([progress.data, progress.versions]),
+    )
+
+
+def decode_progress(key: str, value: bytes) -> Progress:
+    """Decode events made so far."""
+    _, item, first = key.split('/')
+    data, versions = json.loads(value)
+    return Progress(item, int(first), data, versions)
+
+
+def removal(key: str) -> log_port.Record:
+    """Return the record that removes a key."""
+    return log_port.Record(key, b'')
+
+
+def _dump(value: typing.Any) -> bytes:
+    return json.dumps(value, separators=(',', ':')).encode()
+
+
+def _pairs(pairs: list[list[str]]) -> tuple[tuple[str, str], ...]:
+    return tuple((name, value) for name, value in pairs)
--- /dev/null
+++ b/baobabpond/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the configuration, the upstreams and the instances in force."""
--- /dev/null
+++ b/baobabpond/edge/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers and trainers."""
--- /dev/null
+++ b/baobabpond/edge/answers.py
@@ -0,0 +1,36 @@
+"""Write the instance's own answers."""
+
+import http
+import json
+
+from .. import verdicts
+
+from . import server
+
+JSON_TYPE = ('Content-Type', 'application/json')
+
+
+def send_json(
+    exchange: server.Exchange, status: int, body: bytes, close: bool = False
+) -> None:
+    """Answer with a JSON body."""
+    reason = http.HTTPStatus(status).phrase
+    exchange.answer(status, reason, [JSON_TYPE], body, close)
+
+
+def send_refusal(
+    exchange: server.Exchange, refusal: verdicts.Refusal, close: bool = False
+) -> None:
+    """Answer with a refusal, its verdict and when to come back."""
+    headers = [JSON_TYPE]
+    if refusal.retry_after_s is not None:
+        headers.append(('Retry-After', f'{refusal.retry_after_s:g}'))
+    body = {
+        'verdict': refusal.verdict.value,
+        'code': refusal.code,
+        'message': refusal.message,
+    }
+    reason = http.HTTPStatus(refusal.status).phrase
+    exchange.answer(
+        refusal.status, reason, headers, json.dumps(body).encode(), close
+    )
--- /dev/null
+++ b/baobabpond/edge/app.py
@@ -0,0 +1,160 @@
+"""Dispatch the calls of callers, trainers and operators."""
+
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+import structlog
+
+from .. import metrics as metrics_module
+from .. import verdicts
+from ..catalogue import current as current_module
+from ..members import roster as roster_module
+from ..ports import callers
+from ..ports import catalogue
+
+from . import answers
+from . import batches
+from . import forwarder as forwarder_module
+from . import server
+
+RETRY_AFTER_S = 0.3
+# How long callers keep a list of addresses; some keep it three times as long.
+ENTRIES_VALID_S = 1.0
+MOST_ADDRESSES = 64
+METRICS_TARGET = '/metrics'
+
+LOG = structlog.get_logger(__name__)
+
+
+class CallerApp:
+    """Serve callers and trainers."""
+
+    def __init__(
+        self,
+        protocol: callers.CallerProtocol,
+        current: current_module.CurrentConfiguration,
+        batch_handlers: batches.BatchHandlers,
+        forwarder: forwarder_module.Forwarder,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._protocol = protocol
+        self._current = current
+        self._batches = batch_handlers
+        self._forwarder = forwarder
+        self._metrics = metrics
+        self._leaving = threading.Event()
+
+    def start_leaving(self) -> None:
+        """End each connection after its answer from now on."""
+        self._leaving.set()
+
+    def handle(self, exchange: server.Exchange) -> None:
+        """Serve one request."""
+        if self._leaving.is_set():
+            exchange.close_after()
+        try:
+            self._dispatch(exchange)
+        except OSError as error:
+            LOG.info('connection of a caller failed', error=repr(error))
+            raise
+        except Exception:
+            LOG.exception('request failed unexpectedly')
+            self._metrics.count('edge.unexpected_failures')
+            if not exchange.answered:
+                answers.send_refusal(
+                    exchange,
+                    verdicts.uncertain('internal', 'unexpected failure'),
+                )
+
+    def _dispatch(self, exchange: server.Exchange) -> None:
+        try:
+            call = self._protocol.call(
+                exchange.method, exchange.target, exchange.headers
+            )
+        except callers.BadRequest as error:
+            answers.send_refusal(
+                exchange,
+                verdicts.bad_request('bad_request', str(error), error.status),
+            )
+            return
+        if self._current.configuration is None:
+            answers.send_refusal(
+                exchange,
+                verdicts.unavailable(
+                    'not_configured',
+                    'the instance knows no configuration yet',
+                    RETRY_AFTER_S,
+                ),
+            )
+            return
+        if call.kind is callers.CallKind.READ_RESULTS:
+            self._batches.read_results(exchange, call)
+        elif call.kind is callers.CallKind.READ_ITEM:
+            self._batches.read_item(exchange, call)
+        elif call.kind is callers.CallKind.END_BATCH:
+            self._batches.end(exchange, call)
+        else:
+            self._route(exchange, call)
+
+    def _route(self, exchange: server.Exchange, call: callers.Call) -> None:
+        match = self._current.match(call.host, call.path)
+        if match is None:
+            LOG.info('no route', request=call.request_id, path=call.path)
+            answers.send_refusal(
+                exchange, verdicts.bad_request('no_route', 'no route', 404)
+            )
+        elif not call.request_id:
+            answers.send_refusal(
+                exchange,
+                verdicts.bad_request('no_id', 'the request has no id'),
+            )
+        elif match.route.kind is catalogue.RouteKind.ROLLOUT:
+            self._batches.submit(exchange, call, match)
+        else:
+            self._forwarder.forward(exchange, call, match)
+
+
+class OperatorApp:
+    """Serve readiness, the list of addresses, and metrics."""
+
+    def __init__(
+        self,
+        protocol: callers.CallerProtocol,
+        roster: roster_module.Roster,
+        is_ready: typing.Callable[[], bool],
+        metrics: metrics_module.Metrics,
+        valid_s: float,
+    ) -> None:
+        self._protocol = protocol
+        self._roster = roster
+        self._is_ready = is_ready
+        self._metrics = metrics
+        self._valid_s = valid_s
+        self._started = time.monotonic()
+
+    def handle(self, exchange: server.Exchange) -> None:
+        """Serve one request."""
+        path = urllib.parse.urlsplit(exchange.target).path
+        if path == self._protocol.ready_target:
+            status = 200 if self._is_ready() else 503
+            answers.send_json(exchange, status, b'{}')
+        elif path == self._protocol.entries_target:
+            self._entries(exchange)
+        elif path == METRICS_TARGET:
+            body = json.dumps(self._metrics.snapshot(), indent=1).encode()
+            answers.send_json(exchange, 200, body)
+        else:
+            answers.send_json(exchange, 404, b'{}')
+
+    def _entries(self, exchange: server.Exchange) -> None:
+        addresses = [
+            member.callers_listen for member in self._roster.usable()
+        ][:MOST_ADDRESSES]
+        if not addresses:
+            answers.send_json(exchange, 503, b'{}')
+            return
+        body = self._protocol.entries(addresses, self._valid_s)
+        answers.send_json(exchange, 200, body)
--- /dev/null
+++ b/baobabpond/edge/server.py
@@ -0,0 +1,231 @@
+"""Run the HTTP servers of an instance."""
+
+import collections.abc
+import socket
+import threading
+import typing
+
+from cheroot import server as cheroot_server
+import structlog
+
+from .. import metrics as metrics_module
+from ..ports import catalogue
+from ..upstreams import sockets
+
+LISTEN_BACKLOG = 512
+KEEP_ALIVE_CONNECTIONS = 4000
+SHUTDOWN_TIMEOUT_S = 1
+BODY_CHUNK_BYTES = 65536
+
+LOG = structlog.get_logger(__name__)
+
+Headers = list[tuple[str, str]]
+
+
+class Exchange:
+    """Hold one request of a caller and write its answer."""
+
+    def __init__(self, request: cheroot_server.HTTPRequest) -> None:
+        self._request = request
+        self.answered = False
+        self.status = 0
+
+    @property
+    def method(self) -> str:
+        """Return the method."""
+        return self._request.method.decode('latin-1')
+
+    @property
+    def target(self) -> str:
+        """Return path and query as they were sent."""
+        return self._request.uri.decode('latin-1')
+
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers, names in title case."""
+        return {
+            name.decode('latin-1'): value.decode('latin-1')
+            for name, value in self._request.inheaders.items()
+        }
+
+    @property
+    def socket(self) -> socket.socket:
+        """Return the caller's connection."""
+        return self._request.conn.socket
+
+    def read_body(self) -> bytes:
+        """Read the whole body; raise OSError or ValueError if it is cut."""
+        return self._request.rfile.read()
+
+    def answer(
+        self,
+        status: int,
+        reason: str,
+        headers: Headers,
+        body: bytes,
+        close: bool = False,
+    ) -> None:
+        """Write a whole answer."""
+        self._start(status, reason, headers, close)
+        self._request.outheaders.append(
+            (b'Content-Length', str(len(body)).encode())
+        )
+        self._request.ensure_headers_sent()
+        if body and self._request.method != b'HEAD':
+            self._request.write(body)
+
+    def begin_stream(
+        self, status: int, reason: str, headers: Headers, close: bool = False
+    ) -> None:
+        """Write the head of an answer whose length is not known."""
+        self._start(status, reason, headers, close)
+        self._request.ensure_headers_sent()
+
+    def write(self, data: bytes) -> None:
+        """Write a part of a stream; raise OSError if the caller left."""
+        self._request.write(data)
+
+    def close_after(self) -> None:
+        """End the connection after the answer."""
+        self._request.close_connection = True
+
+    def cut(self) -> None:
+        """End the connection so that the answer is seen to be cut."""
+        self._request.close_connection = True
+        # Without this the server would close the stream as if whole.
+        self._request.chunked_write = False
+
+    def _start(
+        self, status: int, reason: str, headers: Headers, close: bool
+    ) -> None:
+        self.answered = True
+        self.status = status
+        if close:
+            self._request.close_connection = True
+        self._request.status = f'{status} {reason}'.encode('latin-1')
+        self._request.outheaders = [
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in headers
+        ]
+
+
+Handler = collections.abc.Callable[[Exchange], None]
+
+
+class Gateway(cheroot_server.Gateway):
+    """Pass requests to the handler of their server."""
+
+    def respond(self) -> None:
+        """Handle one request."""
+        server = typing.cast(Server, self.req.server)
+        server.handle(Exchange(self.req))
+
+
+class Server(cheroot_server.HTTPServer):
+    """Serve a handler with a thread for each request in flight."""
+
+    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        handler: Handler,
+        threads: int,
+        metrics: metrics_module.Metrics,
+        limits: catalogue.Limits,
+    ) -> None:
+        super().__init__(address, Gateway, minthreads=threads)
+        self.request_queue_size = LISTEN_BACKLOG
+        self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        self._handler = handler
+        self._metrics = metrics
+        self._in_flight = 0
+        self._changed = threading.Condition()
+        self.set_limits(limits)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the requests whose answers have not ended."""
+        return self._in_flight
+
+    def set_limits(self, limits: catalogue.Limits) -> None:
+        """Set what callers may send."""
+        self.max_request_header_size = limits.header_bytes
+        self.max_request_body_size = limits.body_bytes
+        self.timeout = limits.idle_timeout_s
+
+    def start_task(self, name: str) -> None:
+        """Serve in a task of its own."""
+        self.prepare()
+        threading.Thread(target=self.serve, name=name, daemon=True).start()
+
+    def handle(self, exchange: Exchange) -> None:
+        """Count and handle a request."""
+        with self._changed:
+            self._in_flight += 1
+        try:
+            self._handler(exchange)
+        finally:
+            with self._changed:
+                self._in_flight -= 1
+                self._changed.notify_all()
+
+    def wait_idle(self, timeout_s: float) -> bool:
+        """Wait until no request is in flight."""
+        with self._changed:
+            return self._changed.wait_for(
+                lambda: self._in_flight == 0, timeout_s
+            )
+
+    def error_log(
+        self, msg: str = '', level: int = 20, traceback: bool = False
+    ) -> None:
+        """Count what the server reports."""
+        self._metrics.count('edge.connection_errors')
+        LOG.debug('connection error', error=msg)
+
+
+class CallerWatch:
+    """End the work for callers that left or whose time is up."""
+
+    PERIOD_S = 0.1
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._watched: dict[int, tuple[socket.socket, typing.Any]] = {}
+        self._next = 0
+
+    def start(self) -> None:
+        """Watch in a task of its own."""
+        threading.Thread(target=self._run, name='watch', daemon=True).start()
+
+    def add(
+        self, sock: socket.socket, leave: collections.abc.Callable[[], None]
+    ) -> int:
+        """Call back once when the caller has left; return a handle."""
+        with self._lock:
+            self._next += 1
+            self._watched[self._next] = (sock, leave)
+            return self._next
+
+    def remove(self, handle: int) -> None:
+        """Watch no longer."""
+        with self._lock:
+            self._watched.pop(handle, None)
+
+    def _run(self) -> None:
+        stop = threading.Event()
+        while not stop.wait(self.PERIOD_S):
+            with self._lock:
+                watched = list(self._watched.items())
+            for handle, (sock, leave) in watched:
+                if _has_left(sock):
+                    self.remove(handle)
+                    leave()
+
+
+def _has_left(sock: socket.socket) -> bool:
+    try:
+        return sockets.is_closed_by_peer(sock)
+    except (OSError, ValueError):
+        return True
--- a/baobabpond/logs.py
+++ b/baobabpond/logs.py
@@ -2,12 +2,18 @@
 
 import logging
 import sys
+import typing
 
 import structlog
 
 
-def configure(level: str, instance: str) -> None:
-    """Write lines of at least a level to standard error as JSON."""
+def configure(
+    level: str, instance: str, output: typing.TextIO | None = None
+) -> None:
+    """Write lines of at least a level as JSON, to standard error if not told.
+
+    A level is one of the names of the standard library's levels.
+    """
 
     def add_instance(
         _logger: object, _method: str, event: structlog.typing.EventDict
@@ -25,6 +31,6 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             getattr(logging, level.upper())
         ),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/baobabpond/members/roster.py
@@ -0,0 +1,128 @@
+"""List the live instances by heartbeats on the platform's log."""
+
+import json
+import threading
+import time
+import typing
+
+import structlog
+
+from ..ports import log as log_port
+
+TOPIC = 'keyed.members'
+PARTITION = 0
+HEARTBEAT_S = 1.0
+# Silence after which an instance is taken for gone.
+GONE_S = 3.2
+# Contact with the log that is needed to call another instance silent.
+LOG = structlog.get_logger(__name__)
+
+
+class Member(typing.NamedTuple):
+    """Describe an instance."""
+
+    instance: str
+    # Where callers connect.
+    callers_listen: str
+    # Where other instances connect.
+    peer_listen: str
+    data_centre: str
+    leaving: bool
+
+
+class Seen(typing.NamedTuple):
+    """Hold a member with the time of its last heartbeat."""
+
+    member: Member
+    seen_at: float
+
+
+class Roster:
+    """Fold heartbeats, and send this instance's own."""
+
+    def __init__(
+        self,
+        own: Member,
+        log: log_port.Log,
+        contact_length_s: typing.Callable[[], float],
+    ) -> None:
+        self._own = own
+        self._log = log
+        self._contact_length_s = contact_length_s
+        self._lock = threading.Lock()
+        self._seen: dict[str, Seen] = {}
+        self._may_announce = threading.Event()
+        self._changed = threading.Event()
+
+    def apply(
+        self, new_records: list[log_port.Record], is_snapshot: bool
+    ) -> None:
+        """Take heartbeats in the order of their offsets."""
+        now = time.monotonic()
+        with self._lock:
+            if is_snapshot:
+                self._seen.clear()
+            for record in new_records:
+                if not record.value:
+                    self._seen.pop(record.key, None)
+                    continue
+                try:
+                    member = Member(**json.loads(record.value))
+                except (ValueError, TypeError) as error:
+                    LOG.error(
+                        'heartbeat cannot be read; it is passed over',
+                        key=record.key,
+                        error=repr(error),
+                    )
+                    continue
+                if record.key not in self._seen:
+                    LOG.info('instance seen', member=record.key)
+                self._seen[record.key] = Seen(member, now)
+
+    def start(self) -> None:
+        """Send heartbeats in a task of its own."""
+        threading.Thread(target=self._run, name='roster', daemon=True).start()
+
+    def announce(self) -> None:
+        """List this instance from now on."""
+        self._may_announce.set()
+
+    def leave(self) -> None:
+        """Tell the others that this instance leaves."""
+        self._own = self._own._replace(leaving=True)
+        self._changed.set()
+
+    def usable(self) -> list[Member]:
+        """Return the live members that are not leaving, the nearest first."""
+        now = time.monotonic()
+        # While the log is away nobody's heartbeats come.
+        knows_silence = self._contact_length_s() > GONE_S
+        with self._lock:
+            for name, seen in list(self._seen.items()):
+                if knows_silence and now - seen.seen_at > GONE_S:
+                    LOG.info('instance silent', member=name)
+                    del self._seen[name]
+            members = [seen.member for seen in self._seen.values()]
+        own_centre = self._own.data_centre
+        return sorted(
+            (member for member in members if not member.leaving),
+            key=lambda m: (m.data_centre != own_centre, m.instance),
+        )
+
+    def peers(self) -> list[Member]:
+        """Return the live members but this one."""
+        own = self._own.instance
+        return [m for m in self.usable() if m.instance != own]
+
+    def _run(self) -> None:
+        self._may_announce.wait()
+        while True:
+            own = self._own
+            record = log_port.Record(
+                own.instance, json.dumps(own._asdict()).encode()
+            )
+            answer = self._log.append(TOPIC, PARTITION, [record])
+            if answer.outcome is not log_port.Outcome.DONE:
+                LOG.debug('heartbeat not kept', outcome=answer.outcome.value)
+            if self._changed.wait(HEARTBEAT_S):
+                self._changed.clear()
--- /dev/null
+++ b/baobabpond/pool/loader.py
@@ -0,0 +1,201 @@
+"""Bring a shard's upstreams to the announced weights."""
+
+import collections
+import math
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..batches import book as book_module
+from ..batches import ownership
+from ..catalogue import current as current_module
+
+from . import fleet as fleet_module
+from . import orders
+from . import weights
+from . import work as work_module
+
+TICK_S = 0.05
+# Upstreams of a service that load at once, as a share of all.
+CONCURRENT_SHARE = 0.34
+# Versions that samples may be behind where no batch has told.
+DEFAULT_LAG = 1
+LOG = structlog.get_logger(__name__)
+
+
+class Demand(typing.Protocol):
+    """Tell how many items of each model are unfinished."""
+
+    def demand(self) -> collections.Counter[str]:
+        """Return the unfinished items of each model."""
+        ...
+
+
+class Loader:
+    """Plan loads and carry them out, one order at a time per upstream."""
+
+    def __init__(
+        self,
+        book: book_module.Book,
+        fleet: fleet_module.Fleet,
+        current: current_module.CurrentConfiguration,
+        desk: orders.OrderDesk,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._current = current
+        self._desk = desk
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._tenure: ownership.Tenure | None = None
+        self._is_trusted: typing.Callable[[], bool] = lambda: False
+
+    def trust(self, is_trusted: typing.Callable[[], bool]) -> None:
+        """Set what tells that no other instance gives orders."""
+        self._is_trusted = is_trusted
+
+    def begin(self, tenure: ownership.Tenure, demand: Demand) -> None:
+        """Start to load weights."""
+        self._tenure = tenure
+        threading.Thread(
+            target=self._run, args=(tenure, demand), name='loads', daemon=True
+        ).start()
+
+    def cease(self) -> None:
+        """Send no more orders."""
+        # An order that is being sent ends first.
+        with self._lock:
+            self._tenure = None
+
+    def order_age_s(self) -> float:
+        """Return the seconds since the last order to an upstream."""
+        return min(3600.0, time.monotonic() - self._desk.last_sent)
+
+    def _run(self, tenure: ownership.Tenure, demand: Demand) -> None:
+        while self._tenure is tenure:
+            if time.monotonic() >= tenure.orders_from and self._is_trusted():
+                try:
+                    self._plan(tenure, demand.demand())
+                except Exception:
+                    LOG.exception('weights could not be planned')
+            time.sleep(TICK_S)
+
+    def _plan(
+        self, tenure: ownership.Tenure, demand: collections.Counter[str]
+    ) -> None:
+        configuration = self._current.configuration
+        if configuration is None:
+            return
+        announced = self._current.versions
+        lags = self._lags()
+        for service in configuration.services.values():
+            targets = [
+                weights.Target(
+                    model,
+                    announced[model],
+                    lags.get(model, DEFAULT_LAG),
+                    demand[model],
+                )
+                for model in service.models
+                if model in announced
+            ]
+            upstreams = self._fleet.of(service.name)
+            if targets and upstreams:
+                self._order(tenure, upstreams, targets)
+
+    def _order(
+        self,
+        tenure: ownership.Tenure,
+        upstreams: list[work_module.Upstream],
+        targets: list[weights.Target],
+    ) -> None:
+        now = time.monotonic()
+        holders = [
+            weights.Holder(
+                upstream.id,
+                upstream.versions,
+                upstream.load is not None,
+                upstream.orders_not_before <= now
+                and upstream.refused_fence < tenure.epoch,
+                len(upstream.runs),
+                upstream.entry.slots,
+            )
+            for upstream in upstreams
+        ]
+        most = max(1, math.floor(len(upstreams) * CONCURRENT_SHARE))
+        by_id = {upstream.id: upstream for upstream in upstreams}
+        for planned in weights.plan(holders, targets, most):
+            upstream = by_id[planned.upstream]
+            upstream.load = work_module.Load(
+                planned.model, planned.version, now
+            )
+            threading.Thread(
+                target=self._carry_out,
+                args=(tenure, upstream, planned),
+                name=f'load-{upstream.id}',
+                daemon=True,
+            ).start()
+
+    def _carry_out(
+        self,
+        tenure: ownership.Tenure,
+        upstream: work_module.Upstream,
+        planned: weights.PlannedLoad,
+    ) -> None:
+        outcome = orders.OrderOutcome.UNKNOWN
+        try:
+            outcome = self._desk.carry_out(
+                upstream,
+                planned,
+                tenure.epoch,
+                keeps_runs=not self._has_single_version(upstream),
+                may_send=lambda: (
+                    self._tenure is tenure and self._is_trusted()
+                ),
+            )
+        except Exception:
+            LOG.exception('order failed unexpectedly', upstream=upstream.id)
+        now = time.monotonic()
+        self._metrics.count(f'orders.outcome.{outcome.value}')
+        LOG.info(
+            'order ended',
+            upstream=upstream.id,
+            model=planned.model,
+            version=planned.version,
+            outcome=outcome.value,
+            took_s=round(now - upstream.load.since, 3)
+            if upstream.load
+            else None,
+        )
+        if outcome is orders.OrderOutcome.FENCED:
+            upstream.refused_fence = tenure.epoch
+        if outcome is not orders.OrderOutcome.LOADED:
+            upstream.orders_not_before = now + orders.BACK_OFF_S
+        upstream.load = None
+
+    def _has_single_version(self, upstream: work_module.Upstream) -> bool:
+        configuration = self._current.configuration
+        if configuration is None:
+            return False
+        return any(
+            route.single_version
+            and any(s.service == upstream.entry.service for s in route.shares)
+            for route in configuration.routes
+        )
+
+    def _lags(self) -> dict[str, int]:
+        """Return the lag that each model's newest batch allows."""
+        newest: dict[str, tuple[float, int]] = {}
+        for batch in self._book.all_batches():
+            head = batch.head
+            if not head.model:
+                continue
+            lag = max(0, head.newest_version - head.min_version)
+            present = newest.get(head.model)
+            if present is None or batch.submitted > present[0]:
+                newest[head.model] = batch.submitted, lag
+        return {model: lag for model, (_, lag) in newest.items()}
--- /dev/null
+++ b/baobabpond/pool/placement.py
@@ -0,0 +1,34 @@
+"""Choose the upstream of an item. Answers uneven load and speed."""
+
+import typing
+
+# How much longer an event takes on a full upstream than on an empty one.
+FULL_SLOWDOWN = 0.25
+# An upstream that holds the group's prompt may be this much slower.
+PROMPT_BONUS = 0.9
+
+
+class Choice(typing.NamedTuple):
+    """Hold what the choice of an upstream depends on."""
+
+    upstream: str
+    # Mean time between two events, in seconds.
+    gap_s: float
+    running: int
+    slots: int
+    holds_prompt: bool
+
+
+def cost(choice: Choice) -> float:
+    """Return the expected time between events if one more item runs."""
+    filled = (choice.running + 1) / choice.slots
+    expected = choice.gap_s * (1.0 + FULL_SLOWDOWN * filled)
+    return expected * PROMPT_BONUS if choice.holds_prompt else expected
+
+
+def choose(choices: list[Choice]) -> str | None:
+    """Return the upstream with the lowest cost that has a free slot."""
+    free = [choice for choice in choices if choice.running < choice.slots]
+    if not free:
+        return None
+    return min(free, key=cost).upstream
--- /dev/null
+++ b/baobabpond/pool/pool.py
@@ -0,0 +1,529 @@
+"""Run the items of a shard's open batches while this instance owns it."""
+
+import collections
+import threading
+import time
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..batches import book as book_module
+from ..batches import ownership
+from ..batches import records
+from ..catalogue import current as current_module
+from ..ports import callers
+from ..ports import catalogue
+from ..ports import log as log_port
+from ..ports import upstreams as upstream_port
+
+from . import fleet as fleet_module
+from . import loader as loader_module
+from . import placement
+from . import priority
+from . import rescue
+from . import runner as runner_module
+from . import work as work_module
+
+TICK_S = 0.05
+RESCUE_S = 0.1
+PROGRESS_S = 0.5
+# Records of one append stay well below a call's limit.
+OUTBOX_BYTES = 1_000_000
+SUSPEND_S = 0.15
+SUSPEND_UNREACHABLE_S = 1.0
+MOST_SUSPEND_S = 4.0
+RETRY_S = 0.03
+# A batch whose route is missing this long has lost it.
+ROUTE_LOST_S = 3.0
+# Rollout items are the more valuable work.
+ITEM_PRIORITY = 5
+
+LOG = structlog.get_logger(__name__)
+
+
+class Pool:
+    """Start, move and finish runs; one lock guards their state."""
+
+    def __init__(
+        self,
+        book: book_module.Book,
+        fleet: fleet_module.Fleet,
+        current: current_module.CurrentConfiguration,
+        runner: runner_module.Runner,
+        loader: loader_module.Loader,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._book = book
+        self._fleet = fleet
+        self._current = current
+        self._runner = runner
+        self._loader = loader
+        self._metrics = metrics
+        self._changed = threading.Condition()
+        self._tenure: ownership.Tenure | None = None
+        self._epoch = 0
+        self._works: dict[tuple[str, str], work_module.Work] = {}
+        self._known: set[str] = set()
+        self._route_lost: dict[str, float] = {}
+        # Events of items whose batch ended before they did.
+        self._leftovers: dict[str, list[tuple[str, int]]] = {}
+        self._finished: list[work_module.Work] = []
+        self._kept_keys: list[str] = []
+        self._result_number = 0
+        self._progress_at = 0.0
+        self._rescue_at = 0.0
+        self._pace = work_module.Pace(metrics)
+
+    def begin(self, tenure: ownership.Tenure) -> None:
+        """Start the work of a tenure."""
+        with self._changed:
+            self._tenure = tenure
+            self._epoch = tenure.epoch
+            self._works.clear()
+            self._known.clear()
+            self._finished.clear()
+            self._kept_keys.clear()
+            self._result_number = 0
+        threading.Thread(
+            target=self._run, args=(tenure,), name='pool', daemon=True
+        ).start()
+        self._loader.begin(tenure, self)
+
+    def cease(self) -> None:
+        """End the work; nothing of it may reach an upstream afterwards."""
+        self._loader.cease()
+        with self._changed:
+            if self._tenure is None:
+                return
+            self._tenure = None
+            for work in self._works.values():
+                if work.run is not None:
+                    work.run.cancel('ownership ended')
+            self._progress_at = 0.0
+            self._changed.notify_all()
+
+    def outbox(self, wait_s: float) -> list[log_port.Record]:
+        """Return the records to append, waiting for some."""
+        with self._changed:
+            self._changed.wait_for(lambda: bool(self._finished), wait_s)
+            finished, self._finished = self._finished, []
+            new = self._result_records(finished)
+            new += [records.removal(key) for key in self._kept_keys]
+            self._kept_keys.clear()
+            if time.monotonic() >= self._progress_at:
+                self._progress_at = time.monotonic() + PROGRESS_S
+                new += self._progress_records()
+        return new
+
+    def order_age_s(self) -> float:
+        """Return the seconds since the last order to an upstream."""
+        return self._loader.order_age_s()
+
+    def demand(self) -> collections.Counter[str]:
+        """Return the unfinished items of each model."""
+        with self._changed:
+            return collections.Counter(
+                work.model
+                for work in self._works.values()
+                if work.result is None
+            )
+
+    def on_event(
+        self, run: work_module.Run, event: upstream_port.StreamEvent
+    ) -> bool:
+        """Take the next event; tell whether the run shall go on."""
+        now = time.monotonic()
+        with self._changed:
+            work = run.work
+            if work.run is not run or run.cancelled:
+                return False
+            if event.weight_version:
+                run.upstream.note_version(work.model, event.weight_version)
+            if work.required_version not in (0, event.weight_version):
+                work.events.clear()
+                run.cancel('weights changed')
+                return False
+            if run.has_begun:
+                run.upstream.note_gap(now - run.last_event)
+            run.events += 1
+            run.last_event = now
+            work.events.append((event.data, event.weight_version))
+            return True
+
+    def _run(self, tenure: ownership.Tenure) -> None:
+        revision = -1
+        while True:
+            with self._changed:
+                if self._tenure is not tenure:
+                    return
+                if self._book.revision != revision:
+                    revision = self._book.revision
+                    self._take_batches()
+                self._cancel_lost()
+                self._rescue()
+                self._assign()
+                self._changed.wait(TICK_S)
+
+    def _take_batches(self) -> None:
+        """Add the items of new batches and drop those of ended ones."""
+        for batch in self._book.open_batches():
+            if batch.head.id not in self._known:
+                self._known.add(batch.head.id)
+                self._add_batch(batch)
+        for key, work in list(self._works.items()):
+            batch = work.batch
+            if batch.ended and work.result is None:
+                self._drop(work)
+            if batch.ended or work.id in batch.listed:
+                del self._works[key]
+
+    def _add_batch(self, batch: book_module.Batch) -> None:
+        route = self._route(batch.head, batch.items[0].target)
+        due_s = route.due_s if route else 0.0
+        for item in batch.items:
+            if item.id in batch.listed:
+                continue
+            work = work_module.Work(batch, item, batch.submitted + due_s)
+            work.single_version = bool(route and route.single_version)
+            self._works[batch.head.id, item.id] = work
+            self._reuse(work)
+        LOG.info(
+            'batch taken up',
+            batch=batch.head.id,
+            model=batch.head.model,
+            step=batch.head.step,
+            min_version=batch.head.min_version,
+            items=len(batch.items),
+            age_s=round(time.monotonic() - batch.submitted, 3),
+        )
+
+    def _reuse(self, work: work_module.Work) -> None:
+        """Go on from the events that an earlier run of the item made."""
+        former = self._book.completed(work.id)
+        if former and min(former.versions, default=0) >= work.min_version:
+            self._finish(work, former)
+            return
+        events = self._leftovers.pop(work.id, None)
+        kept = self._book.progress(work.id)
+        if events is None or len(kept) > len(events):
+            events = kept
+        if any(version < work.min_version for _, version in events):
+            return
+        if work.single_version and len({v for _, v in events}) > 1:
+            return
+        work.events = list(events)
+        work.kept_events = len(kept)
+
+    def _drop(self, work: work_module.Work) -> None:
+        if work.run is not None:
+            work.run.cancel('batch ended')
+        if work.events:
+            self._leftovers[work.id] = list(work.events)
+
+    def _route(
+        self, head: records.BatchHead, target: str
+    ) -> catalogue.Route | None:
+        match = self._current.match(head.host, target.partition('?')[0])
+        return match.route if match else None
+
+    def _cancel_lost(self) -> None:
+        for run in self._fleet.refresh():
+            run.cancel('upstream started again')
+
+    def _rescue(self) -> None:
+        now = time.monotonic()
+        if now < self._rescue_at:
+            return
+        self._rescue_at = now + RESCUE_S
+        for work in list(self._works.values()):
+            run = work.run
+            if run is not None and not run.cancelled:
+                self._rescue_one(run, now)
+
+    def _rescue_one(self, run: work_module.Run, now: float) -> None:
+        work = run.work
+        upstream = run.upstream
+        running = rescue.Running(
+            has_begun=run.has_begun,
+            silence_s=now - run.last_event,
+            gap_s=upstream.gap_s,
+            gaps_seen=upstream.gaps_seen,
+            expected_events=self._pace.expected_events(work),
+            moves=work.moves,
+            best_gap_s=self._best_gap_s(work, upstream),
+        )
+        if rescue.is_stalled(running):
+            reason = 'stalled'
+            upstream.note_failure(now, self._suspend_s(upstream, SUSPEND_S))
+        elif rescue.should_move(running):
+            reason = 'slow'
+        else:
+            return
+        work.moves += 1
+        self._metrics.count(f'pool.moved.{reason}')
+        LOG.info(
+            'run moves',
+            request=work.id,
+            batch=work.batch.head.id,
+            upstream=upstream.id,
+            reason=reason,
+            silence_s=round(running.silence_s, 3),
+            gap_s=round(running.gap_s, 4),
+            best_gap_s=running.best_gap_s,
+            events=len(work.events),
+        )
+        run.cancel(reason)
+
+    def _best_gap_s(
+        self, work: work_module.Work, present: work_module.Upstream
+    ) -> float | None:
+        service = self._service(work)
+        if service is None:
+            return None
+        gaps = [
+            choice.gap_s
+            for choice in self._fleet.choices(service, work)
+            if choice.running < choice.slots and choice.upstream != present.id
+        ]
+        return min(gaps, default=None)
+
+    def _service(self, work: work_module.Work) -> str | None:
+        route = self._route(work.batch.head, work.item.target)
+        if route is None:
+            return None
+        return current_module.pick_service(route, work.id)
+
+    def _assign(self) -> None:
+        """Start waiting items, the most pressing first."""
+        now = time.monotonic()
+        waiting = [
+            work
+            for work in self._works.values()
+            if work.run is None
+            and work.result is None
+            and work.not_before <= now
+        ]
+        if not waiting:
+            return
+        missing = collections.Counter(
+            (work.batch.head.id, work.item.group)
+            for work in self._works.values()
+            if work.result is None
+        )
+        waiting.sort(key=lambda work: self._rank(work, missing, now))
+        for work in waiting:
+            self._start_or_wait(work, now)
+
+    def _rank(
+        self,
+        work: work_module.Work,
+        missing: collections.Counter[tuple[str, str]],
+        now: float,
+    ) -> tuple[int, float, int]:
+        expected = self._pace.expected_events(work)
+        return priority.rank(
+            priority.Waiting(
+                work.due - now,
+                expected * work_module.INITIAL_GAP_S,
+                missing[work.batch.head.id, work.item.group],
+            )
+        )
+
+    def _start_or_wait(self, work: work_module.Work, now: float) -> None:
+        route = self._route(work.batch.head, work.item.target)
+        if route is None:
+            self._note_lost_route(work, now)
+            return
+        self._route_lost.pop(work.batch.head.id, None)
+        left_s = work.batch.submitted + route.give_up_s - now
+        if left_s <= 0:
+            self._terminate(work, 'too old')
+            return
+        service = current_module.pick_service(route, work.id)
+        choices = self._fleet.choices(service, work)
+        chosen = placement.choose(choices)
+        if chosen is not None:
+            upstream = self._fleet.find(chosen)
+            if upstream is not None:
+                self._start(work, upstream, left_s)
+            return
+        if work.required_version and not choices:
+            # No upstream has the version any more; start again.
+            work.events.clear()
+
+    def _note_lost_route(self, work: work_module.Work, now: float) -> None:
+        if self._current.configuration is None:
+            return
+        since = self._route_lost.setdefault(work.batch.head.id, now)
+        if now - since > ROUTE_LOST_S:
+            self._terminate(work, 'route removed')
+
+    def _start(
+        self,
+        work: work_module.Work,
+        upstream: work_module.Upstream,
+        left_s: float,
+    ) -> None:
+        run = work_module.Run(work, upstream)
+        work.run = run
+        upstream.runs.add(run)
+        attempt = runner_module.Attempt(
+            run,
+            runner_module.request_of(work),
+            left_s,
+            ITEM_PRIORITY,
+            work.required_version,
+        )
+        LOG.info(
+            'run starts',
+            request=work.id,
+            batch=work.batch.head.id,
+            upstream=upstream.id,
+            running=len(upstream.runs),
+            from_event=len(work.events) + 1,
+            waited_s=round(run.started - work.batch.submitted, 3),
+        )
+        threading.Thread(
+            target=self._carry_out,
+            args=(attempt,),
+            name=f'run-{work.id}',
+            daemon=True,
+        ).start()
+
+    def _carry_out(self, attempt: runner_module.Attempt) -> None:
+        run = attempt.run
+        try:
+            ending = self._runner.run(attempt, self)
+        except Exception:
+            LOG.exception('run failed unexpectedly', request=run.work.id)
+            ending = runner_module.Ending.BROKEN
+        with self._changed:
+            self._settle(run, ending)
+            self._changed.notify_all()
+
+    def _settle(
+        self, run: work_module.Run, ending: runner_module.Ending
+    ) -> None:
+        work = run.work
+        upstream = run.upstream
+        upstream.runs.discard(run)
+        self._metrics.count(f'pool.runs.{ending.value}')
+        if work.run is not run:
+            return
+        work.run = None
+        now = time.monotonic()
+        LOG.info(
+            'run ends',
+            request=work.id,
+            batch=work.batch.head.id,
+            upstream=upstream.id,
+            ending=ending.value,
+            reason=run.cancelled,
+            events=len(work.events),
+            took_s=round(now - run.started, 3),
+        )
+        if work.result is not None or work.batch.ended:
+            return
+        if ending is runner_module.Ending.WHOLE:
+            self._complete(work, upstream)
+        elif ending is runner_module.Ending.IMPOSSIBLE:
+            self._terminate(work, 'no upstream can do it')
+        elif ending is runner_module.Ending.FAILED:
+            self._note_failed(work)
+        elif ending is not runner_module.Ending.CANCELLED:
+            self._note_unfinished(work, upstream, ending, now)
+
+    def _complete(
+        self, work: work_module.Work, upstream: work_module.Upstream
+    ) -> None:
+        upstream.note_success()
+        self._pace.note(work.item.expected_tokens, len(work.events))
+        versions = sorted({v for _, v in work.events if v})
+        output = '\n'.join(data for data, _ in work.events)
+        self._finish(
+            work, callers.Result(work.id, True, output, tuple(versions))
+        )
+
+    def _note_failed(self, work: work_module.Work) -> None:
+        work.failures += 1
+        route = self._route(work.batch.head, work.item.target)
+        if route is not None and work.failures >= route.attempts:
+            self._terminate(work, 'failed at each attempt')
+
+    def _note_unfinished(
+        self,
+        work: work_module.Work,
+        upstream: work_module.Upstream,
+        ending: runner_module.Ending,
+        now: float,
+    ) -> None:
+        work.not_before = now + RETRY_S
+        least_s = SUSPEND_S
+        if ending is runner_module.Ending.UNREACHABLE:
+            least_s = SUSPEND_UNREACHABLE_S
+        upstream.note_failure(now, self._suspend_s(upstream, least_s))
+
+    def _suspend_s(
+        self, upstream: work_module.Upstream, least_s: float
+    ) -> float:
+        return min(MOST_SUSPEND_S, least_s * 2**upstream.failures_in_row)
+
+    def _terminate(self, work: work_module.Work, reason: str) -> None:
+        LOG.info(
+            'item given up',
+            request=work.id,
+            batch=work.batch.head.id,
+            reason=reason,
+            failures=work.failures,
+        )
+        self._finish(work, callers.Result(work.id, False, '', ()))
+
+    def _finish(
+        self, work: work_module.Work, result: callers.Result
+    ) -> None:
+        work.result = result
+        self._finished.append(work)
+        self._changed.notify_all()
+
+    def _result_records(
+        self, finished: list[work_module.Work]
+    ) -> list[log_port.Record]:
+        by_batch: dict[str, list[callers.Result]] = {}
+        for work in finished:
+            if work.result is None:
+                continue
+            by_batch.setdefault(work.batch.head.id, []).append(work.result)
+            self._kept_keys += self._book.progress_keys(work.id)
+        new = []
+        for batch, results in by_batch.items():
+            self._result_number += 1
+            new.append(
+                records.encode_results(
+                    records.Results(batch, results),
+                    f'{self._epoch}.{self._result_number}',
+                )
+            )
+        return new
+
+    def _progress_records(self) -> list[log_port.Record]:
+        """Return the events that the log does not keep yet."""
+        new = []
+        size = 0
+        for work in self._works.values():
+            fresh = work.events[work.kept_events :]
+            if work.result is not None or not fresh:
+                continue
+            record = records.encode_progress(
+                records.Progress(
+                    work.id,
+                    work.kept_events + 1,
+                    [data for data, _ in fresh],
+                    [version for _, version in fresh],
+                )
+            )
+            size += len(record.value)
+            if size > OUTBOX_BYTES:
+                break
+            new.append(record)
+            work.kept_events = len(work.events)
+        return new
--- /dev/null
+++ b/baobabpond/pool/weights.py
@@ -0,0 +1,108 @@
+"""Plan which upstreams load which weights. Answers new versions.
+
+A load costs, and while it lasts the upstream starts no run of its model. Only
+as many upstreams load a version as its trainer's allowed lag makes needed.
+"""
+
+import math
+import typing
+
+
+class Holder(typing.NamedTuple):
+    """Hold what the plan needs of one upstream."""
+
+    upstream: str
+    versions: dict[str, int]
+    is_loading: bool
+    # May be ordered now.
+    is_free: bool
+    running: int
+    slots: int
+
+
+class Target(typing.NamedTuple):
+    """Hold what the plan needs of one model."""
+
+    model: str
+    # Newest version that was announced.
+    version: int
+    # Versions that a sample may be behind the newest one.
+    lag: int
+    # Items that run or wait.
+    demand: int
+
+
+class PlannedLoad(typing.NamedTuple):
+    """Name a load to order."""
+
+    upstream: str
+    model: str
+    version: int
+
+
+def wanted_fresh(target: Target, upstreams: int, models: int) -> int:
+    """Return how many upstreams should hold a model's newest version."""
+    by_lag = math.ceil(upstreams / (target.lag + 1))
+    by_share = upstreams // max(1, models)
+    return min(upstreams, max(by_lag, by_share))
+
+
+def plan(
+    holders: list[Holder], targets: list[Target], most_loads: int
+) -> list[PlannedLoad]:
+    """Return the loads to order now, the most pressing first."""
+    room = most_loads - sum(holder.is_loading for holder in holders)
+    taken: set[str] = set()
+    planned: list[PlannedLoad] = []
+    for target in sorted(targets, key=lambda t: _pressure(t, holders)):
+        missing = _missing(target, holders, len(targets))
+        for holder in _oldest_first(target, holders):
+            if room <= 0:
+                return planned
+            if missing <= 0:
+                break
+            if holder.upstream in taken:
+                continue
+            taken.add(holder.upstream)
+            planned.append(
+                PlannedLoad(holder.upstream, target.model, target.version)
+            )
+            room -= 1
+            missing -= 1
+    return planned
+
+
+def _missing(target: Target, holders: list[Holder], models: int) -> int:
+    fresh = sum(
+        holder.versions.get(target.model, 0) >= target.version
+        for holder in holders
+    )
+    return wanted_fresh(target, len(holders), models) - fresh
+
+
+def _usable_slots(target: Target, holders: list[Holder]) -> int:
+    oldest = target.version - target.lag
+    return sum(
+        holder.slots
+        for holder in holders
+        if holder.versions.get(target.model, 0) >= oldest
+    )
+
+
+def _pressure(target: Target, holders: list[Holder]) -> float:
+    """Return a key that is lowest for the model most short of slots."""
+    return _usable_slots(target, holders) - target.demand
+
+
+def _oldest_first(target: Target, holders: list[Holder]) -> list[Holder]:
+    free = [
+        holder
+        for holder in holders
+        if holder.is_free
+        and not holder.is_loading
+        and holder.versions.get(target.model, 0) < target.version
+    ]
+    return sorted(
+        free,
+        key=lambda h: (h.versions.get(target.model, 0), h.running / h.slots),
+    )
--- /dev/null
+++ b/baobabpond/ports/__init__.py
@@ -0,0 +1,1 @@
+"""Define in the product's own terms what it needs from a platform."""
--- /dev/null
+++ b/baobabpond/ports/platforms.py
@@ -0,0 +1,39 @@
+"""Collect the platforms that plugins offer."""
+
+import importlib
+import pathlib
+import sys
+import typing
+
+from .. import errors
+from .. import registry
+
+from . import callers
+from . import catalogue
+from . import log
+from . import upstreams
+
+
+class Platform(typing.NamedTuple):
+    """Hold one implementation of each port."""
+
+    log: log.Log
+    operator: catalogue.Operator
+    upstreams: upstreams.UpstreamProtocol
+    callers: callers.CallerProtocol
+
+
+Factory = typing.Callable[[str], Platform]
+platforms: registry.Registry[Factory] = registry.Registry('platform')
+
+
+def load(plugin: str, folder: pathlib.Path) -> None:
+    """Import a plugin from a folder; raise UserError."""
+    # Appended: a plugin never hides a module of the runtime.
+    sys.path.append(str(folder))
+    try:
+        importlib.import_module(plugin)
+    except ImportError as error:
+        raise errors.UserError(
+            f'cannot load plugin {plugin!r}: {error}'
+        ) from error
--- a/baobabpond/settings/check.py
+++ b/baobabpond/settings/check.py
@@ -9,6 +9,7 @@
 import jsonschema
 
 from .. import errors
+from ..gen import host as host_schema
 from ..gen import instance as instance_schema
 from ..gen import tree as tree_schema
 
@@ -117,3 +118,19 @@
             f'{path}: ' + '; '.join(map(str, found)), exit_code=2
         )
     return typing.cast(instance_schema.InstanceSettings, values)
+
+
+def load_host(path: str | None) -> host_schema.HostSettings:
+    """Return the checked settings of an instance on a platform.
+
+    Raises UserError.
+    """
+    if path is None:
+        raise errors.UserError('no settings are given', exit_code=2)
+    values = read_file(path)
+    found = problems('host', values)
+    if found:
+        raise errors.UserError(
+            f'{path}: ' + '; '.join(map(str, found)), exit_code=2
+        )
+    return typing.cast(host_schema.HostSettings, values)
--- /dev/null
+++ b/baobabpond/store/__init__.py
@@ -0,0 +1,1 @@
+"""Follow the platform's log and append to it."""
--- a/baobabpond/ui/main.py
+++ b/baobabpond/ui/main.py
@@ -28,6 +28,14 @@
         """
         serve.serve(config)
 
+    def host(self, config: str | None = None) -> None:
+        """Run an instance on a platform until it is told to leave (SIGTERM).
+
+        Args:
+            config: path of its settings; BAOBABPOND_CONFIG names the default.
+        """
+        serve.host(config)
+
     def entries(
         self,
         instance: str,
--- /dev/null
+++ b/baobabpond/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Keep connections to upstreams and carry requests over them."""
--- /dev/null
+++ b/baobabpond/upstreams/connections.py
@@ -0,0 +1,199 @@
+"""Reuse connections to upstreams, and never a stale one."""
+
+import collections
+import contextlib
+import http.client
+import socket
+import threading
+import time
+import typing
+
+import urllib3
+from urllib3 import connection as urllib3_connection
+from urllib3 import util
+
+from .. import metrics as metrics_module
+
+from . import sockets
+
+CONNECT_TIMEOUT_S = 0.5
+# Below what servers commonly allow an idle connection.
+IDLE_LIMIT_S = 4.0
+KEEP_ALIVE_MARGIN_S = 0.7
+READ_BYTES = 65536
+
+Address = tuple[str, int]
+TRANSPORT_ERRORS = (
+    OSError,
+    http.client.HTTPException,
+    urllib3.exceptions.HTTPError,
+    ValueError,
+)
+
+
+class ConnectionFailed(Exception):
+    """Report that no connection could be made, so nothing was sent."""
+
+
+class AnswerFailed(Exception):
+    """Report that an answer did not come whole; the request may have run."""
+
+
+class Connection:
+    """Carry one request at a time to an upstream."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle_since = 0.0
+        self.idle_limit_s = IDLE_LIMIT_S
+        self.is_new = True
+        self._aborted = False
+        self._http = urllib3_connection.HTTPConnection(
+            address[0],
+            address[1],
+            timeout=CONNECT_TIMEOUT_S,
+            socket_options=sockets.KEEPALIVE_OPTIONS,
+        )
+
+    @property
+    def is_stale(self) -> bool:
+        """Tell whether the connection must not be used again."""
+        sock = self._http.sock
+        if sock is None:
+            return True
+        idle_s = time.monotonic() - self.idle_since
+        return idle_s > self.idle_limit_s or sockets.is_readable(sock)
+
+    def connect(self) -> None:
+        """Connect, or raise ConnectionFailed."""
+        try:
+            self._http.connect()
+        except TRANSPORT_ERRORS as error:
+            raise ConnectionFailed(str(error)) from error
+        if self._aborted:
+            self.close()
+            raise ConnectionFailed('aborted while connecting')
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: typing.Iterable[tuple[str, str]],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> urllib3.HTTPResponse:
+        """Send a request and return the head of its answer.
+
+        Raises AnswerFailed; the upstream may have run the request.
+        """
+        fields = urllib3.HTTPHeaderDict()
+        for name, value in headers:
+            fields.add(name, value)
+        for name in ('User-Agent', 'Accept-Encoding'):
+            if name not in fields:
+                fields[name] = util.SKIP_HEADER
+        try:
+            self._set_timeout(timeout_s)
+            self._http.request(
+                method,
+                target,
+                body=body,
+                headers=fields,
+                preload_content=False,
+                decode_content=False,
+            )
+            return self._http.getresponse()
+        except TRANSPORT_ERRORS as error:
+            self.close()
+            raise AnswerFailed(repr(error)) from error
+
+    def pieces(
+        self, response: urllib3.HTTPResponse, gap_limit_s: float
+    ) -> typing.Iterator[bytes]:
+        """Yield the body as it arrives; raise AnswerFailed if cut."""
+        try:
+            self._set_timeout(gap_limit_s)
+            if response.chunked:
+                yield from response.stream(READ_BYTES)
+                return
+            while piece := response.read1(READ_BYTES):
+                yield piece
+        except TRANSPORT_ERRORS as error:
+            self.close()
+            raise AnswerFailed(repr(error)) from error
+
+    def abort(self) -> None:
+        """End the exchange from another thread."""
+        self._aborted = True
+        sock = self._http.sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._http.close()
+
+    def may_be_kept(self, response: urllib3.HTTPResponse) -> bool:
+        """Tell whether the upstream keeps the connection after an answer."""
+        if self._aborted or self._http.sock is None:
+            return False
+        tokens = response.headers.get('Connection', '').lower()
+        if 'close' in tokens:
+            return False
+        if not response.chunked and 'Content-Length' not in response.headers:
+            return False
+        self._note_idle_limit(response.headers.get('Keep-Alive', ''))
+        return True
+
+    def _note_idle_limit(self, keep_alive: str) -> None:
+        for part in keep_alive.split(','):
+            name, _, value = part.strip().partition('=')
+            if name.lower() == 'timeout' and value.strip().isdecimal():
+                self.idle_limit_s = max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
+
+    def _set_timeout(self, timeout_s: float) -> None:
+        sock = self._http.sock
+        if sock is None:
+            raise OSError('the connection is closed')
+        sock.settimeout(max(0.001, timeout_s))
+
+
+class ConnectionPool:
+    """Keep idle connections by address; the one used last goes first."""
+
+    def __init__(self, metrics: metrics_module.Metrics) -> None:
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._idle: dict[Address, list[Connection]] = collections.defaultdict(
+            list
+        )
+
+    def take(self, address: Address) -> Connection:
+        """Return an idle connection that is alive, or an unconnected one."""
+        while True:
+            with self._lock:
+                idle = self._idle.get(address)
+                connection = idle.pop() if idle else None
+            if connection is None:
+                self._metrics.count('upstream.connections.new')
+                return Connection(address)
+            if not connection.is_stale:
+                self._metrics.count('upstream.connections.reused')
+                connection.is_new = False
+                return connection
+            self._metrics.count('upstream.connections.stale')
+            connection.close()
+
+    def give_back(self, connection: Connection) -> None:
+        """Keep a connection for the next request."""
+        connection.idle_since = time.monotonic()
+        with self._lock:
+            self._idle[connection.address].append(connection)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        with self._lock:
+            connections = self._idle.pop(address, [])
+        for connection in connections:
+            connection.close()
--- /dev/null
+++ b/baobabpond/upstreams/sockets.py
@@ -0,0 +1,42 @@
+"""Set what the system does about silent connections."""
+
+import select
+import socket
+import typing
+
+# A peer without power never resets its connections.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_LIMIT_MS = 3000
+
+KEEPALIVE_OPTIONS: list[tuple[int, int, int | bytes]] = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+]
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Tell whether bytes, an end or an error wait on a socket."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def is_closed_by_peer(sock: socket.socket) -> bool:
+    """Tell whether the peer has ended or reset a connection."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def set_options(
+    sock: socket.socket, options: typing.Iterable[tuple[int, int, int]]
+) -> None:
+    """Set options of an accepted socket."""
+    for level, name, value in options:
+        sock.setsockopt(level, name, value)
