Let one claim win a shard, and keep texts of one item apart

Causes: (1) the store takes an equal producer, epoch and sequence for a repeat, so all seven first claims were answered as done; (2) urllib3 sets a connection's own timeout again on each call, so streams ended after the 0.5 s of connecting; (3) records appended while pages of newest records were read were folded out of order; (4) two texts of a carried-over item shared keys; (5) SIGHUP ended the process.

--- a/baobabpond/batches/book.py
+++ b/baobabpond/batches/book.py
@@ -23,6 +23,14 @@
     seen_at: float
 
 
+class Text(typing.NamedTuple):
+    """Hold the events kept of an item, from the first on."""
+
+    name: str
+    # Data and weight version of each event.
+    events: list[tuple[str, int]]
+
+
 class Batch:
     """Hold one accepted batch."""
 
@@ -68,7 +76,8 @@
         self._parts: dict[str, dict[int, records.BatchPart]] = (
             collections.defaultdict(dict)
         )
-        self._progress: dict[str, dict[int, records.Progress]] = (
+        # By item, then by key.
+        self._progress: dict[str, dict[str, records.Progress]] = (
             collections.defaultdict(dict)
         )
         self._completed: dict[str, callers.Result] = {}
@@ -104,24 +113,20 @@
         """Return the whole result of an item in any batch."""
         return self._completed.get(item)
 
-    def progress(self, item: str) -> list[tuple[str, int]]:
-        """Return the events kept of an unfinished item, with versions."""
+    def texts(self, item: str) -> list[Text]:
+        """Return what the log keeps of an unfinished item."""
         with self._changed:
-            segments = sorted(self._progress.get(item, {}).items())
-        events: list[tuple[str, int]] = []
-        for first, segment in segments:
-            if first > len(events) + 1:
-                break
-            # A later run may have made some events again.
-            del events[first - 1 :]
-            events += zip(segment.data, segment.versions, strict=True)
-        return events
+            by_text: dict[str, list[records.Progress]] = {}
+            for segment in self._progress.get(item, {}).values():
+                by_text.setdefault(segment.text, []).append(segment)
+        return [
+            Text(name, _join(segments)) for name, segments in by_text.items()
+        ]
 
     def progress_keys(self, item: str) -> list[str]:
         """Return the keys of the events kept of an item."""
         with self._changed:
-            firsts = list(self._progress.get(item, ()))
-        return [f'{records.PROGRESS}/{item}/{first}' for first in firsts]
+            return list(self._progress.get(item, ()))
 
     def wait_change(self, revision: int, timeout_s: float) -> int:
         """Wait until the book is past a revision; return the present one."""
@@ -178,7 +183,7 @@
             self._end(record.key.split('/')[1])
         elif kind == records.PROGRESS:
             progress = records.decode_progress(record.key, record.value)
-            self._progress[progress.item][progress.first] = progress
+            self._progress[progress.item][record.key] = progress
         elif kind == records.OWNER_KEY:
             owner = records.decode_owner(record.value)
             self._owner = OwnerView(owner, time.monotonic())
@@ -232,6 +237,18 @@
         elif kind == records.PROGRESS:
             segments = self._progress.get(parts[1])
             if segments is not None:
-                segments.pop(int(parts[2]), None)
+                segments.pop(key, None)
                 if not segments:
                     del self._progress[parts[1]]
+
+
+def _join(segments: list[records.Progress]) -> list[tuple[str, int]]:
+    """Return the events that follow one another from the first on."""
+    events: list[tuple[str, int]] = []
+    for segment in sorted(segments, key=lambda segment: segment.first):
+        if segment.first > len(events) + 1:
+            break
+        # An owner that took over may have made some events again.
+        del events[segment.first - 1 :]
+        events += zip(segment.data, segment.versions, strict=True)
+    return events
--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -23,6 +23,7 @@
 TRUST_S = 0.9
 RETRY_S = 0.1
 CHECK_S = 0.1
+FENCE_TRIES = 3
 # Spreads the claims of several instances.
 CLAIM_SPREAD_S = 0.15
 # After a release the instance that started last claims first: during a
@@ -155,37 +156,63 @@
         return RELEASE_DELAY_S * uptime_s / (uptime_s + HALF_DELAY_UPTIME_S)
 
     def _claim(self) -> None:
+        """Append a claim that only one instance can win, then fence."""
         before = self._book.owner
-        try:
-            end = self._follower.catch_up()
-        except log_port.LogError as error:
-            LOG.info('claim put off: the log cannot be read', error=str(error))
-            time.sleep(RETRY_S)
-            return
-        if self._book.owner is not before:
+        end = self._catch_up()
+        if end is None or self._book.owner is not before:
             return
-        # Offsets only grow, so no epoch is used twice.
-        epoch = end + 1
         sent_boot_s = clock.boot_s()
-        owner = records.OwnerRecord(self._instance, epoch, False, 0.0)
+        owner = records.OwnerRecord(self._instance, end + 1, False, 0.0)
         answer = self._log.append(
             self._topic,
             self._partition,
             [records.encode_owner(owner)],
             expected_end=end,
-            fence=log_port.Fence(PRODUCER, epoch, 0),
         )
         self._metrics.count(f'ownership.claims.{answer.outcome.value}')
         LOG.info(
             'claimed the shard',
             partition=self._partition,
-            epoch=epoch,
+            offset=end,
             outcome=answer.outcome.value,
             former=before.record.instance if before else None,
             former_silence_s=self._silence_s(before) if before else None,
         )
-        if answer.outcome is log_port.Outcome.DONE:
-            self._begin(epoch, before, sent_boot_s)
+        if answer.outcome is not log_port.Outcome.DONE:
+            time.sleep(self._rng.uniform(0, CLAIM_SPREAD_S))
+            return
+        # Offsets only grow, so no epoch is used twice.
+        if self._fence(answer.offset + 1):
+            self._begin(answer.offset + 1, before, sent_boot_s)
+
+    def _fence(self, epoch: int) -> bool:
+        """Shut the former owner out and read all that it appended."""
+        for _ in range(FENCE_TRIES):
+            answer = self._log.append(
+                self._topic,
+                self._partition,
+                [],
+                fence=log_port.Fence(PRODUCER, epoch, 0),
+            )
+            if answer.outcome is log_port.Outcome.DONE:
+                return self._catch_up() is not None
+            if answer.outcome is log_port.Outcome.FENCED:
+                break
+        LOG.warning(
+            'the claim came to nothing',
+            epoch=epoch,
+            outcome=answer.outcome.value,
+            detail=answer.detail,
+        )
+        return False
+
+    def _catch_up(self) -> int | None:
+        try:
+            return self._follower.catch_up()
+        except log_port.LogError as error:
+            LOG.info('claim put off: the log cannot be read', error=str(error))
+            time.sleep(RETRY_S)
+            return None
 
     def _begin(
         self,
@@ -199,6 +226,7 @@
             if before.record.released:
                 lease_s -= min(lease_s, before.record.order_age_s)
         self._confirmed_boot_s = sent_boot_s
+        # The empty append that fenced the former owner had the first one.
         self._sequence = 1
         self._tenure = Tenure(epoch, time.monotonic() + lease_s)
         self._owned.begin(self._tenure)
--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -61,6 +61,8 @@
     """Hold events that a run made and that its result does not list yet."""
 
     item: str
+    # Tells texts of one item that were begun anew from each other.
+    text: str
     # Number of the first event here, counted from 1.
     first: int
     data: list[str]
@@ -142,16 +144,21 @@
 def encode_progress(progress: Progress) -> log_port.Record:
     """Return a record of events made so far."""
     return log_port.Record(
-        f'{PROGRESS}/{progress.item}/{progress.first}',
+        progress_key(progress.item, progress.text, progress.first),
         _dump([progress.data, progress.versions]),
     )
 
 
 def decode_progress(key: str, value: bytes) -> Progress:
     """Decode events made so far."""
-    _, item, first = key.split('/')
+    _, item, text, first = key.split('/')
     data, versions = json.loads(value)
-    return Progress(item, int(first), data, versions)
+    return Progress(item, text, int(first), data, versions)
+
+
+def progress_key(item: str, text: str, first: int) -> str:
+    """Return the key of a record of events."""
+    return f'{PROGRESS}/{item}/{text}/{first}'
 
 
 def removal(key: str) -> log_port.Record:
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -86,6 +86,10 @@
         """Ask the instance to drain and leave."""
         self._leave_requested.set()
 
+    def request_reload(self) -> None:
+        """Ask the instance to read its settings again."""
+        LOG.info('reload requested')
+
     def run_until_left(self) -> bool:
         """Wait for the request to leave, and drain; tell if all ended."""
         self._leave_requested.wait()
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -66,10 +66,11 @@
         self._known: set[str] = set()
         self._route_lost: dict[str, float] = {}
         # Events of items whose batch ended before they did.
-        self._leftovers: dict[str, list[tuple[str, int]]] = {}
+        self._leftovers: dict[str, book_module.Text] = {}
         self._finished: list[work_module.Work] = []
         self._kept_keys: list[str] = []
         self._result_number = 0
+        self._text_number = 0
         self._progress_at = 0.0
         self._rescue_at = 0.0
         self._pace = work_module.Pace(metrics)
@@ -140,7 +141,7 @@
             if event.weight_version:
                 run.upstream.note_version(work.model, event.weight_version)
             if work.required_version not in (0, event.weight_version):
-                work.events.clear()
+                self._restart(work)
                 run.cancel('weights changed')
                 return False
             if run.has_begun:
@@ -203,22 +204,33 @@
         if former and min(former.versions, default=0) >= work.min_version:
             self._finish(work, former)
             return
-        events = self._leftovers.pop(work.id, None)
-        kept = self._book.progress(work.id)
-        if events is None or len(kept) > len(events):
-            events = kept
-        if any(version < work.min_version for _, version in events):
-            return
-        if work.single_version and len({v for _, v in events}) > 1:
-            return
-        work.events = list(events)
-        work.kept_events = len(kept)
+        texts = self._book.texts(work.id)
+        leftover = self._leftovers.pop(work.id, None)
+        kept = {text.name: len(text.events) for text in texts}
+        if leftover is not None:
+            texts.append(leftover)
+        usable = [text for text in texts if _fits(text, work)]
+        self._restart(work)
+        if usable:
+            text = max(usable, key=lambda text: len(text.events))
+            work.events = list(text.events)
+            work.text = text.name
+            work.kept_events = kept.get(text.name, 0)
+
+    def _restart(self, work: work_module.Work) -> None:
+        """Begin a new text."""
+        self._text_number += 1
+        work.text = f'{self._epoch}.{self._text_number}'
+        work.events = []
+        work.kept_events = 0
 
     def _drop(self, work: work_module.Work) -> None:
         if work.run is not None:
             work.run.cancel('batch ended')
         if work.events:
-            self._leftovers[work.id] = list(work.events)
+            self._leftovers[work.id] = book_module.Text(
+                work.text, list(work.events)
+            )
 
     def _route(
         self, head: records.BatchHead, target: str
@@ -348,8 +360,8 @@
                 self._start(work, upstream, left_s)
             return
         if work.required_version and not choices:
-            # No upstream has the version any more; start again.
-            work.events.clear()
+            # No upstream has the version any more.
+            self._restart(work)
 
     def _note_lost_route(self, work: work_module.Work, now: float) -> None:
         if self._current.configuration is None:
@@ -516,6 +528,7 @@
             record = records.encode_progress(
                 records.Progress(
                     work.id,
+                    work.text,
                     work.kept_events + 1,
                     [data for data, _ in fresh],
                     [version for _, version in fresh],
@@ -527,3 +540,11 @@
             new.append(record)
             work.kept_events = len(work.events)
         return new
+
+
+def _fits(text: book_module.Text, work: work_module.Work) -> bool:
+    """Tell whether an item may go on from a text."""
+    versions = {version for _, version in text.events}
+    if not versions or min(versions) < work.min_version:
+        return False
+    return len(versions) == 1 or not work.single_version
--- a/baobabpond/pool/work.py
+++ b/baobabpond/pool/work.py
@@ -52,6 +52,8 @@
         self.due = due
         # Data and weight version of each event, in order.
         self.events: list[tuple[str, int]] = []
+        # Names the text that the events belong to.
+        self.text = ''
         # Events that the log keeps.
         self.kept_events = 0
         self.failures = 0
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -119,8 +119,11 @@
             page = self._log.newest(self._topic, self._partition, after)
             if position is None:
                 position = page.end
+            # Pages are read one after the other: what was appended since
+            # the first is left to the reads that follow, in its order.
             for record in page.records:
-                records[record.key] = record
+                if record.offset < position:
+                    records[record.key] = record
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
--- a/baobabpond/ui/serve.py
+++ b/baobabpond/ui/serve.py
@@ -23,6 +23,7 @@
     logs.configure(settings['log_level'], settings['instance'], sys.stdout)
     try:
         instance = host_module.Host(settings)
+        signal.signal(signal.SIGHUP, lambda *_: instance.request_reload())
         _run(instance)
     except OSError as error:
         raise errors.UserError(
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -21,6 +21,7 @@
 IDLE_LIMIT_S = 4.0
 KEEP_ALIVE_MARGIN_S = 0.7
 READ_BYTES = 65536
+LEAST_TIMEOUT_S = 0.001
 
 Address = tuple[str, int]
 TRANSPORT_ERRORS = (
@@ -156,7 +157,9 @@
         sock = self._http.sock
         if sock is None:
             raise OSError('the connection is closed')
-        sock.settimeout(max(0.001, timeout_s))
+        # The library sets the connection's own timeout again on each call.
+        self._http.timeout = max(LEAST_TIMEOUT_S, timeout_s)
+        sock.settimeout(self._http.timeout)
 
 
 class ConnectionPool:
