Keep results that stand before their batch

Ruled out: order of the results among themselves (their keys are used once). Change: results of a batch not yet seen wait for it.

--- a/baobabpond/batches/book.py
+++ b/baobabpond/batches/book.py
@@ -80,6 +80,9 @@
         self._progress: dict[str, dict[str, records.Progress]] = (
             collections.defaultdict(dict)
         )
+        self._early_results: dict[str, list[records.Results]] = (
+            collections.defaultdict(list)
+        )
         self._completed: dict[str, callers.Result] = {}
         self._ended_early: set[str] = set()
         self._owner: OwnerView | None = None
@@ -206,11 +209,14 @@
         batch = Batch(part.head, items, time.monotonic() - age_s)
         batch.ended = batch_id in self._ended_early
         self._batches[batch_id] = batch
+        for results in self._early_results.pop(batch_id, ()):
+            self._add_results(results)
 
     def _add_results(self, results: records.Results) -> None:
         batch = self._batches.get(results.batch)
         if batch is None:
-            LOG.error('results of an unknown batch', batch=results.batch)
+            # A batch that was appended again has a higher offset now.
+            self._early_results[results.batch].append(results)
             return
         for result in results.results:
             if not batch.add(result):
--- /dev/null
+++ b/test/batches/test_book.py
@@ -0,0 +1,134 @@
+"""Test the fold of a shard's records."""
+
+import unittest
+
+from baobabpond.batches import book as book_module
+from baobabpond.batches import records
+from baobabpond.ports import callers
+from baobabpond.ports import log as log_port
+
+
+def make_item(name: str) -> callers.Item:
+    """Return an item."""
+    return callers.Item(name, '/t', (('A', 'b'),), 'eA==', 9, 'g', 100)
+
+
+def make_head(batch: str) -> records.BatchHead:
+    """Return the head of a batch."""
+    return records.BatchHead(batch, 'h', 'r', 0.0, 1, 'm', 1, 1, 2)
+
+
+def make_batch(batch: str, *items: str) -> list[log_port.Record]:
+    """Return the records of a batch."""
+    return records.encode_batch(
+        make_head(batch), tuple(make_item(name) for name in items)
+    )
+
+
+def make_result(batch: str, item: str, unique: str) -> log_port.Record:
+    """Return the record of one result."""
+    result = callers.Result(item, True, f'text of {item}', (1,))
+    return records.encode_results(records.Results(batch, [result]), unique)
+
+
+def numbered(*all_records: log_port.Record) -> list[log_port.Record]:
+    """Return records with offsets in their order."""
+    return [r._replace(offset=n) for n, r in enumerate(all_records)]
+
+
+class BookTest(unittest.TestCase):
+    """Fold records as the log may give them."""
+
+    def setUp(self) -> None:
+        """Make a book."""
+        self.book = book_module.Book()
+
+    def positions(self, batch: str) -> list[str]:
+        """Return the listed items in order."""
+        found = self.book.get(batch)
+        assert found is not None
+        return [result.id for result in found.results]
+
+    def test_results_before_their_batch_keep_their_positions(self) -> None:
+        """A batch whose append was repeated stands behind its results."""
+        self.book.apply(
+            numbered(
+                make_result('b', 'two', '1.1'),
+                make_result('b', 'one', '1.2'),
+                *make_batch('b', 'one', 'two'),
+            ),
+            True,
+        )
+        self.assertEqual(['two', 'one'], self.positions('b'))
+
+    def test_item_is_listed_once(self) -> None:
+        """A second result of an item is dropped."""
+        self.book.apply(
+            numbered(
+                *make_batch('b', 'one', 'two'),
+                make_result('b', 'one', '1.1'),
+                make_result('b', 'one', '2.1'),
+                make_result('b', 'other', '2.2'),
+            ),
+            False,
+        )
+        self.assertEqual(['one'], self.positions('b'))
+
+    def test_batch_in_parts_counts_when_whole(self) -> None:
+        """A batch is there only with its last part."""
+        big = callers.Item('x', '/t', (), 'A' * 150_000, 9, 'g', 0)
+        parts = records.encode_batch(
+            make_head('b'), (big, big._replace(id='y'))
+        )
+        self.assertEqual(2, len(parts))
+        self.book.apply(numbered(parts[1]), False)
+        self.assertIsNone(self.book.get('b'))
+        self.book.apply(numbered(parts[0]), False)
+        found = self.book.get('b')
+        assert found is not None
+        self.assertEqual(['x', 'y'], [item.id for item in found.items])
+
+    def test_end_before_batch_holds(self) -> None:
+        """An end that stands before its batch ends it."""
+        self.book.apply(
+            numbered(records.encode_end('b'), *make_batch('b', 'one')), True
+        )
+        found = self.book.get('b')
+        assert found is not None
+        self.assertTrue(found.ended)
+
+    def test_texts_of_one_item_are_not_mixed(self) -> None:
+        """Events of a text that was given up stay out of the next one."""
+        old = [
+            records.Progress('i', '1.1', 1, ['a', 'b', 'c'], [1, 1, 1]),
+            records.Progress('i', '1.1', 4, ['d'], [1]),
+        ]
+        new = records.Progress('i', '2.1', 1, ['A', 'B', 'C', 'D'], [2] * 4)
+        self.book.apply(
+            numbered(*(records.encode_progress(p) for p in [*old, new])), False
+        )
+        texts = {text.name: text.events for text in self.book.texts('i')}
+        self.assertEqual(['a', 'b', 'c', 'd'], [d for d, _ in texts['1.1']])
+        self.assertEqual(['A', 'B', 'C', 'D'], [d for d, _ in texts['2.1']])
+
+    def test_text_ends_at_a_gap(self) -> None:
+        """Events after a missing one do not count."""
+        segments = [
+            records.Progress('i', '1.1', 1, ['a'], [1]),
+            records.Progress('i', '1.1', 3, ['c'], [1]),
+        ]
+        self.book.apply(
+            numbered(*(records.encode_progress(p) for p in segments)), False
+        )
+        self.assertEqual([('a', 1)], self.book.texts('i')[0].events)
+
+    def test_unreadable_record_is_passed_over(self) -> None:
+        """A record of unknown content does not stop the fold."""
+        self.book.apply(
+            numbered(
+                log_port.Record('batch/x/0', b'not json'),
+                *make_batch('b', 'one'),
+            ),
+            False,
+        )
+        self.assertIsNotNone(self.book.get('b'))
