--- a/baobabpond/batches/book.py
+++ b/baobabpond/batches/book.py
@@ -179,9 +179,7 @@
         elif kind == records.BATCH:
             self._add_part(records.decode_batch(record.value), is_snapshot)
         elif kind == records.RESULT:
-            self._add_results(
-                records.decode_results(record.key, record.value)
-            )
+            self._add_results(records.decode_results(record.key, record.value))
         elif kind == records.END:
             self._end(record.key.split('/')[1])
         elif kind == records.PROGRESS:
--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -22,6 +22,8 @@
 # An owner trusts its place for this long after a confirmed record was sent.
 TRUST_S = 0.9
 RETRY_S = 0.1
+# Leaves time for a second way before the others take over.
+APPEND_TIMEOUT_S = 0.4
 CHECK_S = 0.1
 FENCE_TRIES = 3
 # Spreads the claims of several instances.
@@ -286,6 +288,7 @@
             self._partition,
             pending,
             fence=log_port.Fence(PRODUCER, tenure.epoch, self._sequence),
+            timeout_s=APPEND_TIMEOUT_S,
         )
         self._metrics.record('ownership.append', time.monotonic() - started)
         if answer.outcome is log_port.Outcome.DONE:
--- a/baobabpond/edge/balance.py
+++ b/baobabpond/edge/balance.py
@@ -88,4 +88,3 @@
             pause_s = SUSPEND_S * 2**peer.failures_in_row
             peer.failures_in_row += 1
             peer.suspended_until = now + min(MOST_SUSPEND_S, pause_s)
-
--- a/baobabpond/edge/batches.py
+++ b/baobabpond/edge/batches.py
@@ -169,9 +169,7 @@
         )
         return self._keep(records.encode_batch(head, submission.items))
 
-    def _keep(
-        self, new: list[log_port.Record]
-    ) -> verdicts.Refusal | None:
+    def _keep(self, new: list[log_port.Record]) -> verdicts.Refusal | None:
         """Append records, settling a lost answer by repeating.
 
         A repeat is harmless: the records have the same keys and contents.
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -91,6 +91,8 @@
 
     def cut(self) -> None:
         """End the connection so that the answer is seen to be cut."""
+        self.answered = True
+        self._request.sent_headers = True
         self._request.close_connection = True
         # Without this the server would close the stream as if whole.
         self._request.chunked_write = False
--- a/baobabpond/gen/peer/Peer.py
+++ b/baobabpond/gen/peer/Peer.py
@@ -261,11 +261,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = Member()
-                        _elem12.read(iprot)
-                        self.members.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Member()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -282,8 +282,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter13 in self.members:
-                iter13.write(oprot)
+            for iter27 in self.members:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -332,11 +332,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Member()
-                        _elem19.read(iprot)
-                        self.success.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Member()
+                        _elem33.read(iprot)
+                        self.success.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -353,8 +353,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter20 in self.success:
-                iter20.write(oprot)
+            for iter34 in self.success:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/baobabpond/gen/peer/__init__.py
+++ b/baobabpond/gen/peer/__init__.py
@@ -1,1 +1,1 @@
-__all__ = ['ttypes', 'constants', 'Peer']
+__all__ = ['ttypes', 'constants', 'Peer', 'LogRelay']
--- a/baobabpond/gen/peer/ttypes.py
+++ b/baobabpond/gen/peer/ttypes.py
@@ -577,6 +577,635 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class LogRecord(object):
+    """
+    Attributes:
+     - key
+     - value
+     - offset
+
+    """
+
+
+    def __init__(self, key=None, value=None, offset=None,):
+        self.key = key
+        self.value = value
+        self.offset = offset
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogRecord')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.value is None:
+            raise TProtocolException(message='Required field value is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogFence(object):
+    """
+    Attributes:
+     - producer
+     - epoch
+     - sequence
+
+    """
+
+
+    def __init__(self, producer=None, epoch=None, sequence=None,):
+        self.producer = producer
+        self.epoch = epoch
+        self.sequence = sequence
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.producer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogFence')
+        if self.producer is not None:
+            oprot.writeFieldBegin('producer', TType.STRING, 1)
+            oprot.writeString(self.producer.encode('utf-8') if sys.version_info[0] == 2 else self.producer)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.producer is None:
+            raise TProtocolException(message='Required field producer is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogAppend(object):
+    """
+    Attributes:
+     - topic
+     - partition
+     - records
+     - expected_end
+     - fence
+     - timeout_ms
+
+    """
+
+
+    def __init__(self, topic=None, partition=None, records=None, expected_end=None, fence=None, timeout_ms=None,):
+        self.topic = topic
+        self.partition = partition
+        self.records = records
+        self.expected_end = expected_end
+        self.fence = fence
+        self.timeout_ms = timeout_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.topic = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.partition = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = LogRecord()
+                        _elem12.read(iprot)
+                        self.records.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.expected_end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.fence = LogFence()
+                    self.fence.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogAppend')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.STRING, 1)
+            oprot.writeString(self.topic.encode('utf-8') if sys.version_info[0] == 2 else self.topic)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.I32, 2)
+            oprot.writeI32(self.partition)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter13 in self.records:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.expected_end is not None:
+            oprot.writeFieldBegin('expected_end', TType.I64, 4)
+            oprot.writeI64(self.expected_end)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.STRUCT, 5)
+            self.fence.write(oprot)
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 6)
+            oprot.writeI32(self.timeout_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.topic is None:
+            raise TProtocolException(message='Required field topic is unset!')
+        if self.partition is None:
+            raise TProtocolException(message='Required field partition is unset!')
+        if self.records is None:
+            raise TProtocolException(message='Required field records is unset!')
+        if self.timeout_ms is None:
+            raise TProtocolException(message='Required field timeout_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogAppended(object):
+    """
+    Attributes:
+     - outcome
+     - offset
+     - detail
+
+    """
+
+
+    def __init__(self, outcome=None, offset=None, detail=None,):
+        self.outcome = outcome
+        self.offset = offset
+        self.detail = detail
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogAppended')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 1)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 2)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 3)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.outcome is None:
+            raise TProtocolException(message='Required field outcome is unset!')
+        if self.offset is None:
+            raise TProtocolException(message='Required field offset is unset!')
+        if self.detail is None:
+            raise TProtocolException(message='Required field detail is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogPage(object):
+    """
+    Attributes:
+     - end
+     - records
+     - has_more
+
+    """
+
+
+    def __init__(self, end=None, records=None, has_more=None,):
+        self.end = end
+        self.records = records
+        self.has_more = has_more
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.end = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.records = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = LogRecord()
+                        _elem19.read(iprot)
+                        self.records.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.has_more = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogPage')
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.I64, 1)
+            oprot.writeI64(self.end)
+            oprot.writeFieldEnd()
+        if self.records is not None:
+            oprot.writeFieldBegin('records', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.records))
+            for iter20 in self.records:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.has_more is not None:
+            oprot.writeFieldBegin('has_more', TType.BOOL, 3)
+            oprot.writeBool(self.has_more)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.end is None:
+            raise TProtocolException(message='Required field end is unset!')
+        if self.records is None:
+            raise TProtocolException(message='Required field records is unset!')
+        if self.has_more is None:
+            raise TProtocolException(message='Required field has_more is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogUnavailable(TException):
+    """
+    Attributes:
+     - reason
+
+    """
+
+
+    def __init__(self, reason=None,):
+        super(LogUnavailable, self).__setattr__('reason', reason)
+
+    def __setattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __delattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __hash__(self):
+        return hash(self.__class__) ^ hash((self.reason, ))
+
+    @classmethod
+    def read(cls, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
+            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
+        iprot.readStructBegin()
+        reason = None
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+        return cls(
+            reason=reason,
+        )
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogUnavailable')
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 1)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        return
+
+    def __str__(self):
+        return repr(self)
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LogExpired(TException):
+    """
+    Attributes:
+     - reason
+
+    """
+
+
+    def __init__(self, reason=None,):
+        super(LogExpired, self).__setattr__('reason', reason)
+
+    def __setattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __delattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __hash__(self):
+        return hash(self.__class__) ^ hash((self.reason, ))
+
+    @classmethod
+    def read(cls, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
+            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
+        iprot.readStructBegin()
+        reason = None
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+        return cls(
+            reason=reason,
+        )
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LogExpired')
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 1)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        return
+
+    def __str__(self):
+        return repr(self)
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -619,5 +1248,53 @@
     (1, TType.I32, 'status', None, None, ),  # 1
     (2, TType.STRING, 'body', 'BINARY', None, ),  # 2
 )
+all_structs.append(LogRecord)
+LogRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
+)
+all_structs.append(LogFence)
+LogFence.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'producer', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+)
+all_structs.append(LogAppend)
+LogAppend.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'topic', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'partition', None, None, ),  # 2
+    (3, TType.LIST, 'records', (TType.STRUCT, [LogRecord, None], False), None, ),  # 3
+    (4, TType.I64, 'expected_end', None, None, ),  # 4
+    (5, TType.STRUCT, 'fence', [LogFence, None], None, ),  # 5
+    (6, TType.I32, 'timeout_ms', None, None, ),  # 6
+)
+all_structs.append(LogAppended)
+LogAppended.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'offset', None, None, ),  # 2
+    (3, TType.STRING, 'detail', 'UTF8', None, ),  # 3
+)
+all_structs.append(LogPage)
+LogPage.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'end', None, None, ),  # 1
+    (2, TType.LIST, 'records', (TType.STRUCT, [LogRecord, None], False), None, ),  # 2
+    (3, TType.BOOL, 'has_more', None, None, ),  # 3
+)
+all_structs.append(LogUnavailable)
+LogUnavailable.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
+)
+all_structs.append(LogExpired)
+LogExpired.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -17,7 +17,9 @@
 from .edge import forwarder
 from .edge import server
 from .gen import host as host_schema
+from .gen.peer import LogRelay
 from .members import roster as roster_module
+from .peers import server as peer_server
 from .pool import fleet
 from .pool import loader
 from .pool import orders
@@ -26,6 +28,7 @@
 from .ports import catalogue
 from .ports import platforms
 from .store import follower as follower_module
+from .store import relay
 from .upstreams import connections
 
 CALLER_THREADS = 48
@@ -55,6 +58,7 @@
         )
         factory = platforms.platforms.get(settings['plugin'])
         self._platform = factory(settings['store_address'])
+        self._log = relay.ReachableLog(self._platform.log, self._metrics)
         self._leave_requested = threading.Event()
         self._leaving = False
         self._validity_s = min(
@@ -67,6 +71,15 @@
     def start(self) -> None:
         """Start all tasks and serve."""
         self._watch.start()
+        peer_server.serve(
+            self._settings['address'],
+            self._settings['peer_port'],
+            LogRelay.Processor(
+                relay.RelayHandler(
+                    self._platform.log, self._log, self._metrics
+                )
+            ),
+        )
         for follower in self._followers:
             follower.start()
         self._roster.start()
@@ -93,9 +106,7 @@
     def run_until_left(self) -> bool:
         """Wait for the request to leave, and drain; tell if all ended."""
         self._leave_requested.wait()
-        ends_at = (
-            time.monotonic() + self._settings['grace_s'] - GRACE_MARGIN_S
-        )
+        ends_at = time.monotonic() + self._settings['grace_s'] - GRACE_MARGIN_S
         LOG.info('leaving')
         self._leaving = True
         self._roster.leave()
@@ -131,9 +142,10 @@
                 self._settings['data_centre'],
                 False,
             ),
-            self._platform.log,
+            self._log,
             lambda: self._members_follower.contact_length_s,
         )
+        self._log.find_peers(self._peer_addresses)
         self._book = book_module.Book()
         self._operator_follower = self._follow(
             operator.configuration_topic, 0, self._current.apply
@@ -165,7 +177,7 @@
         pause_s: float = 0.0,
     ) -> follower_module.Follower:
         return follower_module.Follower(
-            self._platform.log,
+            self._log,
             topic,
             partition,
             listener,
@@ -173,6 +185,13 @@
             pause_s,
         )
 
+    def _peer_addresses(self) -> list[tuple[str, int]]:
+        addresses = []
+        for member in self._roster.peers():
+            host, port = member.peer_listen.rsplit(':', 1)
+            addresses.append((host, int(port)))
+        return addresses
+
     def _build_work(self) -> None:
         self._connections = connections.ConnectionPool(self._metrics)
         protocol = self._platform.upstreams
@@ -199,7 +218,7 @@
         )
         self._ownership = ownership.Ownership(
             self._settings['instance'],
-            self._platform.log,
+            self._log,
             batches.TOPIC,
             SHARD,
             self._book,
@@ -215,7 +234,7 @@
         handlers = batches.BatchHandlers(
             self._platform.callers,
             batches.Shard(SHARD, self._book, self._shard_follower),
-            self._platform.log,
+            self._log,
             self._current,
             self._metrics,
         )
--- a/baobabpond/peers/server.py
+++ b/baobabpond/peers/server.py
@@ -6,6 +6,7 @@
 
 from thrift.protocol import TCompactProtocol
 from thrift.server import TServer
+from thrift import Thrift
 from thrift.transport import TSocket
 from thrift.transport import TTransport
 
@@ -55,8 +56,13 @@
 
 def start(address: str, port: int, handler: PeerHandler) -> None:
     """Serve calls in tasks of their own until the process ends."""
+    serve(address, port, Peer.Processor(handler))
+
+
+def serve(address: str, port: int, processor: Thrift.TProcessor) -> None:
+    """Serve a processor in tasks of its own until the process ends."""
     server = TServer.TThreadedServer(
-        Peer.Processor(handler),
+        processor,
         TSocket.TServerSocket(host=address, port=port),
         TTransport.TFramedTransportFactory(),
         TCompactProtocol.TCompactProtocolFactory(),
--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -74,9 +74,7 @@
         return None
 
 
-def _may_run(
-    upstream: work_module.Upstream, work: work_module.Work
-) -> bool:
+def _may_run(upstream: work_module.Upstream, work: work_module.Work) -> bool:
     load = upstream.load
     if load is not None and load.model == work.model:
         return False
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -490,9 +490,7 @@
         )
         self._finish(work, callers.Result(work.id, False, '', ()))
 
-    def _finish(
-        self, work: work_module.Work, result: callers.Result
-    ) -> None:
+    def _finish(self, work: work_module.Work, result: callers.Result) -> None:
         work.result = result
         self._finished.append(work)
         self._changed.notify_all()
--- a/baobabpond/schema/peer.thrift
+++ b/baobabpond/schema/peer.thrift
@@ -56,3 +56,52 @@
   SettingsBody fetch_settings()
   TrainerReply trainer_call(1: TrainerCall call)
 }
+
+struct LogRecord {
+  1: required string key
+  2: required binary value
+  3: required i64 offset
+}
+
+// Identifies an append, so that it takes effect once.
+struct LogFence {
+  1: required string producer
+  2: required i64 epoch
+  3: required i64 sequence
+}
+
+struct LogAppend {
+  1: required string topic
+  2: required i32 partition
+  3: required list<LogRecord> records
+  4: optional i64 expected_end
+  5: optional LogFence fence
+  6: required i32 timeout_ms
+}
+
+struct LogAppended {
+  1: required string outcome
+  2: required i64 offset
+  3: required string detail
+}
+
+struct LogPage {
+  1: required i64 end
+  2: required list<LogRecord> records
+  3: required bool has_more
+}
+
+exception LogUnavailable {
+  1: required string reason
+}
+
+exception LogExpired {
+  1: required string reason
+}
+
+// Calls of an instance that cannot reach the log itself.
+service LogRelay {
+  LogAppended append(1: LogAppend call)
+  LogPage read(1: string topic, 2: i32 partition, 3: i64 offset, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
+  LogPage newest(1: string topic, 2: i32 partition, 3: string after) throws (1: LogUnavailable unavailable)
+}
--- a/tools/shares.py
+++ b/tools/shares.py
@@ -3,7 +3,15 @@
 import pathlib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-FOLDERS = ('baobabpond', 'standins', 'measure', 'tools', 'test', 'scenarios')
+FOLDERS = (
+    'baobabpond',
+    'platform',
+    'standins',
+    'measure',
+    'tools',
+    'test',
+    'scenarios',
+)
 TESTS = ('test', 'scenarios')
 RESILIENCE = (
     'routing',
@@ -13,6 +21,11 @@
     'log',
     'rollout',
     'weights',
+    'batches',
+    'pool',
+    'store',
+    'upstreams',
+    'catalogue',
 )
 
 
