Emulate the platform and its people; test the promises on real programs

Change: standins/emulator (store with producers, epochs, conditional appends, keyed topics, outages, lost and late answers; samplers with orders, versions, faults; operator, trainers, callers; a world that runs real instances whose store links can be cut), 32 tests of batches, weights and requests on it, unit tests of the pool's decisions, the follower, the relay and the plugin. The emulator's ports came from the range of outgoing connections, where one can be taken before its server listens; they come from below it now, and the failure prints the log. Not proved to be the cause.

--- a/baobabpond/peers/server.py
+++ b/baobabpond/peers/server.py
@@ -59,11 +59,22 @@
     serve(address, port, Peer.Processor(handler))
 
 
+class ListeningSocket(TSocket.TServerSocket):
+    """Listen once, from before the server's task starts."""
+
+    def listen(self) -> None:
+        """Listen unless it does already."""
+        if self.handle is None:
+            super().listen()
+
+
 def serve(address: str, port: int, processor: Thrift.TProcessor) -> None:
     """Serve a processor in tasks of its own until the process ends."""
+    listener = ListeningSocket(host=address, port=port)
+    listener.listen()
     server = TServer.TThreadedServer(
         processor,
-        TSocket.TServerSocket(host=address, port=port),
+        listener,
         TTransport.TFramedTransportFactory(),
         TCompactProtocol.TCompactProtocolFactory(),
         daemon=True,
--- /dev/null
+++ b/standins/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Emulate the users' platform, its upstreams, trainers and callers."""
--- /dev/null
+++ b/standins/emulator/world.py
@@ -0,0 +1,309 @@
+"""Run real instances on the emulated platform."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+import urllib3
+
+from standins import relay
+
+from . import people
+from . import sampler as sampler_module
+from . import serving
+from . import store as store_module
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+HOST = 'pasak.example'
+ROLLOUTS = '/fit/'
+LOOKUPS = '/orders/'
+ENTRIES = '/entries/'
+STREAMS = '/drafts/'
+MODEL = 'peg-sizing'
+MODEL_SERVICE = 'juru-model'
+PLAIN_SERVICE = 'meja-pesanan'
+READY_TIMEOUT_S = 20.0
+GRACE_S = 5
+
+
+class Instance:
+    """Hold one process of the product."""
+
+    def __init__(
+        self, name: str, process: subprocess.Popen[bytes], listen: str
+    ) -> None:
+        self.name = name
+        self.process = process
+        self.address = listen
+        self.link: relay.Relay | None = None
+        self.log_path = pathlib.Path()
+        self.ready_address = ''
+        self.entries_address = ''
+        self.metrics_address = ''
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.process.kill()
+        self.process.wait()
+
+    def pause(self) -> None:
+        """Freeze the process."""
+        os.kill(self.process.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the process go on."""
+        os.kill(self.process.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask the process to leave."""
+        self.process.terminate()
+
+    def lines(self) -> list[dict[str, typing.Any]]:
+        """Return what the process has logged."""
+        text = self.log_path.read_text(encoding='utf-8')
+        return [
+            json.loads(line)
+            for line in text.splitlines()
+            if line.startswith('{') and line.endswith('}')
+        ]
+
+
+class World:
+    """Hold the platform, its upstreams and the instances."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.store = store_module.Store(seed)
+        self.ledger = sampler_module.Ledger()
+        self.operator = people.Operator(self.store)
+        self.samplers: list[sampler_module.Sampler] = []
+        self.plain: list[sampler_module.Sampler] = []
+        self.instances: list[Instance] = []
+        self._folder = tempfile.TemporaryDirectory(prefix='baobabpond-')
+
+    def __enter__(self) -> 'World':
+        """Return the world."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End all that the world started."""
+        for instance in self.instances:
+            if instance.process.poll() is None:
+                instance.resume()
+                instance.kill()
+            if instance.link is not None:
+                instance.link.close()
+        stops = [
+            threading.Thread(target=one.stop)
+            for one in (*self.samplers, *self.plain)
+        ]
+        for stop in stops:
+            stop.start()
+        for stop in stops:
+            stop.join()
+        self.store.stop()
+        self._folder.cleanup()
+
+    def start(
+        self,
+        instances: int = 3,
+        samplers: int = 3,
+        checks_fence: bool = True,
+    ) -> None:
+        """Start everything and wait until all instances are ready."""
+        for _ in range(samplers):
+            self.add_sampler(checks_fence)
+        for _ in range(2):
+            self.plain.append(
+                sampler_module.Sampler(self.store, self.ledger, PLAIN_SERVICE)
+            )
+        self.operator.publish(routes(), services())
+        for number in range(instances):
+            self.start_instance(f'entry-{number + 1}')
+        self.wait_ready()
+
+    def add_sampler(self, checks_fence: bool = True) -> sampler_module.Sampler:
+        """Start a sampler of the model."""
+        sampler = sampler_module.Sampler(
+            self.store,
+            self.ledger,
+            MODEL_SERVICE,
+            (MODEL,),
+            checks_fence=checks_fence,
+        )
+        self.samplers.append(sampler)
+        return sampler
+
+    def start_instance(self, name: str) -> Instance:
+        """Start a process of the product; its store link can be cut."""
+        host, port = self.store.address.rsplit(':', 1)
+        link = relay.Relay(
+            serving.ADDRESS, serving.free_port(), (host, int(port))
+        )
+        listens = [f'{serving.ADDRESS}:{serving.free_port()}' for _ in 'abc']
+        metrics_port = serving.free_port()
+        settings = {
+            'instance': name,
+            'data_centre': 'kl-bengkel',
+            'region': 'semenanjung',
+            'address': serving.ADDRESS,
+            'callers_listen': listens[0],
+            'ready_listen': listens[1],
+            'entries_listen': listens[2],
+            'metrics_port': metrics_port,
+            'peer_port': serving.free_port(),
+            'plugin_folder': str(ROOT / 'platform'),
+            'plugin': 'users_platform',
+            'store_address': link.url.removeprefix('http://'),
+            'parts': 12,
+            'order_lease_ms': 1500,
+            'grace_s': GRACE_S,
+            'status_s': 120,
+            'longest_validity_s': 0.2,
+            'memory_mb': 0,
+            'log_level': 'info',
+        }
+        folder = pathlib.Path(self._folder.name)
+        path = folder / f'{name}.json5'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        log_path = folder / f'{name}-{len(self.instances)}.log'
+        with log_path.open('wb') as output:
+            process = subprocess.Popen(
+                [sys.executable, '-m', 'baobabpond', 'host'],
+                cwd=ROOT,
+                env={**os.environ, 'BAOBABPOND_CONFIG': str(path)},
+                stdout=output,
+                stderr=output,
+            )
+        instance = Instance(name, process, listens[0])
+        instance.ready_address = listens[1]
+        instance.entries_address = listens[2]
+        instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
+        instance.link = link
+        instance.log_path = log_path
+        self.instances.append(instance)
+        return instance
+
+    def wait_ready(self) -> None:
+        """Wait until all live instances are ready."""
+        for instance in self.live():
+            try:
+                wait_for(lambda i=instance: self.is_ready(i), READY_TIMEOUT_S)
+            except TimeoutError as error:
+                text = instance.log_path.read_text(encoding='utf-8')
+                raise TimeoutError(
+                    f'{instance.name} is not ready: {text[-2000:]}'
+                ) from error
+
+    def is_ready(self, instance: Instance) -> bool:
+        """Tell whether an instance says that it is ready."""
+        reply = people.Client().send(
+            instance.ready_address, 'GET', '/api/readiness', {}, timeout_s=1.0
+        )
+        return reply.status == 200
+
+    def live(self) -> list[Instance]:
+        """Return the instances whose processes run."""
+        return [i for i in self.instances if i.process.poll() is None]
+
+    def addresses(self) -> list[str]:
+        """Return where the live instances serve callers."""
+        return [instance.address for instance in self.live()]
+
+    def trainer(self) -> people.Trainer:
+        """Return a trainer that uses the live instances."""
+        return people.Trainer(self.addresses(), HOST, ROLLOUTS)
+
+    def owner(self) -> Instance | None:
+        """Return the instance that owns the shard by the store."""
+        value = self.store.keys('keyed.batches').get('owner')
+        if value is None:
+            return None
+        name = json.loads(value)['instance']
+        for instance in self.live():
+            if instance.name == name:
+                return instance
+        return None
+
+    def metrics(self, instance: Instance) -> dict[str, typing.Any]:
+        """Return an instance's metrics."""
+        response = urllib3.request(
+            'GET', f'http://{instance.metrics_address}/metrics'
+        )
+        return response.json()
+
+
+def routes() -> list[dict[str, typing.Any]]:
+    """Return the routes of the emulated deployment."""
+    plain = {'host': HOST, 'service': PLAIN_SERVICE, 'timeout-ms': 2000}
+    return [
+        {
+            'name': 'fit',
+            'host': HOST,
+            'path-prefix': ROLLOUTS,
+            'route-type': 'rollout',
+            'timeout-ms': 10000,
+            'target-latency-ms': 400,
+            'service': MODEL_SERVICE,
+            'attempts': 3,
+            'retention-s': 40.0,
+            'due-ms': 7500,
+        },
+        {
+            **plain,
+            'name': 'orders',
+            'path-prefix': LOOKUPS,
+            'route-type': 'idempotent',
+            'attempts': 2,
+        },
+        {
+            **plain,
+            'name': 'entries',
+            'path-prefix': ENTRIES,
+            'route-type': 'non_idempotent',
+            'attempts': 2,
+        },
+        {
+            'name': 'drafts',
+            'host': HOST,
+            'path-prefix': STREAMS,
+            'route-type': 'streaming',
+            'resumable': True,
+            'timeout-ms': 8000,
+            'service': MODEL_SERVICE,
+            'attempts': 4,
+        },
+    ]
+
+
+def services() -> list[dict[str, typing.Any]]:
+    """Return the services of the emulated deployment."""
+    return [
+        {
+            'name': MODEL_SERVICE,
+            'health-path': '/health',
+            'engine': {
+                'slots': 8,
+                'kv-capacity-tokens': 50000,
+                'models': [{'name': MODEL}],
+            },
+        },
+        {'name': PLAIN_SERVICE, 'health-path': '/health'},
+    ]
+
+
+def wait_for(
+    condition: typing.Callable[[], bool], timeout_s: float = 10.0
+) -> None:
+    """Wait until a condition holds, or raise TimeoutError."""
+    ends_at = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > ends_at:
+            raise TimeoutError('the condition did not come to hold')
+        time.sleep(0.05)
--- /dev/null
+++ b/test/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Run real instances on the emulated platform and check the promises."""
--- /dev/null
+++ b/test/emulator/test_requests.py
@@ -0,0 +1,165 @@
+"""Test ordinary requests and streams on the emulated platform."""
+
+import threading
+import time
+
+from standins.emulator import people
+from standins.emulator import sampler as sampler_module
+from standins.emulator import world as world_module
+
+from . import base
+
+
+class RequestTest(base.WorldCase):
+    """Send ordinary requests."""
+
+    INSTANCES = 2
+
+    def runs(self, request: str) -> int:
+        """Return how often a request ran."""
+        return len(self.world.ledger.of(request))
+
+    def test_whole_answer_to_its_own_request(self) -> None:
+        """Many callers at once get their own answers."""
+        problems: list[str] = []
+
+        def ask(number: int) -> None:
+            body = b'y' * number
+            reply = self.order(world_module.LOOKUPS + 'a', f'q{number}', body)
+            if reply.body != sampler_module.answer_to(f'q{number}', body):
+                problems.append(f'{number}: {reply}')
+
+        threads = [
+            threading.Thread(target=ask, args=(number,))
+            for number in range(12)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual([], problems)
+
+    def test_idempotent_request_goes_to_another_upstream(self) -> None:
+        """A lost answer is asked for again."""
+        self.world.plain[0].fault = 'answer_lost'
+        for number in range(6):
+            reply = self.order(world_module.LOOKUPS + 'a', f'i{number}')
+            self.assertEqual(200, reply.status)
+
+    def test_non_idempotent_request_runs_once(self) -> None:
+        """A lost answer ends in 502, and no second run."""
+        for sampler in self.world.plain:
+            sampler.fault = 'answer_lost'
+        for number in range(6):
+            reply = self.order(world_module.ENTRIES + 'a', f'n{number}')
+            self.assertEqual(502, reply.status)
+            self.assertEqual(1, self.runs(f'n{number}'))
+
+    def test_not_run_is_true(self) -> None:
+        """A request that full upstreams refuse never runs."""
+        for sampler in self.world.plain:
+            sampler.fault = 'full'
+        asked = time.monotonic()
+        reply = self.order(world_module.ENTRIES + 'a', 'full')
+        self.assertEqual(503, reply.status)
+        self.assertIn('Retry-After', reply.headers)
+        self.assertLess(time.monotonic() - asked, 1.0)
+        self.assertEqual(0, self.runs('full'))
+
+    def test_route_timeout_ends_a_request(self) -> None:
+        """The final answer comes at the route's timeout."""
+        for sampler in self.world.plain:
+            sampler.fault = 'silent'
+        asked = time.monotonic()
+        reply = self.order(world_module.LOOKUPS + 'a', 'slow')
+        self.assertIn(reply.status, (502, 504))
+        self.assertLess(time.monotonic() - asked, 2.4)
+
+    def test_unknown_route_is_not_found(self) -> None:
+        """No route, no host and no id are answered at once."""
+        self.assertEqual(404, self.order('/nowhere/', 'x').status)
+        self.assertEqual(400, self.order(world_module.LOOKUPS, '').status)
+
+    def test_leaving_upstream_gets_nothing_new(self) -> None:
+        """A draining upstream is avoided within moments."""
+        leaving = self.world.plain[0]
+        leaving.drain()
+        self.pause_s(0.5)
+        for number in range(8):
+            self.order(world_module.LOOKUPS + 'a', f'd{number}')
+        used = {
+            run.upstream
+            for run in self.world.ledger.runs
+            if run.request.startswith('d')
+        }
+        self.assertEqual({self.world.plain[1].id}, used)
+
+    def test_address_used_again_by_another_upstream(self) -> None:
+        """A refusal by another instance id is not a run."""
+        self.world.plain[0].id = 'i-other'
+        for number in range(4):
+            reply = self.order(world_module.LOOKUPS + 'a', f'r{number}')
+            self.assertEqual(200, reply.status)
+
+    def test_work_ends_when_the_caller_leaves(self) -> None:
+        """The upstream's connection is closed soon after the caller's."""
+        self.slow_down(30)
+        people.Client().send(
+            self.world.addresses()[0],
+            'POST',
+            world_module.STREAMS + 'a',
+            {
+                'Host': world_module.HOST,
+                'X-Request-Id': 'left',
+                'X-Deadline-Ms': '9000',
+                'X-Model': world_module.MODEL,
+            },
+            b'x',
+            timeout_s=0.2,
+        )
+        self.pause_s(1.2)
+        run = self.world.ledger.of('left')[0]
+        made = len(run.versions)
+        self.pause_s(1.0)
+        self.assertLessEqual(len(run.versions), made + 1)
+
+    def test_configuration_is_in_force_soon(self) -> None:
+        """A removed route is gone within two seconds, and stays gone."""
+        self.world.operator.publish(
+            [r for r in world_module.routes() if r['name'] != 'orders'],
+            world_module.services(),
+        )
+        world_module.wait_for(
+            lambda: self.order(world_module.LOOKUPS, 'c').status == 404, 2.0
+        )
+
+
+class StreamTest(base.WorldCase):
+    """Pass streams on."""
+
+    INSTANCES = 1
+
+    def stream(self, request: str) -> people.Reply:
+        """Ask for a stream."""
+        return self.order(
+            world_module.STREAMS + 'a', request, X_Model=world_module.MODEL
+        )
+
+    def test_stream_is_resumed_within_one_answer(self) -> None:
+        """A stream that breaks off goes on at another upstream."""
+        self.world.samplers[0].cut_after = 2
+        self.world.samplers[1].cut_after = 3
+        for number in range(4):
+            reply = self.stream(f's{number}')
+            lines = reply.body.decode().splitlines()
+            data = [line[6:] for line in lines if line.startswith('data: ')]
+            self.assertEqual(
+                sampler_module.whole_output(f's{number}'), '\n'.join(data)
+            )
+
+    def test_cut_stream_does_not_look_whole(self) -> None:
+        """A stream that no upstream finishes is seen to be cut."""
+        for sampler in self.world.samplers:
+            sampler.cut_after = 1
+        reply = self.stream('cut')
+        self.assertEqual(0, reply.status)
--- /dev/null
+++ b/test/emulator/test_weights.py
@@ -0,0 +1,91 @@
+"""Test that weights reach the upstreams, and that labels tell the truth."""
+
+import itertools
+
+from standins.emulator import world as world_module
+
+from . import base
+
+LEASE_S = 1.5
+# An order may be under way when its sender is frozen.
+SLACK_S = 0.3
+
+
+class WeightsTest(base.WorldCase):
+    """Announce versions while batches run."""
+
+    def versions(self) -> list[int]:
+        """Return the versions that the samplers hold."""
+        return [s.versions[world_module.MODEL] for s in self.world.samplers]
+
+    def announce(self, version: int) -> None:
+        """Announce a version."""
+        self.world.operator.name_version(world_module.MODEL, version)
+
+    def test_steps_follow_their_versions(self) -> None:
+        """Each step is made by versions that it allows, and says which."""
+        self.slow_down(3)
+        for step in range(1, 5):
+            if step > 1:
+                self.announce(step)
+            batch = self.batch(step, min_version=max(1, step - 1))
+            self.submit(batch)
+            self.finish(batch)
+        self.assertGreaterEqual(max(self.versions()), 4)
+
+    def test_step_waits_for_its_version(self) -> None:
+        """A batch that allows no lag runs once the weights are there."""
+        self.announce(2)
+        batch = self.batch(1, min_version=2)
+        self.submit(batch)
+        self.finish(batch)
+        made = {v for r in batch.read.values() for v in r['versions']}
+        self.assertEqual({2}, made)
+
+    def test_late_order_does_not_undo_a_newer_one(self) -> None:
+        """Versions of a sampler never go back."""
+        for sampler in self.world.samplers:
+            sampler.orders_late_s = 1.5
+        self.announce(2)
+        self.pause_s(1.0)
+        for sampler in self.world.samplers:
+            sampler.orders_late_s = None
+        self.announce(3)
+        world_module.wait_for(lambda: min(self.versions()) == 3, 15)
+        self.pause_s(2.0)
+        self.assertEqual(3, min(self.versions()))
+
+
+class HolderTest(base.WorldCase):
+    """Give orders to samplers that ignore fences."""
+
+    CHECKS_FENCE = False
+
+    def test_holders_do_not_take_turns_within_the_lease(self) -> None:
+        """A new owner waits before its first order."""
+        self.world.operator.name_version(world_module.MODEL, 2)
+        world_module.wait_for(lambda: bool(self.world.ledger.orders))
+        owner = self.world.owner()
+        assert owner is not None
+        owner.pause()
+        self.pause_s(2.5)
+        self.world.operator.name_version(world_module.MODEL, 3)
+        owner.resume()
+        world_module.wait_for(
+            lambda: all(
+                s.versions[world_module.MODEL] == 3
+                for s in self.world.samplers
+            ),
+            20,
+        )
+        orders = sorted(self.world.ledger.orders, key=lambda o: o[0])
+        for (at, upstream, order), (later, other, newer) in itertools.product(
+            orders, orders
+        ):
+            if upstream != other or not 0 < later - at < LEASE_S - SLACK_S:
+                continue
+            self.assertEqual(order['holder'], newer['holder'])
+        tokens = {}
+        for _, _, order in orders:
+            holder = tokens.setdefault(order['fencing-token'], order['holder'])
+            self.assertEqual(holder, order['holder'])
--- /dev/null
+++ b/test/pool/test_decisions.py
@@ -0,0 +1,145 @@
+"""Test the pool's decisions, each without a network."""
+
+import unittest
+
+from baobabpond.pool import placement
+from baobabpond.pool import priority
+from baobabpond.pool import rescue
+from baobabpond.pool import weights
+
+
+class PriorityTest(unittest.TestCase):
+    """Order waiting items."""
+
+    def test_least_time_to_spare_goes_first(self) -> None:
+        """A long item goes before a short one of the same batch."""
+        long = priority.Waiting(7.5, 5.0, 1)
+        short = priority.Waiting(7.5, 0.5, 1)
+        self.assertLess(priority.rank(long), priority.rank(short))
+
+    def test_hopeless_items_wait(self) -> None:
+        """What can't be in time waits for what can."""
+        hopeless = priority.Waiting(1.0, 6.0, 1)
+        hopeful = priority.Waiting(7.0, 0.5, 8)
+        self.assertLess(priority.rank(hopeful), priority.rank(hopeless))
+
+    def test_nearly_whole_groups_break_ties(self) -> None:
+        """Of two equal items the one with fewer missing siblings is first."""
+        few = priority.Waiting(5.0, 1.0, 1)
+        many = priority.Waiting(5.0, 1.0, 8)
+        self.assertLess(priority.rank(few), priority.rank(many))
+
+
+class PlacementTest(unittest.TestCase):
+    """Choose upstreams."""
+
+    def choice(self, upstream: str, **changes: object) -> placement.Choice:
+        """Return a choice with some values of its own."""
+        usual = placement.Choice(upstream, 0.05, 0, 12, False)
+        return usual._replace(**changes)
+
+    def test_full_upstreams_are_not_chosen(self) -> None:
+        """None is chosen where none has a free slot."""
+        self.assertIsNone(placement.choose([self.choice('a', running=12)]))
+
+    def test_fast_upstream_beats_an_emptier_slow_one(self) -> None:
+        """Speed weighs more than a few free slots."""
+        chosen = placement.choose(
+            [self.choice('slow', gap_s=0.15), self.choice('fast', running=8)]
+        )
+        self.assertEqual('fast', chosen)
+
+    def test_prompt_is_followed_within_a_bound(self) -> None:
+        """A held prompt wins between equals, not against a fast one."""
+        holder = self.choice('holder', holds_prompt=True, running=2)
+        self.assertEqual(
+            'holder', placement.choose([self.choice('other'), holder])
+        )
+        slow_holder = holder._replace(gap_s=0.1)
+        self.assertEqual(
+            'other', placement.choose([self.choice('other'), slow_holder])
+        )
+
+
+class RescueTest(unittest.TestCase):
+    """Move runs."""
+
+    USUAL = rescue.Running(True, 0.02, 0.05, 100, 40.0, 0, 0.05)
+
+    def test_silent_run_is_stalled(self) -> None:
+        """Silence counts from the first event or from the start."""
+        self.assertFalse(rescue.is_stalled(self.USUAL))
+        self.assertTrue(rescue.is_stalled(self.USUAL._replace(silence_s=0.7)))
+        waiting = self.USUAL._replace(has_begun=False, silence_s=0.7)
+        self.assertFalse(rescue.is_stalled(waiting))
+        self.assertTrue(rescue.is_stalled(waiting._replace(silence_s=1.1)))
+
+    def test_slow_upstream_is_given_time(self) -> None:
+        """Events that always come late are not taken for silence."""
+        slow = self.USUAL._replace(gap_s=0.3, silence_s=0.9)
+        self.assertFalse(rescue.is_stalled(slow))
+
+    def test_slow_run_moves_if_it_saves_time(self) -> None:
+        """A run moves to a faster upstream unless it is nearly done."""
+        slow = self.USUAL._replace(gap_s=0.15)
+        self.assertTrue(rescue.should_move(slow))
+        self.assertFalse(
+            rescue.should_move(slow._replace(expected_events=2.0))
+        )
+        self.assertFalse(rescue.should_move(slow._replace(best_gap_s=None)))
+        self.assertFalse(rescue.should_move(slow._replace(moves=3)))
+        self.assertFalse(rescue.should_move(slow._replace(gaps_seen=3)))
+
+
+class WeightsTest(unittest.TestCase):
+    """Plan loads."""
+
+    def holders(self, *versions: int) -> list[weights.Holder]:
+        """Return upstreams that hold some versions of one model."""
+        return [
+            weights.Holder(f'u{n}', {'m': version}, False, True, 0, 12)
+            for n, version in enumerate(versions)
+        ]
+
+    def test_oldest_load_first_and_few_at_once(self) -> None:
+        """What can't serve any more loads before what still can."""
+        target = weights.Target('m', 5, 1, 30)
+        planned = weights.plan(
+            self.holders(4, 3, 4, 3, 4, 3), [target], most_loads=2
+        )
+        self.assertEqual(['u1', 'u3'], [load.upstream for load in planned])
+        self.assertEqual({5}, {load.version for load in planned})
+
+    def test_only_a_share_loads_where_lag_is_allowed(self) -> None:
+        """With a lag of one and three models half of the upstreams load."""
+        target = weights.Target('m', 5, 1, 30)
+        others = [weights.Target(name, 1, 1, 0) for name in 'xy']
+        holders = [
+            h._replace(versions={**h.versions, 'x': 1, 'y': 1})
+            for h in self.holders(4, 5, 4, 5, 4, 5)
+        ]
+        self.assertEqual([], weights.plan(holders, [target, *others], 2))
+
+    def test_all_load_where_no_lag_is_allowed(self) -> None:
+        """A trainer that wants the newest version gets it everywhere."""
+        target = weights.Target('m', 5, 0, 30)
+        planned = weights.plan(self.holders(5, 5, 4), [target], 3)
+        self.assertEqual(['u2'], [load.upstream for load in planned])
+
+    def test_one_order_for_an_upstream(self) -> None:
+        """An upstream that loads one model gets no order for another."""
+        targets = [weights.Target('m', 2, 0, 9), weights.Target('x', 2, 0, 9)]
+        holders = [
+            weights.Holder('u0', {'m': 1, 'x': 1}, False, True, 0, 12),
+            weights.Holder('u1', {'m': 1, 'x': 1}, True, True, 0, 12),
+            weights.Holder('u2', {'m': 1, 'x': 1}, False, False, 0, 12),
+        ]
+        planned = weights.plan(holders, targets, 3)
+        self.assertEqual(['u0'], [load.upstream for load in planned])
+
+    def test_model_most_short_of_slots_loads_first(self) -> None:
+        """Demand decides between models."""
+        holders = [weights.Holder('u0', {'m': 1, 'x': 1}, False, True, 0, 12)]
+        targets = [weights.Target('m', 2, 0, 1), weights.Target('x', 2, 0, 50)]
+        planned = weights.plan(holders, targets, 1)
+        self.assertEqual(['x'], [load.model for load in planned])
--- /dev/null
+++ b/test/store/fakes.py
@@ -0,0 +1,78 @@
+"""Fake the log."""
+
+import collections
+
+from baobabpond.ports import log as log_port
+
+
+class FakeLog:
+    """Keep records in memory, and fail as it is told."""
+
+    def __init__(self) -> None:
+        self.records: list[log_port.Record] = []
+        self.first = 0
+        self.page_size = 500
+        self.read_error: Exception | None = None
+        # Outcomes of the next appends; done without one.
+        self.outcomes: collections.deque[log_port.Outcome] = (
+            collections.deque()
+        )
+        self.appends: list[tuple[list[log_port.Record], object]] = []
+        # Called before each page of newest records.
+        self.before_page = lambda: None
+
+    @property
+    def end(self) -> int:
+        """Return the offset after the last record."""
+        return len(self.records)
+
+    def add(self, key: str, value: bytes = b'x') -> None:
+        """Add a record."""
+        self.records.append(log_port.Record(key, value, self.end))
+
+    def append(
+        self,
+        topic: str,
+        partition: int,
+        records: list[log_port.Record],
+        expected_end: int | None = None,
+        fence: log_port.Fence | None = None,
+        timeout_s: float | None = None,
+    ) -> log_port.Appended:
+        """Append, or end as told."""
+        self.appends.append((records, fence))
+        outcome = log_port.Outcome.DONE
+        if self.outcomes:
+            outcome = self.outcomes.popleft()
+        elif expected_end not in (None, self.end):
+            outcome = log_port.Outcome.CONFLICT
+        offset = self.end
+        if outcome is log_port.Outcome.DONE:
+            for record in records:
+                self.add(record.key, record.value)
+        return log_port.Appended(outcome, offset)
+
+    def read(
+        self, topic: str, partition: int, offset: int, wait_s: float
+    ) -> log_port.Page:
+        """Read what is there."""
+        if self.read_error is not None:
+            raise self.read_error
+        if offset < self.first:
+            raise log_port.OffsetExpired('gone')
+        return log_port.Page(self.end, self.records[offset:])
+
+    def newest(
+        self, topic: str, partition: int, after: str
+    ) -> log_port.NewestPage:
+        """Return a page of newest records."""
+        if self.read_error is not None:
+            raise self.read_error
+        newest: dict[str, log_port.Record] = {}
+        for record in self.records:
+            newest[record.key] = record
+        keys = sorted(k for k, r in newest.items() if k > after and r.value)
+        page = [newest[key] for key in keys[: self.page_size]]
+        answer = log_port.NewestPage(self.end, page, len(keys) > len(page))
+        self.before_page()
+        return answer
--- /dev/null
+++ b/test/store/test_follower.py
@@ -0,0 +1,74 @@
+"""Test the follower of a keyed topic."""
+
+import unittest
+
+from baobabpond import metrics
+from baobabpond.ports import log as log_port
+from baobabpond.store import follower as follower_module
+
+from . import fakes
+
+
+class FollowerTest(unittest.TestCase):
+    """Follow a fake log."""
+
+    def setUp(self) -> None:
+        """Make a log and a follower that notes what it hears."""
+        self.log = fakes.FakeLog()
+        self.heard: list[tuple[str, bytes]] = []
+        self.snapshots = 0
+        self.follower = follower_module.Follower(
+            self.log, 'keyed.t', 0, self.hear, metrics.Metrics()
+        )
+
+    def hear(self, records: list[log_port.Record], snapshot: bool) -> None:
+        """Note records."""
+        self.snapshots += snapshot
+        self.heard += [(r.key, r.value) for r in records]
+
+    def test_newest_first_then_what_follows(self) -> None:
+        """Each key's newest record comes once, later ones in order."""
+        self.log.add('a', b'1')
+        self.log.add('b', b'1')
+        self.log.add('a', b'2')
+        self.follower.catch_up()
+        self.assertEqual([('b', b'1'), ('a', b'2')], self.heard)
+        self.log.add('c')
+        self.follower.catch_up()
+        self.assertEqual(('c', b'x'), self.heard[-1])
+        self.assertEqual(3, len(self.heard))
+
+    def test_records_between_pages_keep_their_order(self) -> None:
+        """What is appended while pages are read comes by its offset."""
+        for key in ('a', 'b', 'z'):
+            self.log.add(key)
+        self.log.page_size = 2
+        added = iter([('c', b'late'), ('zz', b'later')])
+
+        def add() -> None:
+            for key, value in added:
+                self.log.add(key, value)
+
+        self.log.before_page = add
+        self.follower.catch_up()
+        self.assertEqual(
+            ['a', 'b', 'z', 'c', 'zz'], [key for key, _ in self.heard]
+        )
+
+    def test_expired_offset_loads_anew(self) -> None:
+        """A gap is filled from the newest records."""
+        self.log.add('a')
+        self.follower.catch_up()
+        self.log.add('b')
+        self.log.add('c')
+        self.log.first = 3
+        self.follower.catch_up()
+        self.assertEqual(2, self.snapshots)
+        self.assertEqual({'a', 'b', 'c'}, {key for key, _ in self.heard})
+
+    def test_failed_read_is_told(self) -> None:
+        """An unreachable log raises, and nothing is complete."""
+        self.log.read_error = log_port.LogError('down')
+        with self.assertRaises(log_port.LogError):
+            self.follower.catch_up()
+        self.assertFalse(self.follower.complete)
--- /dev/null
+++ b/test/store/test_relay.py
@@ -0,0 +1,81 @@
+"""Test the two ways to the log."""
+
+import unittest
+
+from baobabpond.gen.peer import LogRelay
+from baobabpond import metrics
+from baobabpond.peers import server as peer_server
+from baobabpond.ports import log as log_port
+from baobabpond.store import relay
+from standins.emulator import serving
+
+from . import fakes
+
+
+class RelayTest(unittest.TestCase):
+    """Append and read through a peer."""
+
+    def setUp(self) -> None:
+        """Make a log, its direct way, and a peer that relays."""
+        self.direct = fakes.FakeLog()
+        self.log = relay.ReachableLog(self.direct, metrics.Metrics())
+        self.far = fakes.FakeLog()
+        peer = relay.ReachableLog(self.far, metrics.Metrics())
+        port = serving.free_port()
+        peer_server.serve(
+            serving.ADDRESS,
+            port,
+            LogRelay.Processor(
+                relay.RelayHandler(self.far, peer, metrics.Metrics())
+            ),
+        )
+        self.log.find_peers(lambda: [(serving.ADDRESS, port)])
+        self.record = log_port.Record('k', b'v')
+
+    def append(self, **options: object) -> log_port.Outcome:
+        """Append a record."""
+        return self.log.append('t', 0, [self.record], **options).outcome
+
+    def test_refused_append_goes_through_a_peer(self) -> None:
+        """What the log refused here may be kept by way of a peer."""
+        self.direct.outcomes.append(log_port.Outcome.REFUSED)
+        self.assertIs(log_port.Outcome.DONE, self.append())
+        self.assertEqual(1, self.far.end)
+
+    def test_unknown_conditional_append_is_not_repeated(self) -> None:
+        """A repeat could not tell its own success from a conflict."""
+        self.direct.outcomes.append(log_port.Outcome.UNKNOWN)
+        outcome = self.append(expected_end=0)
+        self.assertIs(log_port.Outcome.UNKNOWN, outcome)
+        self.assertEqual(0, self.far.end)
+
+    def test_unknown_append_stays_unknown_when_relays_refuse(self) -> None:
+        """A refusal by the second way says nothing of the first."""
+        self.direct.outcomes.append(log_port.Outcome.UNKNOWN)
+        self.far.outcomes.append(log_port.Outcome.REFUSED)
+        self.assertIs(log_port.Outcome.UNKNOWN, self.append())
+
+    def test_fence_travels(self) -> None:
+        """Producer, epoch and sequence reach the log unchanged."""
+        self.direct.outcomes.append(log_port.Outcome.REFUSED)
+        fence = log_port.Fence('owner', 7, 3)
+        self.append(fence=fence)
+        self.assertEqual(fence, self.far.appends[0][1])
+
+    def test_reads_go_through_a_peer(self) -> None:
+        """Pages, newest records and gaps come as they would directly."""
+        self.direct.read_error = log_port.LogError('cut')
+        self.far.add('a', b'1')
+        self.assertEqual(1, self.log.read('t', 0, 0, 0.0).end)
+        page = self.log.newest('t', 0, '')
+        self.assertEqual([('a', b'1', 0)], [tuple(r) for r in page.records])
+        self.far.first = 1
+        with self.assertRaises(log_port.OffsetExpired):
+            self.log.read('t', 0, 0, 0.0)
+
+    def test_peer_without_a_way_says_so(self) -> None:
+        """Two instances without a way do not call in circles."""
+        self.direct.read_error = log_port.LogError('cut')
+        self.far.read_error = log_port.LogError('cut too')
+        with self.assertRaises(log_port.LogError):
+            self.log.read('t', 0, 0, 0.0)
