Announce orders on the log; fit appends to the log; claim after a restart

Ruled out: slow loads (1.06 s each, two at a time, as the store allows). Change: each order is announced on the log before it is sent, so the next owner knows per upstream when the lease ends; the same instance's new process claims at once; contact length is 0 while lost; results and events are split to the log's sizes, and an append that the log never takes is an outcome of its own.

--- a/baobabpond/batches/book.py
+++ b/baobabpond/batches/book.py
@@ -23,6 +23,14 @@
     seen_at: float
 
 
+class IntentView(typing.NamedTuple):
+    """Hold the last announcement of an order to an upstream."""
+
+    intent: records.Intent
+    # Runtime's clock when the record was read.
+    seen_at: float
+
+
 class Text(typing.NamedTuple):
     """Hold the events kept of an item, from the first on."""
 
@@ -86,6 +94,7 @@
         self._completed: dict[str, callers.Result] = {}
         self._ended_early: set[str] = set()
         self._owner: OwnerView | None = None
+        self._intents: dict[str, IntentView] = {}
         self._revision = 0
 
     @property
@@ -98,6 +107,10 @@
         """Return a number that grows with each change."""
         return self._revision
 
+    def intent(self, upstream: str) -> IntentView | None:
+        """Return the last announcement of an order to an upstream."""
+        return self._intents.get(upstream)
+
     def get(self, batch: str) -> Batch | None:
         """Return a batch by its id."""
         return self._batches.get(batch)
@@ -185,6 +198,11 @@
         elif kind == records.PROGRESS:
             progress = records.decode_progress(record.key, record.value)
             self._progress[progress.item][record.key] = progress
+        elif kind == records.INTENT:
+            intent = records.decode_intent(record.key, record.value)
+            self._intents[intent.upstream] = IntentView(
+                intent, time.monotonic()
+            )
         elif kind == records.OWNER_KEY:
             owner = records.decode_owner(record.value)
             self._owner = OwnerView(owner, time.monotonic())
--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -4,6 +4,7 @@
 import threading
 import time
 import typing
+import uuid
 
 import structlog
 
@@ -33,6 +34,13 @@
 RELEASE_DELAY_S = 0.3
 HALF_DELAY_UPTIME_S = 20.0
 
+# The place is lost, or can't be held.
+LOST_OUTCOMES = (
+    log_port.Outcome.FENCED,
+    log_port.Outcome.OUT_OF_SEQUENCE,
+    log_port.Outcome.REJECTED,
+)
+
 LOG = structlog.get_logger(__name__)
 
 
@@ -40,8 +48,6 @@
     """Describe one instance's hold on a shard."""
 
     epoch: int
-    # Runtime's clock at which the upstreams may get orders.
-    orders_from: float
 
 
 class Owned(typing.Protocol):
@@ -55,12 +61,13 @@
         """End the work; nothing of it may reach an upstream afterwards."""
         ...
 
-    def outbox(self, wait_s: float) -> list[log_port.Record]:
-        """Return the records to append, waiting for some."""
+    @property
+    def has_more(self) -> bool:
+        """Tell whether records wait for a further append."""
         ...
 
-    def order_age_s(self) -> float:
-        """Return the seconds since the last order to an upstream."""
+    def outbox(self, wait_s: float) -> list[log_port.Record]:
+        """Return the records to append, waiting for some."""
         ...
 
 
@@ -76,7 +83,6 @@
         book: book_module.Book,
         follower: follower_module.Follower,
         owned: Owned,
-        order_lease_s: float,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._instance = instance
@@ -86,9 +92,9 @@
         self._book = book
         self._follower = follower
         self._owned = owned
-        self._order_lease_s = order_lease_s
         self._metrics = metrics
         self._started = time.monotonic()
+        self._incarnation = uuid.uuid4().hex[:8]
         self._rng = random.Random()
         self._tenure: Tenure | None = None
         self._sequence = 0
@@ -140,16 +146,23 @@
         owner = self._book.owner
         if owner is None:
             return True
+        if self._was_own(owner.record):
+            # The former process of this instance is dead.
+            return True
         if owner.record.released:
             return self._silence_s(owner) > self._release_delay_s()
-        wait_s = TAKEOVER_S
-        if owner.record.instance != self._instance:
-            wait_s += self._rng.uniform(0, CLAIM_SPREAD_S)
+        wait_s = TAKEOVER_S + self._rng.uniform(0, CLAIM_SPREAD_S)
         return (
             self._silence_s(owner) > wait_s
             and self._follower.contact_length_s > wait_s
         )
 
+    def _was_own(self, record: records.OwnerRecord) -> bool:
+        return (
+            record.instance == self._instance
+            and record.incarnation != self._incarnation
+        )
+
     def _silence_s(self, owner: book_module.OwnerView) -> float:
         return time.monotonic() - owner.seen_at
 
@@ -164,7 +177,9 @@
         if end is None or self._book.owner is not before:
             return
         sent_boot_s = clock.boot_s()
-        owner = records.OwnerRecord(self._instance, end + 1, False, 0.0)
+        owner = records.OwnerRecord(
+            self._instance, self._incarnation, end + 1, False
+        )
         answer = self._log.append(
             self._topic,
             self._partition,
@@ -185,7 +200,7 @@
             return
         # Offsets only grow, so no epoch is used twice.
         if self._fence(answer.offset + 1):
-            self._begin(answer.offset + 1, before, sent_boot_s)
+            self._begin(answer.offset + 1, sent_boot_s)
 
     def _fence(self, epoch: int) -> bool:
         """Shut the former owner out and read all that it appended."""
@@ -216,21 +231,11 @@
             time.sleep(RETRY_S)
             return None
 
-    def _begin(
-        self,
-        epoch: int,
-        before: book_module.OwnerView | None,
-        sent_boot_s: float,
-    ) -> None:
-        lease_s = 0.0
-        if before is not None:
-            lease_s = self._order_lease_s
-            if before.record.released:
-                lease_s -= min(lease_s, before.record.order_age_s)
+    def _begin(self, epoch: int, sent_boot_s: float) -> None:
         self._confirmed_boot_s = sent_boot_s
         # The empty append that fenced the former owner had the first one.
         self._sequence = 1
-        self._tenure = Tenure(epoch, time.monotonic() + lease_s)
+        self._tenure = Tenure(epoch)
         self._owned.begin(self._tenure)
 
     def _hold(self) -> None:
@@ -246,17 +251,14 @@
             if releasing:
                 self._owned.cease()
             if not pending:
-                pending = self._next_records(releasing)
-                is_last = releasing
+                is_last = releasing and not self._owned.has_more
+                pending = self._next_records(is_last)
             outcome = self._append(pending)
             if outcome is log_port.Outcome.DONE:
                 pending = []
                 if is_last:
                     break
-            elif outcome in (
-                log_port.Outcome.FENCED,
-                log_port.Outcome.OUT_OF_SEQUENCE,
-            ):
+            elif outcome in LOST_OUTCOMES:
                 self._owned.cease()
                 break
             else:
@@ -268,14 +270,12 @@
         )
         self._tenure = None
 
-    def _next_records(self, releasing: bool) -> list[log_port.Record]:
-        new = self._owned.outbox(0.0 if releasing else HEARTBEAT_S)
+    def _next_records(self, is_last: bool) -> list[log_port.Record]:
+        wait_s = 0.0 if self._releasing.is_set() else HEARTBEAT_S
+        new = self._owned.outbox(wait_s)
         tenure = typing.cast(Tenure, self._tenure)
         owner = records.OwnerRecord(
-            self._instance,
-            tenure.epoch,
-            releasing,
-            round(self._owned.order_age_s(), 3),
+            self._instance, self._incarnation, tenure.epoch, is_last
         )
         return [*new, records.encode_owner(owner)]
 
--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -12,6 +12,7 @@
 RESULT = 'result'
 END = 'end'
 PROGRESS = 'progress'
+INTENT = 'intent'
 OWNER_KEY = 'owner'
 
 
@@ -44,10 +45,19 @@
     """Name the instance that runs a shard's items and gives its orders."""
 
     instance: str
+    # Tells one process of an instance from the next.
+    incarnation: str
     epoch: int
     released: bool
-    # Seconds since the owner's last order to an upstream.
-    order_age_s: float
+
+
+class Intent(typing.NamedTuple):
+    """Announce an order to an upstream, before it is sent."""
+
+    upstream: str
+    instance: str
+    # Used once.
+    number: str
 
 
 class Results(typing.NamedTuple):
@@ -141,6 +151,18 @@
     return OwnerRecord(**json.loads(value))
 
 
+def encode_intent(intent: Intent) -> log_port.Record:
+    """Return the record that announces an order."""
+    return log_port.Record(
+        f'{INTENT}/{intent.upstream}', _dump([intent.instance, intent.number])
+    )
+
+
+def decode_intent(key: str, value: bytes) -> Intent:
+    """Decode the announcement of an order."""
+    return Intent(key.split('/')[1], *json.loads(value))
+
+
 def encode_progress(progress: Progress) -> log_port.Record:
     """Return a record of events made so far."""
     return log_port.Record(
--- a/baobabpond/edge/batches.py
+++ b/baobabpond/edge/batches.py
@@ -29,6 +29,7 @@
 LOST_CONTACT_S = 2.5
 APPEND_TIMEOUT_S = 0.8
 CALL_BYTES = 1_800_000
+SETTLED_OUTCOMES = (log_port.Outcome.DONE, log_port.Outcome.REJECTED)
 
 LOG = structlog.get_logger(__name__)
 
@@ -178,19 +179,18 @@
             return verdicts.unavailable(
                 'log_away', 'the log is out of reach', RETRY_AFTER_S
             )
-        calls = _split(new)
-        uncertain = False
-        for records_of_call in calls:
+        for records_of_call in _split(new):
             outcome = self._append(records_of_call)
+            if outcome is log_port.Outcome.REJECTED:
+                return verdicts.bad_request(
+                    'too_large', 'an item is larger than the log takes', 413
+                )
             if outcome is log_port.Outcome.UNKNOWN:
                 return verdicts.uncertain(
                     'log_silent', 'the log has not confirmed the batch'
                 )
             if outcome is not log_port.Outcome.DONE:
-                if uncertain:
-                    return verdicts.uncertain(
-                        'log_refused', 'part of the batch was kept'
-                    )
+                # A batch of which parts are missing is none.
                 return verdicts.unavailable(
                     'log_refused', 'the log refused the batch', RETRY_AFTER_S
                 )
@@ -202,7 +202,7 @@
             answer = self._log.append(
                 TOPIC, self._shard.partition, new, timeout_s=APPEND_TIMEOUT_S
             )
-            if answer.outcome is log_port.Outcome.DONE:
+            if answer.outcome in SETTLED_OUTCOMES:
                 return answer.outcome
             LOG.warning(
                 'append of a batch failed',
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -41,6 +41,7 @@
 RELEASE_TIMEOUT_S = 2.0
 READY_CHECK_S = 0.05
 SHARD = 0
+MS_PER_S = 1000
 # Records of many upstreams are read together.
 DIRECTORY_PAUSE_S = 0.1
 
@@ -197,6 +198,8 @@
         protocol = self._platform.upstreams
         upstreams = fleet.Fleet(self._directory)
         self._loader = loader.Loader(
+            self._settings['instance'],
+            self._settings['order_lease_ms'] / MS_PER_S,
             self._book,
             upstreams,
             self._current,
@@ -224,7 +227,6 @@
             self._book,
             self._shard_follower,
             self._pool,
-            self._settings['order_lease_ms'] / 1000,
             self._metrics,
         )
         self._loader.trust(lambda: self._ownership.is_trusted)
--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -5,13 +5,17 @@
 import threading
 import time
 import typing
+import uuid
 
 import structlog
 
+from .. import clock
 from .. import metrics as metrics_module
 from ..batches import book as book_module
 from ..batches import ownership
+from ..batches import records
 from ..catalogue import current as current_module
+from ..ports import log as log_port
 
 from . import fleet as fleet_module
 from . import orders
@@ -23,28 +27,38 @@
 CONCURRENT_SHARE = 0.34
 # Versions that samples may be behind where no batch has told.
 DEFAULT_LAG = 1
+# An order is sent this soon after its announcement, or not at all.
+INTENT_VALID_S = 0.4
 LOG = structlog.get_logger(__name__)
 
 
-class Demand(typing.Protocol):
-    """Tell how many items of each model are unfinished."""
+class Owner(typing.Protocol):
+    """Tell the demand, and have announcements kept."""
 
     def demand(self) -> collections.Counter[str]:
         """Return the unfinished items of each model."""
         ...
 
+    def wake(self) -> None:
+        """Let announcements be kept soon."""
+        ...
+
 
 class Loader:
     """Plan loads and carry them out, one order at a time per upstream."""
 
     def __init__(
         self,
+        instance: str,
+        lease_s: float,
         book: book_module.Book,
         fleet: fleet_module.Fleet,
         current: current_module.CurrentConfiguration,
         desk: orders.OrderDesk,
         metrics: metrics_module.Metrics,
     ) -> None:
+        self._instance = instance
+        self._lease_s = lease_s
         self._book = book
         self._fleet = fleet
         self._current = current
@@ -53,16 +67,18 @@
         self._lock = threading.Lock()
         self._tenure: ownership.Tenure | None = None
         self._is_trusted: typing.Callable[[], bool] = lambda: False
+        self._intents_lock = threading.Lock()
+        self._intents: list[records.Intent] = []
 
     def trust(self, is_trusted: typing.Callable[[], bool]) -> None:
         """Set what tells that no other instance gives orders."""
         self._is_trusted = is_trusted
 
-    def begin(self, tenure: ownership.Tenure, demand: Demand) -> None:
+    def begin(self, tenure: ownership.Tenure, owner: Owner) -> None:
         """Start to load weights."""
         self._tenure = tenure
         threading.Thread(
-            target=self._run, args=(tenure, demand), name='loads', daemon=True
+            target=self._run, args=(tenure, owner), name='loads', daemon=True
         ).start()
 
     def cease(self) -> None:
@@ -71,26 +87,27 @@
         with self._lock:
             self._tenure = None
 
-    def order_age_s(self) -> float:
-        """Return the seconds since the last order to an upstream."""
-        return min(3600.0, time.monotonic() - self._desk.last_sent)
+    def take_intents(self) -> list[log_port.Record]:
+        """Return the announcements that the log shall keep."""
+        with self._intents_lock:
+            intents, self._intents = self._intents, []
+        return [records.encode_intent(intent) for intent in intents]
 
-    def _run(self, tenure: ownership.Tenure, demand: Demand) -> None:
+    def _run(self, tenure: ownership.Tenure, owner: Owner) -> None:
         while self._tenure is tenure:
-            if time.monotonic() >= tenure.orders_from and self._is_trusted():
+            if self._is_trusted():
                 try:
-                    self._plan(tenure, demand.demand())
+                    self._plan(tenure, owner)
                 except Exception:
                     LOG.exception('weights could not be planned')
             time.sleep(TICK_S)
 
-    def _plan(
-        self, tenure: ownership.Tenure, demand: collections.Counter[str]
-    ) -> None:
+    def _plan(self, tenure: ownership.Tenure, owner: Owner) -> None:
         configuration = self._current.configuration
         if configuration is None:
             return
         announced = self._current.versions
+        demand = owner.demand()
         lags = self._lags()
         for service in configuration.services.values():
             targets = [
@@ -105,11 +122,12 @@
             ]
             upstreams = self._fleet.of(service.name)
             if targets and upstreams:
-                self._order(tenure, upstreams, targets)
+                self._order(tenure, owner, upstreams, targets)
 
     def _order(
         self,
         tenure: ownership.Tenure,
+        owner: Owner,
         upstreams: list[work_module.Upstream],
         targets: list[weights.Target],
     ) -> None:
@@ -119,8 +137,7 @@
                 upstream.id,
                 upstream.versions,
                 upstream.load is not None,
-                upstream.orders_not_before <= now
-                and upstream.refused_fence < tenure.epoch,
+                self._may_order(upstream, tenure, now),
                 len(upstream.runs),
                 upstream.entry.slots,
             )
@@ -135,7 +152,7 @@
             )
             threading.Thread(
                 target=self._carry_out,
-                args=(tenure, upstream, planned),
+                args=(tenure, owner, upstream, planned),
                 name=f'load-{upstream.id}',
                 daemon=True,
             ).start()
@@ -143,6 +160,7 @@
     def _carry_out(
         self,
         tenure: ownership.Tenure,
+        owner: Owner,
         upstream: work_module.Upstream,
         planned: weights.PlannedLoad,
     ) -> None:
@@ -175,6 +193,55 @@
             upstream.orders_not_before = now + orders.BACK_OFF_S
         upstream.load = None
 
+    def _may_order(
+        self,
+        upstream: work_module.Upstream,
+        tenure: ownership.Tenure,
+        now: float,
+    ) -> bool:
+        """Tell whether an order would keep the lease of another holder."""
+        if upstream.orders_not_before > now:
+            return False
+        if upstream.refused_fence >= tenure.epoch:
+            return False
+        last = self._book.intent(upstream.id)
+        if last is None or last.intent.instance == self._instance:
+            return True
+        return now - last.seen_at > self._lease_s + INTENT_VALID_S
+
+    def _announce(
+        self,
+        upstream: work_module.Upstream,
+        tenure: ownership.Tenure,
+        owner: Owner,
+    ) -> bool:
+        """Announce an order; tell whether it may be sent now.
+
+        The next owner reads the announcement, and so knows when the lease of
+        this one's orders ends.
+        """
+        announced = clock.boot_s()
+        intent = records.Intent(
+            upstream.id, self._instance, uuid.uuid4().hex[:8]
+        )
+        with self._intents_lock:
+            self._intents.append(intent)
+        owner.wake()
+        while clock.boot_s() - announced < INTENT_VALID_S:
+            revision = self._book.revision
+            last = self._book.intent(upstream.id)
+            if last is not None and last.intent == intent:
+                break
+            self._book.wait_change(revision, TICK_S)
+        else:
+            LOG.info('order put off: not announced', upstream=upstream.id)
+            return False
+        return (
+            self._tenure is tenure
+            and self._is_trusted()
+            and clock.boot_s() - announced < INTENT_VALID_S
+        )
+
     def _has_single_version(self, upstream: work_module.Upstream) -> bool:
         configuration = self._current.configuration
         if configuration is None:
--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -57,7 +57,6 @@
         self._protocol = protocol
         self._connections = connections
         self._metrics = metrics
-        self.last_sent = float('-inf')
 
     def carry_out(
         self,
@@ -159,7 +158,6 @@
     ) -> int | None:
         headers, body = self._protocol.order(order)
         headers = [('Host', _host(upstream)), *headers]
-        self.last_sent = time.monotonic()
         self._metrics.count('orders.sent')
         answer = self._call(
             upstream, 'POST', self._protocol.order_target, headers, body
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -18,6 +18,7 @@
 
 from . import fleet as fleet_module
 from . import loader as loader_module
+from . import outbox as outbox_module
 from . import placement
 from . import priority
 from . import rescue
@@ -26,9 +27,6 @@
 
 TICK_S = 0.05
 RESCUE_S = 0.1
-PROGRESS_S = 0.5
-# Records of one append stay well below a call's limit.
-OUTBOX_BYTES = 1_000_000
 SUSPEND_S = 0.15
 SUSPEND_UNREACHABLE_S = 1.0
 MOST_SUSPEND_S = 4.0
@@ -67,11 +65,9 @@
         self._route_lost: dict[str, float] = {}
         # Events of items whose batch ended before they did.
         self._leftovers: dict[str, book_module.Text] = {}
-        self._finished: list[work_module.Work] = []
-        self._kept_keys: list[str] = []
-        self._result_number = 0
+        self._outbox = outbox_module.Outbox(book)
+        self._is_urgent = False
         self._text_number = 0
-        self._progress_at = 0.0
         self._rescue_at = 0.0
         self._pace = work_module.Pace(metrics)
 
@@ -82,9 +78,7 @@
             self._epoch = tenure.epoch
             self._works.clear()
             self._known.clear()
-            self._finished.clear()
-            self._kept_keys.clear()
-            self._result_number = 0
+            self._outbox.begin(tenure.epoch)
         threading.Thread(
             target=self._run, args=(tenure,), name='pool', daemon=True
         ).start()
@@ -100,25 +94,30 @@
             for work in self._works.values():
                 if work.run is not None:
                     work.run.cancel('ownership ended')
-            self._progress_at = 0.0
+            self._outbox.want_progress()
             self._changed.notify_all()
 
+    @property
+    def has_more(self) -> bool:
+        """Tell whether results wait for a further append."""
+        with self._changed:
+            return self._outbox.has_results
+
     def outbox(self, wait_s: float) -> list[log_port.Record]:
         """Return the records to append, waiting for some."""
         with self._changed:
-            self._changed.wait_for(lambda: bool(self._finished), wait_s)
-            finished, self._finished = self._finished, []
-            new = self._result_records(finished)
-            new += [records.removal(key) for key in self._kept_keys]
-            self._kept_keys.clear()
-            if time.monotonic() >= self._progress_at:
-                self._progress_at = time.monotonic() + PROGRESS_S
-                new += self._progress_records()
-        return new
-
-    def order_age_s(self) -> float:
-        """Return the seconds since the last order to an upstream."""
-        return self._loader.order_age_s()
+            self._changed.wait_for(
+                lambda: self._outbox.has_results or self._is_urgent, wait_s
+            )
+            self._is_urgent = False
+            intents = self._loader.take_intents()
+            return intents + self._outbox.take(self._works.values())
+
+    def wake(self) -> None:
+        """Let the outbox be emptied soon."""
+        with self._changed:
+            self._is_urgent = True
+            self._changed.notify_all()
 
     def demand(self) -> collections.Counter[str]:
         """Return the unfinished items of each model."""
@@ -492,53 +491,9 @@
 
     def _finish(self, work: work_module.Work, result: callers.Result) -> None:
         work.result = result
-        self._finished.append(work)
+        self._outbox.add(work)
         self._changed.notify_all()
 
-    def _result_records(
-        self, finished: list[work_module.Work]
-    ) -> list[log_port.Record]:
-        by_batch: dict[str, list[callers.Result]] = {}
-        for work in finished:
-            if work.result is None:
-                continue
-            by_batch.setdefault(work.batch.head.id, []).append(work.result)
-            self._kept_keys += self._book.progress_keys(work.id)
-        new = []
-        for batch, results in by_batch.items():
-            self._result_number += 1
-            new.append(
-                records.encode_results(
-                    records.Results(batch, results),
-                    f'{self._epoch}.{self._result_number}',
-                )
-            )
-        return new
-
-    def _progress_records(self) -> list[log_port.Record]:
-        """Return the events that the log does not keep yet."""
-        new = []
-        size = 0
-        for work in self._works.values():
-            fresh = work.events[work.kept_events :]
-            if work.result is not None or not fresh:
-                continue
-            record = records.encode_progress(
-                records.Progress(
-                    work.id,
-                    work.text,
-                    work.kept_events + 1,
-                    [data for data, _ in fresh],
-                    [version for _, version in fresh],
-                )
-            )
-            size += len(record.value)
-            if size > OUTBOX_BYTES:
-                break
-            new.append(record)
-            work.kept_events = len(work.events)
-        return new
-
 
 def _fits(text: book_module.Text, work: work_module.Work) -> bool:
     """Tell whether an item may go on from a text."""
--- a/baobabpond/ports/log.py
+++ b/baobabpond/ports/log.py
@@ -10,6 +10,8 @@
     DONE = 'done'
     # Nothing was written, and nothing will be.
     REFUSED = 'refused'
+    # The log never takes such records; nothing was written.
+    REJECTED = 'rejected'
     # The partition did not end at the expected offset; nothing was written.
     CONFLICT = 'conflict'
     # A later epoch has been used; nothing was written.
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -56,6 +56,8 @@
     @property
     def contact_length_s(self) -> float:
         """Return for how long the log has answered without a failure."""
+        if self._contact_since == float('-inf'):
+            return 0.0
         return time.monotonic() - self._contact_since
 
     def start(self) -> None:
@@ -132,6 +134,7 @@
         )
         self._position = position
         self._metrics.count('log.loads')
+        self._note_contact()
 
     def _expire(self, position: int | None) -> None:
         with self._lock:
