--- a/baobabpond/batches/book.py
+++ b/baobabpond/batches/book.py
@@ -55,6 +55,8 @@
         self.results: list[callers.Result] = []
         self.listed: set[str] = set()
         self.ended = False
+        # Keys of the records that hold the batch.
+        self.keys: set[str] = set()
         self._by_id = {item.id: item for item in items}
 
     @property
@@ -88,11 +90,12 @@
         self._progress: dict[str, dict[str, records.Progress]] = (
             collections.defaultdict(dict)
         )
-        self._early_results: dict[str, list[records.Results]] = (
+        self._early_results: dict[str, list[tuple[str, records.Results]]] = (
             collections.defaultdict(list)
         )
         self._completed: dict[str, callers.Result] = {}
-        self._ended_early: set[str] = set()
+        # Keys of ends that stand before their batch.
+        self._early_ends: dict[str, list[str]] = {}
         self._owner: OwnerView | None = None
         self._intents: dict[str, IntentView] = {}
         self._revision = 0
@@ -192,9 +195,11 @@
         elif kind == records.BATCH:
             self._add_part(records.decode_batch(record.value), is_snapshot)
         elif kind == records.RESULT:
-            self._add_results(records.decode_results(record.key, record.value))
+            self._add_results(
+                record.key, records.decode_results(record.key, record.value)
+            )
         elif kind == records.END:
-            self._end(record.key.split('/')[1])
+            self._end(record.key)
         elif kind == records.PROGRESS:
             progress = records.decode_progress(record.key, record.value)
             self._progress[progress.item][record.key] = progress
@@ -223,17 +228,22 @@
         if is_snapshot:
             age_s = max(0.0, time.time() - part.head.submitted_at)
         batch = Batch(part.head, items, time.monotonic() - age_s)
-        batch.ended = batch_id in self._ended_early
+        batch.ended = batch_id in self._early_ends
+        batch.keys.update(
+            records.batch_key(batch_id, number) for number in parts
+        )
+        batch.keys.update(self._early_ends.pop(batch_id, ()))
         self._batches[batch_id] = batch
-        for results in self._early_results.pop(batch_id, ()):
-            self._add_results(results)
+        for key, results in self._early_results.pop(batch_id, ()):
+            self._add_results(key, results)
 
-    def _add_results(self, results: records.Results) -> None:
+    def _add_results(self, key: str, results: records.Results) -> None:
         batch = self._batches.get(results.batch)
         if batch is None:
             # A batch that was appended again has a higher offset now.
-            self._early_results[results.batch].append(results)
+            self._early_results[results.batch].append((key, results))
             return
+        batch.keys.add(key)
         for result in results.results:
             if not batch.add(result):
                 continue
@@ -241,21 +251,24 @@
                 self._completed[result.id] = result
             self._progress.pop(result.id, None)
 
-    def _end(self, batch_id: str) -> None:
+    def _end(self, key: str) -> None:
+        batch_id = key.split('/')[1]
         batch = self._batches.get(batch_id)
         if batch is None:
-            self._ended_early.add(batch_id)
+            self._early_ends[batch_id] = [key]
         else:
             batch.ended = True
+            batch.keys.add(key)
 
     def _remove(self, kind: str, key: str) -> None:
         parts = key.split('/')
-        if kind == records.BATCH:
+        if kind == records.END:
+            self._early_ends.pop(parts[1], None)
+        elif kind == records.BATCH:
             batch = self._batches.pop(parts[1], None)
             for result in batch.results if batch else ():
                 if self._completed.get(result.id) is result:
                     del self._completed[result.id]
-            self._ended_early.discard(parts[1])
         elif kind == records.PROGRESS:
             segments = self._progress.get(parts[1])
             if segments is not None:
--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -95,13 +95,18 @@
         size += length
     return [
         log_port.Record(
-            f'{BATCH}/{head.id}/{number}',
+            batch_key(head.id, number),
             _dump([list(head), len(parts), number, part]),
         )
         for number, part in enumerate(parts)
     ]
 
 
+def batch_key(batch: str, number: int) -> str:
+    """Return the key of a part of a batch."""
+    return f'{BATCH}/{batch}/{number}'
+
+
 def decode_batch(value: bytes) -> BatchPart:
     """Decode a part of a batch."""
     head, parts, number, items = json.loads(value)
--- /dev/null
+++ b/baobabpond/batches/retention.py
@@ -0,0 +1,32 @@
+"""Find what the log need not keep any more.
+
+Keyed records stay until they are removed, so old batches would fill the log.
+"""
+
+import collections.abc
+
+from . import book as book_module
+
+# Callers may read a little later than they are promised.
+MARGIN_S = 30.0
+# Keys removed by one append.
+MOST_KEYS = 400
+
+
+def expired_keys(
+    book: book_module.Book,
+    batches: collections.abc.Iterable[book_module.Batch],
+    now: float,
+    status_s: float,
+) -> list[str]:
+    """Return the keys of closed batches that nobody may read any more."""
+    keys: list[str] = []
+    for batch in batches:
+        if batch.is_open or now - batch.submitted < status_s + MARGIN_S:
+            continue
+        for item in batch.items:
+            keys += book.progress_keys(item.id)
+        keys += sorted(batch.keys)
+        if len(keys) >= MOST_KEYS:
+            break
+    return keys[:MOST_KEYS]
--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -57,6 +57,12 @@
             exchange.close_after()
         try:
             self._dispatch(exchange)
+        except server.BodyError as error:
+            LOG.info('body refused', error=str(error), status=error.status)
+            answers.send_refusal(
+                exchange,
+                verdicts.bad_request('bad_body', str(error), error.status),
+            )
         except OSError as error:
             LOG.info('connection of a caller failed', error=repr(error))
             raise
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -5,6 +5,7 @@
 import threading
 import typing
 
+from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 import structlog
 
@@ -22,6 +23,14 @@
 Headers = list[tuple[str, str]]
 
 
+class BodyError(Exception):
+    """Report a body that can't be read."""
+
+    def __init__(self, message: str, status: int) -> None:
+        super().__init__(message)
+        self.status = status
+
+
 class Exchange:
     """Hold one request of a caller and write its answer."""
 
@@ -54,8 +63,28 @@
         return self._request.conn.socket
 
     def read_body(self) -> bytes:
-        """Read the whole body; raise OSError or ValueError if it is cut."""
-        return self._request.rfile.read()
+        """Read the whole body; raise BodyError if it is wrong."""
+        headers = self._request.inheaders
+        if b'Content-Length' in headers and b'Transfer-Encoding' in headers:
+            # Two lengths let one request hide in another.
+            raise self._bad_body(BodyError('two lengths are given', 400))
+        try:
+            body = self._request.rfile.read()
+        except cheroot_errors.MaxSizeExceeded as error:
+            raise self._bad_body(
+                BodyError('the body is too large', 413)
+            ) from error
+        except ValueError as error:
+            raise self._bad_body(BodyError(str(error), 400)) from error
+        length = headers.get(b'Content-Length')
+        if length is not None and len(body) < int(length):
+            raise self._bad_body(BodyError('the body is cut', 400))
+        return body
+
+    def _bad_body(self, error: 'BodyError') -> 'BodyError':
+        # What follows on the connection can't be told from the body.
+        self._request.close_connection = True
+        return error
 
     def answer(
         self,
@@ -111,6 +140,29 @@
         ]
 
 
+class Request(cheroot_server.HTTPRequest):
+    """Refuse headers that are too large with their own status."""
+
+    def simple_response(self, status: str, msg: str = '') -> None:
+        """Write an answer of the server itself."""
+        if str(status).startswith('413') and 'headers' in msg:
+            self.close_connection = True
+            status = '431 Request Header Fields Too Large'
+        super().simple_response(status, msg)
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """Bound how long a caller may take to send a request."""
+
+    RequestHandlerClass = Request
+
+    def __init__(
+        self, server: 'Server', sock: socket.socket, *arguments: typing.Any
+    ) -> None:
+        super().__init__(server, sock, *arguments)
+        sock.settimeout(server.request_timeout_s)
+
+
 Handler = collections.abc.Callable[[Exchange], None]
 
 
@@ -127,6 +179,7 @@
     """Serve a handler with a thread for each request in flight."""
 
     keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
+    ConnectionClass = Connection
 
     def __init__(
         self,
@@ -154,7 +207,9 @@
         """Set what callers may send."""
         self.max_request_header_size = limits.header_bytes
         self.max_request_body_size = limits.body_bytes
+        # Between requests; within one the shorter time holds.
         self.timeout = limits.idle_timeout_s
+        self.request_timeout_s = limits.header_timeout_s
 
     def start_task(self, name: str) -> None:
         """Serve in a task of its own."""
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -26,6 +26,7 @@
 from .pool import pool as pool_module
 from .pool import runner
 from .ports import catalogue
+from .ports import log as log_port
 from .ports import platforms
 from .store import follower as follower_module
 from .store import relay
@@ -100,9 +101,11 @@
         """Ask the instance to drain and leave."""
         self._leave_requested.set()
 
-    def request_reload(self) -> None:
-        """Ask the instance to read its settings again."""
-        LOG.info('reload requested')
+    def take_settings(self, settings: host_schema.HostSettings) -> None:
+        """Take new settings; addresses change with the next start."""
+        self._settings = settings
+        self._loader.take_lease(settings['order_lease_ms'] / MS_PER_S)
+        self._pool.take_status_s(settings['status_s'])
 
     def run_until_left(self) -> bool:
         """Wait for the request to leave, and drain; tell if all ended."""
@@ -129,6 +132,14 @@
         LOG.info('left', drained=drained)
         return drained
 
+    def _take_configuration(
+        self, records: list[log_port.Record], is_snapshot: bool
+    ) -> None:
+        self._current.apply(records, is_snapshot)
+        configuration = self._current.configuration
+        if configuration is not None:
+            self._servers[0].set_limits(configuration.limits)
+
     def _build_catalogue(self) -> None:
         operator = self._platform.operator
         self._current = current_module.CurrentConfiguration(operator)
@@ -149,7 +160,7 @@
         self._log.find_peers(self._peer_addresses)
         self._book = book_module.Book()
         self._operator_follower = self._follow(
-            operator.configuration_topic, 0, self._current.apply
+            operator.configuration_topic, 0, self._take_configuration
         )
         self._upstreams_follower = self._follow(
             operator.upstreams_topic,
@@ -217,6 +228,7 @@
             self._current,
             runner.Runner(protocol, self._connections, self._metrics),
             self._loader,
+            self._settings['status_s'],
             self._metrics,
         )
         self._ownership = ownership.Ownership(
--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -87,6 +87,10 @@
         with self._lock:
             self._tenure = None
 
+    def take_lease(self, lease_s: float) -> None:
+        """Take the least time between the orders of two holders."""
+        self._lease_s = lease_s
+
     def take_intents(self) -> list[log_port.Record]:
         """Return the announcements that the log shall keep."""
         with self._intents_lock:
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -10,6 +10,7 @@
 from ..batches import book as book_module
 from ..batches import ownership
 from ..batches import records
+from ..batches import retention
 from ..catalogue import current as current_module
 from ..ports import callers
 from ..ports import catalogue
@@ -27,6 +28,7 @@
 
 TICK_S = 0.05
 RESCUE_S = 0.1
+RETENTION_S = 5.0
 SUSPEND_S = 0.15
 SUSPEND_UNREACHABLE_S = 1.0
 MOST_SUSPEND_S = 4.0
@@ -49,8 +51,11 @@
         current: current_module.CurrentConfiguration,
         runner: runner_module.Runner,
         loader: loader_module.Loader,
+        status_s: float,
         metrics: metrics_module.Metrics,
     ) -> None:
+        self._status_s = status_s
+        self._retention_at = 0.0
         self._book = book
         self._fleet = fleet
         self._current = current
@@ -71,6 +76,10 @@
         self._rescue_at = 0.0
         self._pace = work_module.Pace(metrics)
 
+    def take_status_s(self, status_s: float) -> None:
+        """Take how long batches can be read."""
+        self._status_s = status_s
+
     def begin(self, tenure: ownership.Tenure) -> None:
         """Start the work of a tenure."""
         with self._changed:
@@ -110,8 +119,21 @@
                 lambda: self._outbox.has_results or self._is_urgent, wait_s
             )
             self._is_urgent = False
-            intents = self._loader.take_intents()
-            return intents + self._outbox.take(self._works.values())
+            new = self._loader.take_intents()
+            new += self._outbox.take(self._works.values())
+            return new + self._removals()
+
+    def _removals(self) -> list[log_port.Record]:
+        now = time.monotonic()
+        if now < self._retention_at:
+            return []
+        self._retention_at = now + RETENTION_S
+        keys = retention.expired_keys(
+            self._book, self._book.all_batches(), now, self._status_s
+        )
+        if keys:
+            LOG.info('old records are removed', keys=len(keys))
+        return [records.removal(key) for key in keys]
 
     def wake(self) -> None:
         """Let the outbox be emptied soon."""
--- a/baobabpond/ui/serve.py
+++ b/baobabpond/ui/serve.py
@@ -9,6 +9,7 @@
 from .. import instance as instance_module
 from .. import logs
 from ..settings import check
+from ..settings import watch
 
 NOT_DRAINED_EXIT_CODE = 5
 # Environment variable that holds the path of the settings.
@@ -19,16 +20,22 @@
 
 def host(config: str | None) -> None:
     """Serve on a platform until told to leave, or raise UserError."""
-    settings = check.load_host(config or os.environ.get(CONFIG_VARIABLE))
-    logs.configure(settings['log_level'], settings['instance'], sys.stdout)
+    path = config or os.environ.get(CONFIG_VARIABLE)
+    settings = check.load_host(path)
+    output = logs.BoundedOutput(sys.stdout)
+    logs.configure(settings['log_level'], settings['instance'], output)
     try:
         instance = host_module.Host(settings)
-        signal.signal(signal.SIGHUP, lambda *_: instance.request_reload())
+        watched = watch.SettingsFile(str(path), instance.take_settings)
+        signal.signal(signal.SIGHUP, lambda *_: watched.ask())
+        watched.start()
         _run(instance)
     except OSError as error:
         raise errors.UserError(
             f'cannot listen on {settings["address"]}: {error}', exit_code=3
         ) from error
+    finally:
+        output.close()
 
 
 def serve(config: str | None) -> None:
--- a/test/emulator/test_requests.py
+++ b/test/emulator/test_requests.py
@@ -1,5 +1,6 @@
 """Test ordinary requests and streams on the emulated platform."""
 
+import socket
 import threading
 import time
 
@@ -163,3 +164,50 @@
             sampler.cut_after = 1
         reply = self.stream('cut')
         self.assertEqual(0, reply.status)
+
+
+class LimitTest(base.WorldCase):
+    """Send what goes beyond the limits."""
+
+    INSTANCES = 1
+
+    def raw(self, data: bytes, timeout_s: float = 6.0) -> bytes:
+        """Send bytes and return the start of the answer."""
+        host, port = self.world.addresses()[0].rsplit(':', 1)
+        with socket.create_connection((host, int(port)), timeout_s) as sock:
+            sock.sendall(data)
+            return sock.recv(64)
+
+    def head(self, extra: str) -> bytes:
+        """Return the head of a request."""
+        return (
+            f'POST {world_module.LOOKUPS}a HTTP/1.1\r\n'
+            f'Host: {world_module.HOST}\r\nX-Request-Id: q\r\n{extra}\r\n'
+        ).encode()
+
+    def test_refusals_of_wrong_requests(self) -> None:
+        """Each wrong request gets its status at once."""
+        cases = {
+            b'431': self.head('X-Big: ' + 'x' * 20_000 + '\r\n'),
+            b'413': self.head('Content-Length: 99999999\r\n'),
+            b'400': self.head('Content-Length: many\r\n'),
+        }
+        for status, data in cases.items():
+            with self.subTest(status=status):
+                self.assertIn(b' ' + status + b' ', self.raw(data))
+
+    def test_two_lengths_are_refused(self) -> None:
+        """A request with two lengths can't hide another one."""
+        data = self.head('Content-Length: 5\r\nTransfer-Encoding: chunked\r\n')
+        self.assertIn(b' 400 ', self.raw(data + b'0\r\n\r\n'))
+        self.assertEqual([], self.world.ledger.of('q'))
+
+    def test_slow_head_is_ended(self) -> None:
+        """A head that does not come to its end is answered 408."""
+        self.assertIn(b' 408 ', self.raw(self.head('')[:-10]))
+
+    def test_chunked_body_arrives_whole(self) -> None:
+        """A body in chunks reaches the upstream as it was."""
+        data = self.head('Transfer-Encoding: chunked\r\n')
+        answer = self.raw(data + b'3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n')
+        self.assertIn(b' 200 ', answer)
--- /dev/null
+++ b/test/settings/test_host.py
@@ -0,0 +1,84 @@
+"""Test the settings of an instance on a platform, and how they change."""
+
+import json
+import pathlib
+import re
+import tempfile
+import unittest
+
+from baobabpond import errors
+from baobabpond.settings import check
+from baobabpond.settings import watch
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SETTINGS = {
+    'instance': 'a',
+    'data_centre': 'd',
+    'region': 'r',
+    'address': '127.0.0.1',
+    'callers_listen': '127.0.0.1:1',
+    'ready_listen': '127.0.0.1:2',
+    'entries_listen': '127.0.0.1:3',
+    'metrics_port': 4,
+    'peer_port': 5,
+    'plugin_folder': 'platform',
+    'plugin': 'p',
+    'store_address': '127.0.0.1:6',
+    'parts': 12,
+    'order_lease_ms': 3000,
+    'grace_s': 8,
+    'status_s': 120,
+    'longest_validity_s': 5,
+    'memory_mb': 200,
+    'log_level': 'info',
+}
+
+
+class HostSettingsTest(unittest.TestCase):
+    """Check and follow the settings."""
+
+    def setUp(self) -> None:
+        """Write a settings file."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / 'host.json5'
+        self.write(SETTINGS)
+        self.taken: list[object] = []
+
+    def write(self, settings: dict[str, object]) -> None:
+        """Write settings."""
+        self.path.write_text('// note\n' + json.dumps(settings))
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        """New fields of the platform do no harm."""
+        self.write({**SETTINGS, 'new_field': [1]})
+        self.assertEqual('a', check.load_host(str(self.path))['instance'])
+
+    def test_wrong_fields_are_named(self) -> None:
+        """An error names the field and what is allowed."""
+        self.write({**SETTINGS, 'grace_s': 'soon'})
+        with self.assertRaisesRegex(errors.UserError, 'grace_s'):
+            check.load_host(str(self.path))
+
+    def test_change_is_taken_once(self) -> None:
+        """A changed file is taken, an unchanged one is not."""
+        watched = watch.SettingsFile(str(self.path), self.taken.append)
+        self.assertFalse(watched.look())
+        self.write({**SETTINGS, 'grace_s': 9})
+        self.assertTrue(watched.look())
+        self.assertFalse(watched.look())
+        self.assertEqual(1, len(self.taken))
+
+    def test_wrong_change_is_not_taken(self) -> None:
+        """The old settings stay if the new ones are wrong."""
+        watched = watch.SettingsFile(str(self.path), self.taken.append)
+        self.path.write_text('{')
+        self.assertFalse(watched.look())
+        self.assertEqual([], self.taken)
+
+    def test_template_has_every_setting(self) -> None:
+        """The platform's template names what the schema requires."""
+        template = (ROOT / 'deploy' / 'settings.json5').read_text()
+        named = set(re.findall(r'^  (\w+):', template, re.MULTILINE))
+        schema = check.load_schema('host')
+        self.assertEqual(set(schema['required']), named)
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -1,6 +1,7 @@
 """Run the checks and close with a line that counts them."""
 
 import argparse
+from concurrent import futures
 import json
 import pathlib
 import subprocess
@@ -189,14 +190,20 @@
     options, rest = arguments.parse_known_args()
     started = time.monotonic()
     outcomes: list[Outcome] = []
+    beside = None
     if options.part == 'all':
+        # Scenarios mostly wait for processes; the rest runs meanwhile.
+        executor = futures.ThreadPoolExecutor(max_workers=1)
+        beside = executor.submit(scenarios, [])
         outcomes += lint()
     if options.part in ('all', 'unit'):
         outcomes += units(rest)
     if options.part in ('all', 'models'):
         outcomes += model_checks()
-    if options.part in ('all', 'scenarios'):
-        outcomes += scenarios(rest if options.part == 'scenarios' else [])
+    if options.part == 'scenarios':
+        outcomes += scenarios(rest)
+    if beside is not None:
+        outcomes += beside.result()
     print(f'took {time.monotonic() - started:.0f} s')
     sys.exit(summarize(outcomes))
 
