--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -50,7 +50,7 @@
         ]
 
     def choices(
-        self, service: str, work: work_module.Work
+        self, service: str, work: work_module.Work, memory_tokens: int = 0
     ) -> list[placement.Choice]:
         """Return where an item may run now."""
         now = time.monotonic()
@@ -61,6 +61,7 @@
                 len(upstream.runs),
                 _slots(upstream),
                 _holds_prompt(upstream, work),
+                _memory(upstream, work, memory_tokens),
             )
             for upstream in self.of(service)
             if upstream.suspended_until <= now and _may_run(upstream, work)
@@ -98,3 +99,14 @@
     return bool(group) and any(
         run.work.item.group == group for run in upstream.runs
     )
+
+
+def _memory(
+    upstream: work_module.Upstream, work: work_module.Work, tokens: int
+) -> float:
+    """Return the share of memory that the runs and one item will need."""
+    if tokens <= 0:
+        return 0.0
+    needed = work.memory_tokens
+    needed += sum(run.work.memory_tokens for run in upstream.runs)
+    return needed / tokens
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -1,4 +1,4 @@
-"""Choose the upstream of an item. Answers uneven load and speed."""
+"""Choose the upstream of an item. Answers uneven load, speed and memory."""
 
 import typing
 
@@ -6,6 +6,9 @@
 FULL_SLOWDOWN = 0.25
 # An upstream that holds the group's prompt may be this much slower.
 PROMPT_BONUS = 0.9
+# Runs reach their full size at different times; far beyond this they push
+# each other out of memory and are read in again.
+MEMORY_SHARE = 1.6
 
 
 class Choice(typing.NamedTuple):
@@ -17,6 +20,18 @@
     running: int
     slots: int
     holds_prompt: bool
+    # Share of the upstream's memory that its runs and this item will need.
+    memory: float = 0.0
+
+    @property
+    def is_free(self) -> bool:
+        """Tell whether one more item may run.
+
+        An item that no memory holds runs alone.
+        """
+        if self.running >= self.slots:
+            return False
+        return self.running == 0 or self.memory <= MEMORY_SHARE
 
 
 def cost(choice: Choice) -> float:
@@ -28,7 +43,7 @@
 
 def choose(choices: list[Choice]) -> str | None:
     """Return the upstream with the lowest cost that has a free slot."""
-    free = [choice for choice in choices if choice.running < choice.slots]
+    free = [choice for choice in choices if choice.is_free]
     if not free:
         return None
     return min(free, key=cost).upstream
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -315,8 +315,10 @@
             return None
         gaps = [
             choice.gap_s
-            for choice in self._fleet.choices(service, work)
-            if choice.running < choice.slots and choice.upstream != present.id
+            for choice in self._fleet.choices(
+                service, work, self._memory_tokens(service)
+            )
+            if choice.is_free and choice.upstream != present.id
         ]
         return min(gaps, default=None)
 
@@ -326,6 +328,12 @@
             return None
         return current_module.pick_service(route, work.id)
 
+    def _memory_tokens(self, service: str) -> int:
+        configuration = self._current.configuration
+        if configuration is None or service not in configuration.services:
+            return 0
+        return configuration.services[service].memory_tokens
+
     def _assign(self) -> None:
         """Start waiting items, the most pressing first."""
         now = time.monotonic()
@@ -373,7 +381,9 @@
             self._terminate(work, 'too old')
             return
         service = current_module.pick_service(route, work.id)
-        choices = self._fleet.choices(service, work)
+        choices = self._fleet.choices(
+            service, work, self._memory_tokens(service)
+        )
         chosen = placement.choose(choices)
         if chosen is not None:
             upstream = self._fleet.find(chosen)
--- a/baobabpond/pool/work.py
+++ b/baobabpond/pool/work.py
@@ -79,6 +79,14 @@
         """Return the model whose weights run the item."""
         return self.batch.head.model
 
+    @property
+    def memory_tokens(self) -> int:
+        """Return the tokens that a run is expected to hold at its end."""
+        item = self.item
+        if item.expected_tokens <= 0:
+            return item.tokens
+        return min(item.tokens, item.prompt_tokens + item.expected_tokens)
+
     @property
     def required_version(self) -> int:
         """Return the one version that may go on with the item, 0 for any."""
--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -42,6 +42,7 @@
     group: str
     # Expected output tokens; 0 where the caller has no estimate.
     expected_tokens: int
+    prompt_tokens: int = 0
 
 
 class Submission(typing.NamedTuple):
--- a/test/emulator/test_weights.py
+++ b/test/emulator/test_weights.py
@@ -9,6 +9,8 @@
 LEASE_S = 1.5
 # An order may be under way when its sender is frozen.
 SLACK_S = 0.3
+# The users want new weights on all samplers by then.
+EVERYWHERE_S = 34.0
 
 
 class WeightsTest(base.WorldCase):
@@ -31,7 +33,7 @@
             batch = self.batch(step, min_version=max(1, step - 1))
             self.submit(batch)
             self.finish(batch)
-        self.assertGreaterEqual(max(self.versions()), 4)
+        world_module.wait_for(lambda: min(self.versions()) == 4, EVERYWHERE_S)
 
     def test_step_waits_for_its_version(self) -> None:
         """A batch that allows no lag runs once the weights are there."""
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -1,7 +1,6 @@
 """Run the checks and close with a line that counts them."""
 
 import argparse
-from concurrent import futures
 import json
 import pathlib
 import subprocess
@@ -96,10 +95,15 @@
     return result.outcomes
 
 
-def scenarios(arguments: list[str]) -> list[Outcome]:
-    """Run the scenarios with real processes."""
-    with tempfile.NamedTemporaryFile(suffix='.json') as report:
-        subprocess.run(
+class ScenarioRun:
+    """Run the scenarios in a process of their own."""
+
+    def __init__(self, arguments: list[str]) -> None:
+        # Beside unit tests that pause this process's clock, so that only
+        # the other process may keep time until they are done.
+        self._report = tempfile.NamedTemporaryFile(suffix='.json')
+        self._output = tempfile.TemporaryFile('w+', errors='replace')
+        self._process = subprocess.Popen(
             [
                 sys.executable,
                 '-m',
@@ -111,18 +115,24 @@
                 '--outfile',
                 '/dev/stdout',
                 '--outfile',
-                report.name,
+                self._report.name,
                 *arguments,
                 'scenarios',
             ],
             cwd=ROOT,
-            timeout=SCENARIO_TIMEOUT_S,
-            check=False,
+            stdout=self._output,
+            stderr=subprocess.STDOUT,
         )
-        text = pathlib.Path(report.name).read_text(encoding='utf-8')
-    if not text.strip():
-        return [Outcome('scenarios', False, 'behave gave no report')]
-    return _scenario_outcomes(json.loads(text))
+
+    def finish(self) -> list[Outcome]:
+        """Wait for the scenarios and return their ends."""
+        self._process.wait(SCENARIO_TIMEOUT_S)
+        self._output.seek(0)
+        print(self._output.read())
+        text = pathlib.Path(self._report.name).read_text(encoding='utf-8')
+        if not text.strip():
+            return [Outcome('scenarios', False, 'behave gave no report')]
+        return _scenario_outcomes(json.loads(text))
 
 
 def _scenario_outcomes(features: typing.Any) -> list[Outcome]:
@@ -190,20 +200,19 @@
     options, rest = arguments.parse_known_args()
     started = time.monotonic()
     outcomes: list[Outcome] = []
-    beside = None
+    scenarios = None
     if options.part == 'all':
         # Scenarios mostly wait for processes; the rest runs meanwhile.
-        executor = futures.ThreadPoolExecutor(max_workers=1)
-        beside = executor.submit(scenarios, [])
+        scenarios = ScenarioRun([])
         outcomes += lint()
     if options.part in ('all', 'unit'):
         outcomes += units(rest)
     if options.part in ('all', 'models'):
         outcomes += model_checks()
     if options.part == 'scenarios':
-        outcomes += scenarios(rest)
-    if beside is not None:
-        outcomes += beside.result()
+        scenarios = ScenarioRun(rest)
+    if scenarios is not None:
+        outcomes += scenarios.finish()
     print(f'took {time.monotonic() - started:.0f} s')
     sys.exit(summarize(outcomes))
 
