--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -19,7 +19,7 @@
 from .gen import host as host_schema
 from .gen.peer import LogRelay
 from .members import roster as roster_module
-from .peers import server as peer_server
+from .peers import listen
 from .pool import fleet
 from .pool import loader
 from .pool import orders
@@ -43,7 +43,7 @@
 READY_CHECK_S = 0.05
 SHARD = 0
 MS_PER_S = 1000
-# Records of many upstreams are read together.
+# Records of many upstreams or instances are read together.
 DIRECTORY_PAUSE_S = 0.1
 
 LOG = structlog.get_logger(__name__)
@@ -73,7 +73,7 @@
     def start(self) -> None:
         """Start all tasks and serve."""
         self._watch.start()
-        peer_server.serve(
+        listen.serve(
             self._settings['address'],
             self._settings['peer_port'],
             LogRelay.Processor(
@@ -169,7 +169,10 @@
             DIRECTORY_PAUSE_S,
         )
         self._members_follower = self._follow(
-            roster_module.TOPIC, roster_module.PARTITION, self._roster.apply
+            roster_module.TOPIC,
+            roster_module.PARTITION,
+            self._roster.apply,
+            DIRECTORY_PAUSE_S,
         )
         self._shard_follower = self._follow(
             batches.TOPIC, SHARD, self._book.apply
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -11,10 +11,10 @@
 
 TOPIC = 'keyed.members'
 PARTITION = 0
-HEARTBEAT_S = 1.0
-# Silence after which an instance is taken for gone.
-GONE_S = 3.2
-# Contact with the log that is needed to call another instance silent.
+HEARTBEAT_S = 0.4
+# Silence after which callers are sent elsewhere; each caller that still
+# connects to a lost instance waits for nothing.
+GONE_S = 1.3
 LOG = structlog.get_logger(__name__)
 
 
--- a/baobabpond/peers/server.py
+++ b/baobabpond/peers/server.py
@@ -1,22 +1,13 @@
 """Answer the calls of other instances, a task for each connection."""
 
-import logging
-import threading
 import typing
 
-from thrift.protocol import TCompactProtocol
-from thrift.server import TServer
-from thrift import Thrift
-from thrift.transport import TSocket
-from thrift.transport import TTransport
-
 from ..gen.peer import Peer
 from ..gen.peer import ttypes
 from ..members import table as table_module
 from ..settings import current as current_module
 
-# The library logs each connection that ends; counters tell enough.
-logging.getLogger('thrift').setLevel(logging.CRITICAL)
+from . import listen
 
 TrainerHandler = typing.Callable[[ttypes.TrainerCall], ttypes.TrainerReply]
 
@@ -56,29 +47,4 @@
 
 def start(address: str, port: int, handler: PeerHandler) -> None:
     """Serve calls in tasks of their own until the process ends."""
-    serve(address, port, Peer.Processor(handler))
-
-
-class ListeningSocket(TSocket.TServerSocket):
-    """Listen once, from before the server's task starts."""
-
-    def listen(self) -> None:
-        """Listen unless it does already."""
-        if self.handle is None:
-            super().listen()
-
-
-def serve(address: str, port: int, processor: Thrift.TProcessor) -> None:
-    """Serve a processor in tasks of its own until the process ends."""
-    listener = ListeningSocket(host=address, port=port)
-    listener.listen()
-    server = TServer.TThreadedServer(
-        processor,
-        listener,
-        TTransport.TFramedTransportFactory(),
-        TCompactProtocol.TCompactProtocolFactory(),
-        daemon=True,
-    )
-    threading.Thread(
-        target=server.serve, name='peer-server', daemon=True
-    ).start()
+    listen.serve(address, port, Peer.Processor(handler))
--- a/baobabpond/ui/main.py
+++ b/baobabpond/ui/main.py
@@ -8,6 +8,7 @@
 from .. import errors
 
 from . import entries
+from . import host
 from . import serve
 from . import settings
 
@@ -34,7 +35,7 @@
         Args:
             config: path of its settings; BAOBABPOND_CONFIG names the default.
         """
-        serve.host(config)
+        sys.exit(host.run(config))
 
     def entries(
         self,
--- a/standins/emulator/world.py
+++ b/standins/emulator/world.py
@@ -175,7 +175,7 @@
         log_path = folder / f'{name}-{len(self.instances)}.log'
         with log_path.open('wb') as output:
             process = subprocess.Popen(
-                [sys.executable, '-m', 'baobabpond', 'host'],
+                [sys.executable, '-m', 'baobabpond.ui.host'],
                 cwd=ROOT,
                 env={**os.environ, 'BAOBABPOND_CONFIG': str(path)},
                 stdout=output,
--- /dev/null
+++ b/test/members/test_roster.py
@@ -0,0 +1,78 @@
+"""Test which instances callers are sent to."""
+
+import json
+import unittest
+
+import freezegun
+
+from baobabpond.members import roster as roster_module
+from baobabpond.ports import log as log_port
+from test.store import fakes
+
+# A caller that still connects to a lost instance loses a second by it.
+CONNECT_S = 1.0
+
+
+def make_member(name: str, **changes: object) -> roster_module.Member:
+    """Return an instance."""
+    usual = roster_module.Member(name, f'{name}:1', f'{name}:2', 'near', False)
+    return usual._replace(**changes)
+
+
+class RosterTest(unittest.TestCase):
+    """Fold heartbeats."""
+
+    def setUp(self) -> None:
+        """Make a roster that has long been in contact with the log."""
+        self.contact_s = 60.0
+        self.roster = roster_module.Roster(
+            make_member('own'), fakes.FakeLog(), lambda: self.contact_s
+        )
+
+    def hear(self, *members: roster_module.Member) -> None:
+        """Take heartbeats."""
+        self.roster.apply(
+            [
+                log_port.Record(m.instance, json.dumps(m._asdict()).encode())
+                for m in members
+            ],
+            False,
+        )
+
+    def usable(self) -> list[str]:
+        """Return the names of the instances that callers may use."""
+        return [member.instance for member in self.roster.usable()]
+
+    def test_silent_instance_is_left_out_soon(self) -> None:
+        """A lost instance goes within two heartbeats and a second."""
+        with freezegun.freeze_time() as clock:
+            self.hear(make_member('a'), make_member('b'))
+            clock.tick(roster_module.HEARTBEAT_S)
+            self.hear(make_member('b'))
+            clock.tick(CONNECT_S)
+            self.hear(make_member('b'))
+            clock.tick(roster_module.HEARTBEAT_S)
+            self.hear(make_member('b'))
+            self.assertEqual(['b'], self.usable())
+
+    def test_nobody_is_silent_while_the_log_is_away(self) -> None:
+        """Without the log no heartbeat can come, so all stay."""
+        with freezegun.freeze_time() as clock:
+            self.hear(make_member('a'), make_member('b'))
+            self.contact_s = 0.0
+            clock.tick(30)
+            self.assertEqual(['a', 'b'], self.usable())
+
+    def test_leaving_and_far_instances(self) -> None:
+        """A leaving instance is left out; near ones come first."""
+        self.hear(
+            make_member('a', data_centre='far'),
+            make_member('b', leaving=True),
+            make_member('c'),
+        )
+        self.assertEqual(['c', 'a'], self.usable())
+
+    def test_unreadable_heartbeat_is_passed_over(self) -> None:
+        """Odd records do no harm."""
+        self.roster.apply([log_port.Record('x', b'[]')], False)
+        self.assertEqual([], self.usable())
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -4,7 +4,7 @@
 
 from baobabpond.gen.peer import LogRelay
 from baobabpond import metrics
-from baobabpond.peers import server as peer_server
+from baobabpond.peers import listen
 from baobabpond.ports import log as log_port
 from baobabpond.store import relay
 from standins.emulator import serving
@@ -22,7 +22,7 @@
         self.far = fakes.FakeLog()
         peer = relay.ReachableLog(self.far, metrics.Metrics())
         port = serving.free_port()
-        peer_server.serve(
+        listen.serve(
             serving.ADDRESS,
             port,
             LogRelay.Processor(
