--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -25,6 +25,10 @@
 RETRY_S = 0.1
 # Leaves time for a second way before the others take over.
 APPEND_TIMEOUT_S = 0.4
+# A log that answers slowly is given more time, or no append would be seen to
+# end.
+MOST_APPEND_TIMEOUT_S = 1.6
+LATENCY_FACTOR = 3.0
 CHECK_S = 0.1
 FENCE_TRIES = 3
 # Spreads the claims of several instances.
@@ -98,6 +102,7 @@
         self._rng = random.Random()
         self._tenure: Tenure | None = None
         self._sequence = 0
+        self._append_timeout_s = APPEND_TIMEOUT_S
         self._confirmed_boot_s = float('-inf')
         self._may_claim = threading.Event()
         self._releasing = threading.Event()
@@ -288,9 +293,13 @@
             self._partition,
             pending,
             fence=log_port.Fence(PRODUCER, tenure.epoch, self._sequence),
-            timeout_s=APPEND_TIMEOUT_S,
+            timeout_s=self._append_timeout_s,
+        )
+        took_s = time.monotonic() - started
+        self._metrics.record('ownership.append', took_s)
+        self._append_timeout_s = next_timeout_s(
+            self._append_timeout_s, answer.outcome, took_s
         )
-        self._metrics.record('ownership.append', time.monotonic() - started)
         if answer.outcome is log_port.Outcome.DONE:
             self._sequence += 1
             self._confirmed_boot_s = sent_boot_s
@@ -303,3 +312,15 @@
                 records=len(pending),
             )
         return answer.outcome
+
+
+def next_timeout_s(
+    timeout_s: float, outcome: log_port.Outcome, took_s: float
+) -> float:
+    """Return how long the next append may take. Answers a slow log."""
+    if outcome is log_port.Outcome.UNKNOWN:
+        return min(MOST_APPEND_TIMEOUT_S, 2 * timeout_s)
+    if outcome is log_port.Outcome.DONE:
+        wanted_s = LATENCY_FACTOR * took_s
+        return min(MOST_APPEND_TIMEOUT_S, max(APPEND_TIMEOUT_S, wanted_s))
+    return timeout_s
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -102,7 +102,14 @@
                 if knows_silence and now - seen.seen_at > GONE_S:
                     LOG.info('instance silent', member=name)
                     del self._seen[name]
-            members = [seen.member for seen in self._seen.values()]
+            members = [
+                seen.member
+                for name, seen in self._seen.items()
+                if name != self._own.instance
+            ]
+        if self._may_announce.is_set():
+            # Whatever became of its heartbeats, this instance is here.
+            members.append(self._own)
         own_centre = self._own.data_centre
         return sorted(
             (member for member in members if not member.leaving),
--- a/test/members/test_roster.py
+++ b/test/members/test_roster.py
@@ -63,6 +63,16 @@
             clock.tick(30)
             self.assertEqual(['a', 'b'], self.usable())
 
+    def test_own_instance_stays_while_its_heartbeats_are_late(self) -> None:
+        """A caller that is answered can always come back here."""
+        self.roster.announce()
+        with freezegun.freeze_time() as clock:
+            self.hear(make_member('own'), make_member('a'))
+            clock.tick(10)
+            self.assertEqual(['own'], self.usable())
+        self.roster.leave()
+        self.assertEqual([], self.usable())
+
     def test_leaving_and_far_instances(self) -> None:
         """A leaving instance is left out; near ones come first."""
         self.hear(
