Notice sooner that the log is back

Change: while the direct way is lost it is tried without waiting; a failure counts only if no later call got through.

--- a/baobabpond/store/relay.py
+++ b/baobabpond/store/relay.py
@@ -46,6 +46,7 @@
         self._peers: Peers = list
         self._lock = threading.Lock()
         self._failed_at = float('-inf')
+        self._reached_at = float('-inf')
         self._is_lost = False
 
     @property
@@ -72,10 +73,11 @@
             log_port.Outcome.REFUSED, detail='the log is out of reach'
         )
         if self._may_go_direct():
+            started = time.monotonic()
             answer = self._direct.append(
                 topic, partition, records, expected_end, fence, timeout_s
             )
-            self._note_direct(_reached(answer), answer.detail)
+            self._note_direct(started, _reached(answer), answer.detail)
             if _reached(answer):
                 return answer
         unknown = answer.outcome is log_port.Outcome.UNKNOWN
@@ -105,8 +107,10 @@
     ) -> log_port.Page:
         """Read from an offset; raise LogError or OffsetExpired."""
         wait_ms = int(wait_s * MS_PER_S)
+        # A waiting read would tell late that the log is back.
+        direct_wait_s = 0.0 if self._is_lost else wait_s
         page = self._read(
-            lambda: self._direct.read(topic, partition, offset, wait_s),
+            lambda: self._direct.read(topic, partition, offset, direct_wait_s),
             lambda client: client.read(topic, partition, offset, wait_ms),
             wait_s,
         )
@@ -137,13 +141,14 @@
     ) -> T | ttypes.LogPage:
         failure = 'the log is out of reach'
         if self._may_go_direct():
+            started = time.monotonic()
             try:
                 answer = direct()
             except log_port.LogError as error:
                 failure = str(error)
-                self._note_direct(False, failure)
+                self._note_direct(started, False, failure)
             else:
-                self._note_direct(True)
+                self._note_direct(started, True)
                 return answer
         timeout_ms = int((wait_s + APPEND_TIMEOUT_S) * MS_PER_S)
         for address in self._some_peers():
@@ -199,11 +204,19 @@
             self._failed_at = now
             return True
 
-    def _note_direct(self, reached: bool, detail: str = '') -> None:
+    def _note_direct(
+        self, started: float, reached: bool, detail: str = ''
+    ) -> None:
+        """Note how a direct call ended that began at a time."""
         with self._lock:
+            if not reached and self._reached_at > started:
+                # A later call got through; this one hung since before.
+                return
             changed = reached == self._is_lost
             self._is_lost = not reached
-            if not reached:
+            if reached:
+                self._reached_at = time.monotonic()
+            else:
                 self._failed_at = time.monotonic()
         if changed:
             LOG.warning(
--- a/test/store/fakes.py
+++ b/test/store/fakes.py
@@ -18,6 +18,9 @@
             collections.deque()
         )
         self.appends: list[tuple[list[log_port.Record], object]] = []
+        self.waits: list[float] = []
+        # Called when a read begins.
+        self.before_read = lambda: None
         # Called before each page of newest records.
         self.before_page = lambda: None
 
@@ -56,6 +59,8 @@
         self, topic: str, partition: int, offset: int, wait_s: float
     ) -> log_port.Page:
         """Read what is there."""
+        self.waits.append(wait_s)
+        self.before_read()
         if self.read_error is not None:
             raise self.read_error
         if offset < self.first:
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -1,7 +1,10 @@
 """Test the two ways to the log."""
 
+import contextlib
 import unittest
 
+import freezegun
+
 from baobabpond.gen.peer import LogRelay
 from baobabpond import metrics
 from baobabpond.peers import listen
@@ -73,6 +76,38 @@
         with self.assertRaises(log_port.OffsetExpired):
             self.log.read('t', 0, 0, 0.0)
 
+    def read_direct(self) -> None:
+        """Read, and pass over a failure of both ways."""
+        with contextlib.suppress(log_port.LogError):
+            self.log.read('t', 0, 0, 1.0)
+
+    def test_log_that_is_back_is_noticed_soon(self) -> None:
+        """While the direct way is lost it is tried without waiting."""
+        with freezegun.freeze_time() as clock:
+            self.direct.read_error = log_port.LogError('down')
+            self.far.read_error = log_port.LogError('down')
+            self.read_direct()
+            self.direct.read_error = None
+            clock.tick(relay.DIRECT_RETRY_S + 0.01)
+            self.read_direct()
+            self.assertEqual([1.0, 0.0], self.direct.waits)
+            self.assertTrue(self.log.is_direct)
+
+    def test_call_that_hung_does_not_hide_a_later_success(self) -> None:
+        """A failure counts only against what was known when it began."""
+
+        def succeed_meanwhile() -> None:
+            self.direct.before_read = lambda: None
+            clock.tick(0.5)
+            self.append()
+            clock.tick(0.5)
+            self.direct.read_error = log_port.LogError('hung')
+
+        with freezegun.freeze_time() as clock:
+            self.direct.before_read = succeed_meanwhile
+            self.read_direct()
+        self.assertTrue(self.log.is_direct)
+
     def test_peer_without_a_way_says_so(self) -> None:
         """Two instances without a way do not call in circles."""
         self.direct.read_error = log_port.LogError('cut')
