--- a/tools/models.py
+++ b/tools/models.py
@@ -8,7 +8,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FOLDER = ROOT / 'models'
-VARIANT_PATTERN = re.compile(r'^#ifdef (BROKEN_\w+)', re.MULTILINE)
+VARIANT_PATTERN = re.compile(r'^#ifn?def (BROKEN_\w+)', re.MULTILINE)
 STATES_PATTERN = re.compile(r'^\s*([\d.e+]+) states, stored', re.MULTILINE)
 ERRORS_PATTERN = re.compile(r'errors: (\d+)')
 DEPTH = 1_000_000
