--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -35,7 +35,9 @@
 RETRY_S = 0.03
 # A batch whose route is missing this long has lost it.
 ROUTE_LOST_S = 3.0
-# Rollout items are the more valuable work.
+# Items of ended batches whose events are kept for later ones.
+MOST_LEFTOVERS = 2000
+# The middle of the scale, on which 0 is the most urgent.
 ITEM_PRIORITY = 5
 
 LOG = structlog.get_logger(__name__)
@@ -74,7 +76,7 @@
         self._is_urgent = False
         self._text_number = 0
         self._rescue_at = 0.0
-        self._pace = work_module.Pace(metrics)
+        self._pace = work_module.Pace()
 
     def take_status_s(self, status_s: float) -> None:
         """Take how long batches can be read."""
@@ -252,6 +254,8 @@
             self._leftovers[work.id] = book_module.Text(
                 work.text, list(work.events)
             )
+            while len(self._leftovers) > MOST_LEFTOVERS:
+                self._leftovers.pop(next(iter(self._leftovers)))
 
     def _route(
         self, head: records.BatchHead, target: str
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -129,11 +129,10 @@
         if response.status != OK:
             return self._refused(connection, response, reading)
         reader = events_module.EventReader(self._protocol)
-        first = upstream_port.StreamEvent(0, '', reading.weight_version)
         ending = self._read_events(
             run,
             reader.read(connection.pieces(response, SILENCE_LIMIT_S)),
-            first.weight_version,
+            reading.weight_version,
             sink,
         )
         if ending is Ending.WHOLE and reader.has_rest:
--- a/baobabpond/pool/work.py
+++ b/baobabpond/pool/work.py
@@ -3,7 +3,6 @@
 import time
 import typing
 
-from .. import metrics as metrics_module
 from ..batches import book as book_module
 from ..ports import callers
 from ..ports import catalogue
@@ -11,6 +10,14 @@
 # Weight of the newest gap in the mean gap between events.
 GAP_WEIGHT = 0.08
 INITIAL_GAP_S = 0.045
+# Tokens in an event until some items have ended.
+INITIAL_EVENT_TOKENS = 50.0
+# Events of an item that has no estimate.
+DEFAULT_EVENTS = 20.0
+# Weight of what was learnt before, with each item that ends.
+REMEMBERED = 0.98
+# What has gone on past its estimate goes on for this share of it.
+OVERRUN = 0.25
 
 
 class Run:
@@ -163,33 +170,26 @@
 
 
 class Pace:
-    """Learn how long items take from how many tokens they expect."""
+    """Learn how many events items have from how many tokens they expect."""
 
-    def __init__(self, metrics: metrics_module.Metrics) -> None:
-        self._metrics = metrics
+    def __init__(self) -> None:
         self._tokens = 0.0
         self._events = 0.0
 
-    # Tokens in an event until some items have ended.
-    INITIAL_EVENT_TOKENS = 50.0
-    DEFAULT_EVENTS = 20.0
-    FORGET = 0.98
-
     def note(self, expected_tokens: int, events: int) -> None:
         """Note an item that ended."""
         if expected_tokens <= 0:
             return
-        self._tokens = self._tokens * self.FORGET + expected_tokens
-        self._events = self._events * self.FORGET + events
+        self._tokens = self._tokens * REMEMBERED + expected_tokens
+        self._events = self._events * REMEMBERED + events
 
     def expected_events(self, work: Work) -> float:
         """Return how many more events an item is expected to have."""
-        total = self.DEFAULT_EVENTS
+        total = DEFAULT_EVENTS
         if work.item.expected_tokens > 0:
-            tokens = self.INITIAL_EVENT_TOKENS
+            tokens = INITIAL_EVENT_TOKENS
             if self._events > 0:
                 tokens = self._tokens / self._events
             total = work.item.expected_tokens / tokens
         done = len(work.events)
-        # What has gone on past its estimate goes on for some more.
-        return max(total - done, 0.25 * done, 1.0)
+        return max(total - done, OVERRUN * done, 1.0)
