Leave an idempotent request time for another upstream

Cause: an upstream that falls silent used up the whole time of a lookup, though its route allows another attempt. Change: with others left to try, an attempt at an idempotent request ends after four targets (0.3 s at least).

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -14,6 +14,20 @@
 from . import server
 
 
+# An idempotent request is sent elsewhere after this many times its target, so
+# that a silent upstream does not use up all of its time.
+PATIENCE_TARGETS = 4.0
+LEAST_PATIENCE_S = 0.3
+
+
+def patience_s(remaining_s: float, target_s: float, has_others: bool) -> float:
+    """Return how long an attempt may take. Answers silent upstreams."""
+    if not has_others:
+        return remaining_s
+    wanted_s = max(LEAST_PATIENCE_S, PATIENCE_TARGETS * target_s)
+    return min(remaining_s, wanted_s)
+
+
 class Forward(typing.NamedTuple):
     """Hold one request on its way."""
 
@@ -22,6 +36,8 @@
     route: catalogue.Route
     service: str
     ends_at: float
+    # Another upstream may still be tried after this attempt.
+    has_others: bool = False
 
     @property
     def remaining_s(self) -> float:
@@ -89,11 +105,15 @@
         )
 
     def send(
-        self, timeout_s: float, last_event: int = 0
+        self,
+        remaining_s: float,
+        last_event: int = 0,
+        timeout_s: float | None = None,
     ) -> tuple[urllib3.HTTPResponse, upstream_port.Reading]:
         """Send the request and return the head of the answer.
 
-        Raises ConnectionFailed or AnswerFailed.
+        The upstream learns the time that remains; the timeout, where given,
+        bounds the wait for the head. Raises ConnectionFailed or AnswerFailed.
         """
         request = self._forward.request
         if self.connection.is_new:
@@ -102,10 +122,10 @@
             request.method,
             request.target,
             self._tools.protocol.request_headers(
-                request, self._entry.id, timeout_s, last_event
+                request, self._entry.id, remaining_s, last_event
             ),
             request.body or None,
-            timeout_s,
+            remaining_s if timeout_s is None else timeout_s,
         )
         self._reading = self._tools.protocol.read_head(
             response.status, response.headers
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -109,7 +109,8 @@
         verdict = verdicts.Verdict.NOT_RUN
         last = None
         stream = streams.Stream(forward, self._tools)
-        for _ in range(forward.route.attempts):
+        attempts = forward.route.attempts
+        for number in range(1, attempts + 1):
             if forward.remaining_s < LEAST_ATTEMPT_S:
                 break
             entries = self._directory.usable(forward.service)
@@ -117,7 +118,10 @@
             if entry is None:
                 break
             tried.add(entry.id)
-            last = self._attempt(forward, entry, stream)
+            has_others = number < attempts and len(tried) < len(entries)
+            last = self._attempt(
+                forward._replace(has_others=has_others), entry, stream
+            )
             reasons.append(f'{entry.id}: {last.reason if last else "ok"}')
             if last is None:
                 return None
@@ -157,7 +161,9 @@
         forward: attempts_module.Forward,
         attempt: attempts_module.Attempt,
     ) -> Tried | None:
-        response, reading = attempt.send(_time_left_s(forward))
+        response, reading = attempt.send(
+            _time_left_s(forward), timeout_s=_patience_s(forward)
+        )
         return self._take_whole(forward, attempt, response, reading)
 
     def _take_whole(
@@ -244,6 +250,15 @@
     return max(LEAST_ATTEMPT_S, forward.remaining_s - RETURN_S)
 
 
+def _patience_s(forward: attempts_module.Forward) -> float:
+    may_repeat = forward.route.kind is catalogue.RouteKind.IDEMPOTENT
+    return attempts_module.patience_s(
+        _time_left_s(forward),
+        forward.route.target_s,
+        forward.has_others and may_repeat,
+    )
+
+
 def _may_repeat(route: catalogue.Route) -> bool:
     if route.kind is catalogue.RouteKind.STREAMING:
         return route.resumable
--- a/standins/emulator/world.py
+++ b/standins/emulator/world.py
@@ -260,6 +260,7 @@
             'name': 'orders',
             'path-prefix': LOOKUPS,
             'route-type': 'idempotent',
+            'target-latency-ms': 150,
             'attempts': 2,
         },
         {
--- a/test/emulator/test_requests.py
+++ b/test/emulator/test_requests.py
@@ -47,6 +47,15 @@
             reply = self.order(world_module.LOOKUPS + 'a', f'i{number}')
             self.assertEqual(200, reply.status)
 
+    def test_silent_upstream_does_not_use_up_the_time(self) -> None:
+        """An idempotent request is answered by another in good time."""
+        self.world.plain[0].fault = 'silent'
+        for number in range(6):
+            asked = time.monotonic()
+            reply = self.order(world_module.LOOKUPS + 'a', f's{number}')
+            self.assertEqual(200, reply.status)
+            self.assertLess(time.monotonic() - asked, 1.2)
+
     def test_non_idempotent_request_runs_once(self) -> None:
         """A lost answer ends in 502, and no second run."""
         for sampler in self.world.plain:
