Announce orders for real; the lease between holders holds

Change: the order's last check announces it. Tests, red before: each order was announced by its holder when it arrived; an owner killed right after an order.

--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -175,7 +175,7 @@
                 planned,
                 tenure.epoch,
                 keeps_runs=not self._has_single_version(upstream),
-                may_send=lambda: self._tenure is tenure and self._is_trusted(),
+                may_send=lambda: self._announce(upstream, tenure, owner),
             )
         except Exception:
             LOG.exception('order failed unexpectedly', upstream=upstream.id)
--- a/standins/emulator/sampler.py
+++ b/standins/emulator/sampler.py
@@ -32,23 +32,34 @@
     versions: list[int]
 
 
+class Order(typing.NamedTuple):
+    """Hold an order as it reached an upstream."""
+
+    at: float
+    upstream: str
+    holder: str
+    fence: int
+    # Whose announcement of an order stood on the log then; empty if none.
+    announced_by: str
+
+
 class Ledger:
     """Hold all runs of all upstreams."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self.runs: list[RunRecord] = []
-        self.orders: list[tuple[float, str, dict[str, typing.Any]]] = []
+        self.orders: list[Order] = []
 
     def begin(self, run: RunRecord) -> None:
         """Note a run."""
         with self._lock:
             self.runs.append(run)
 
-    def note_order(self, upstream: str, order: dict[str, typing.Any]) -> None:
+    def note_order(self, order: Order) -> None:
         """Note an order that reached an upstream."""
         with self._lock:
-            self.orders.append((time.monotonic(), upstream, order))
+            self.orders.append(order)
 
     def of(self, request: str) -> list[RunRecord]:
         """Return the runs of a request."""
@@ -165,7 +176,15 @@
     def _order(
         self, exchange: server.Exchange, order: dict[str, typing.Any]
     ) -> None:
-        self._ledger.note_order(self.id, order)
+        self._ledger.note_order(
+            Order(
+                time.monotonic(),
+                self.id,
+                order['holder'],
+                order['fencing-token'],
+                self._announced_by(),
+            )
+        )
         if self.orders_late_s is not None:
             threading.Timer(
                 self.orders_late_s, self._carry_out, (order,)
@@ -175,6 +194,10 @@
             return
         serving.reply(exchange, self._carry_out(order))
 
+    def _announced_by(self) -> str:
+        value = self._store.keys('keyed.batches').get(f'intent/{self.id}')
+        return json.loads(value)[0] if value else ''
+
     def _carry_out(self, order: dict[str, typing.Any]) -> int:
         with self._lock:
             if self._checks_fence and order['fencing-token'] < self._fence:
--- a/test/emulator/test_weights.py
+++ b/test/emulator/test_weights.py
@@ -7,8 +7,6 @@
 from . import base
 
 LEASE_S = 1.5
-# An order may be under way when its sender is frozen.
-SLACK_S = 0.3
 # The users want new weights on all samplers by then.
 EVERYWHERE_S = 34.0
 
@@ -73,21 +71,46 @@
         self.pause_s(2.5)
         self.world.operator.name_version(world_module.MODEL, 3)
         owner.resume()
+        self.wait_version(3)
+        self.check_turns()
+        self.check_announced()
+
+    def test_owner_killed_right_after_an_order(self) -> None:
+        """The next owner waits for the lease, though it takes over sooner."""
+        self.world.operator.name_version(world_module.MODEL, 2)
+        world_module.wait_for(lambda: bool(self.world.ledger.orders))
+        owner = self.world.owner()
+        assert owner is not None
+        owner.kill()
+        self.world.operator.name_version(world_module.MODEL, 3)
+        self.wait_version(3)
+        self.check_turns()
+        self.check_announced()
+
+    def wait_version(self, version: int) -> None:
+        """Wait until all samplers hold a version."""
         world_module.wait_for(
             lambda: all(
-                s.versions[world_module.MODEL] == 3
+                s.versions[world_module.MODEL] == version
                 for s in self.world.samplers
             ),
-            20,
+            EVERYWHERE_S,
         )
-        orders = sorted(self.world.ledger.orders, key=lambda o: o[0])
-        for (at, upstream, order), (later, other, newer) in itertools.product(
-            orders, orders
-        ):
-            if upstream != other or not 0 < later - at < LEASE_S - SLACK_S:
+
+    def check_turns(self) -> None:
+        """Check that holders do not take turns within the lease."""
+        orders = sorted(self.world.ledger.orders)
+        for first, second in itertools.product(orders, orders):
+            if first.upstream != second.upstream:
                 continue
-            self.assertEqual(order['holder'], newer['holder'])
-        tokens = {}
-        for _, _, order in orders:
-            holder = tokens.setdefault(order['fencing-token'], order['holder'])
-            self.assertEqual(holder, order['holder'])
+            if 0 < second.at - first.at < LEASE_S:
+                self.assertEqual(first.holder, second.holder)
+        holders: dict[int, str] = {}
+        for order in orders:
+            holder = holders.setdefault(order.fence, order.holder)
+            self.assertEqual(holder, order.holder)
+
+    def check_announced(self) -> None:
+        """Check that each order was announced on the log before it came."""
+        for order in self.world.ledger.orders:
+            self.assertEqual(order.holder, order.announced_by)
