Keep tasks alive past what they can't handle

Cause, found by reading: an exception in the pool's, a follower's or the owner's task ended it silently; heartbeats would go on without work, or an instance would stay on what it knew. Change: the pool and the followers log it and go on; an owner that can't hold its shard ceases, so that another (or itself) claims.

--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -140,7 +140,7 @@
             if self._is_vacant():
                 self._claim()
             if self._tenure is not None:
-                self._hold()
+                self._hold_safely()
             else:
                 self._book.wait_change(self._book.revision, CHECK_S)
         self._released.set()
@@ -243,6 +243,16 @@
         self._tenure = Tenure(epoch)
         self._owned.begin(self._tenure)
 
+    def _hold_safely(self) -> None:
+        try:
+            self._hold()
+        except Exception:
+            # Without heartbeats another instance takes over; this one must
+            # not go on.
+            LOG.exception('the shard could not be held')
+            self._owned.cease()
+            self._tenure = None
+
     def _hold(self) -> None:
         """Append what the work gives and heartbeats, until the place is lost.
 
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -180,14 +180,21 @@
             with self._changed:
                 if self._tenure is not tenure:
                     return
-                if self._book.revision != revision:
-                    revision = self._book.revision
-                    self._take_batches()
-                self._cancel_lost()
-                self._rescue()
-                self._assign()
+                try:
+                    if self._book.revision != revision:
+                        revision = self._book.revision
+                        self._take_batches()
+                    self._work()
+                except Exception:
+                    # One item that can't be handled must not stop the rest.
+                    LOG.exception('the pool could not do its work')
                 self._changed.wait(TICK_S)
 
+    def _work(self) -> None:
+        self._cancel_lost()
+        self._rescue()
+        self._assign()
+
     def _take_batches(self) -> None:
         """Add the items of new batches and drop those of ended ones."""
         for batch in self._book.open_batches():
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -94,6 +94,14 @@
             except log_port.LogError as error:
                 self._note_loss(error)
                 time.sleep(RETRY_S)
+            except Exception:
+                # A record that a listener can't take must not end the task.
+                LOG.exception(
+                    'records could not be taken',
+                    topic=self._topic,
+                    partition=self._partition,
+                )
+                time.sleep(RETRY_S)
             if self._pause_s:
                 time.sleep(self._pause_s)
 
--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -23,6 +23,7 @@
     def __init__(self) -> None:
         self.tenures: list[ownership.Tenure] = []
         self.ceased = threading.Event()
+        self.fails = False
 
     def begin(self, tenure: ownership.Tenure) -> None:
         """Note a tenure."""
@@ -35,6 +36,8 @@
     def outbox(self, wait_s: float) -> list[log_port.Record]:
         """Return nothing after a while."""
         time.sleep(min(wait_s, 0.02))
+        if self.fails:
+            raise RuntimeError('as told')
         return []
 
 
@@ -126,6 +129,15 @@
         self.log.outcomes.append(log_port.Outcome.REJECTED)
         self.assertTrue(self.work.ceased.wait(TIMEOUT_S))
 
+    def test_owner_that_fails_ceases(self) -> None:
+        """An instance whose task fails does not go on without heartbeats."""
+        self.start()
+        self.wait(lambda: self.ownership.tenure)
+        self.work.fails = True
+        self.assertTrue(self.work.ceased.wait(TIMEOUT_S))
+        self.work.fails = False
+        self.wait(lambda: len(self.work.tenures) > 1)
+
     def test_lost_answer_keeps_its_sequence(self) -> None:
         """An append without an answer is repeated as it was."""
         self.start()
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -1,5 +1,6 @@
 """Test the follower of a keyed topic."""
 
+import time
 import unittest
 
 from baobabpond import metrics
@@ -17,12 +18,15 @@
         self.log = fakes.FakeLog()
         self.heard: list[tuple[str, bytes]] = []
         self.snapshots = 0
+        self.fails_at = ''
         self.follower = follower_module.Follower(
             self.log, 'keyed.t', 0, self.hear, metrics.Metrics()
         )
 
     def hear(self, records: list[log_port.Record], snapshot: bool) -> None:
-        """Note records."""
+        """Note records, or fail at one."""
+        if any(record.key == self.fails_at for record in records):
+            raise RuntimeError('as told')
         self.snapshots += snapshot
         self.heard += [(r.key, r.value) for r in records]
 
@@ -66,6 +70,26 @@
         self.assertEqual(2, self.snapshots)
         self.assertEqual({'a', 'b', 'c'}, {key for key, _ in self.heard})
 
+    def test_listener_that_fails_does_not_end_the_task(self) -> None:
+        """Records behind one that can't be taken still come."""
+        self.log.add('a')
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+        self.wait_for('a')
+        self.fails_at = 'bad'
+        self.log.add('bad')
+        self.log.add('c')
+        time.sleep(0.3)
+        self.log.add('d')
+        self.wait_for('d')
+
+    def wait_for(self, key: str) -> None:
+        """Wait until a record has been heard."""
+        ends_at = time.monotonic() + 5
+        while key not in [heard for heard, _ in self.heard]:
+            self.assertLess(time.monotonic(), ends_at)
+            time.sleep(0.01)
+
     def test_failed_read_is_told(self) -> None:
         """An unreachable log raises, and nothing is complete."""
         self.log.read_error = log_port.LogError('down')
