Remove code that nobody calls

sockets.set_options and a start time in OperatorApp were never used; found by reading the whole change once more. Nothing else changes.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -2,7 +2,6 @@
 
 import json
 import threading
-import time
 import typing
 import urllib.parse
 
@@ -139,7 +138,6 @@
         self._is_ready = is_ready
         self._metrics = metrics
         self._valid_s = valid_s
-        self._started = time.monotonic()
 
     def handle(self, exchange: server.Exchange) -> None:
         """Serve one request."""
--- a/baobabpond/upstreams/sockets.py
+++ b/baobabpond/upstreams/sockets.py
@@ -2,7 +2,6 @@
 
 import select
 import socket
-import typing
 
 # A peer without power never resets its connections.
 KEEPALIVE_IDLE_S = 1
@@ -32,11 +31,3 @@
     poll = select.poll()
     poll.register(sock, select.POLLRDHUP)
     return bool(poll.poll(0))
-
-
-def set_options(
-    sock: socket.socket, options: typing.Iterable[tuple[int, int, int]]
-) -> None:
-    """Set options of an accepted socket."""
-    for level, name, value in options:
-        sock.setsockopt(level, name, value)
