Close connections to upstreams that are gone; one read step in the follower

Cause: ConnectionPool.forget had no caller, so idle connections to upstreams that left stayed open; the follower's step of loading, reading and applying stood twice, its catch_up could loop for ever at an end whose offsets were compacted away, and could tell an end of a log that went back before the records were loaded anew; a late page of one thread could be taken for a log that went back. Change: the directory names addresses that are gone; one Follower._read; ConnectionPool.settle keeps or closes; one refusal of wrong settings.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -15,6 +15,9 @@
 RECENT_OUTAGE_S = 3.0
 LOG = structlog.get_logger(__name__)
 
+# Takes the host and port at which an upstream listens no more.
+GoneListener = typing.Callable[[tuple[str, int]], None]
+
 
 class Directory:
     """Fold the records of the upstreams' topic."""
@@ -23,9 +26,11 @@
         self,
         operator: catalogue.Operator,
         contact_length_s: typing.Callable[[], float],
+        on_gone: GoneListener = lambda address: None,
     ) -> None:
         self._operator = operator
         self._contact_length_s = contact_length_s
+        self._on_gone = on_gone
         self._lock = threading.Lock()
         self._entries: dict[str, catalogue.UpstreamEntry] = {}
         # When entries that may come back are taken for gone.
@@ -76,6 +81,8 @@
         if entry is None:
             return
         present = self._entries.get(entry.id)
+        if present is not None and present.incarnation != entry.incarnation:
+            self._on_gone((present.host, present.port))
         self._gone_at.pop(entry.id, None)
         self._entries[entry.id] = entry
         if present is None or present.draining != entry.draining:
@@ -98,5 +105,7 @@
 
     def _drop(self, upstream: str) -> None:
         self._gone_at.pop(upstream, None)
-        if self._entries.pop(upstream, None) is not None:
+        entry = self._entries.pop(upstream, None)
+        if entry is not None:
             LOG.info('upstream gone', upstream=upstream)
+            self._on_gone((entry.host, entry.port))
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -143,8 +143,11 @@
     def _build_catalogue(self) -> None:
         operator = self._platform.operator
         self._current = current_module.CurrentConfiguration(operator)
+        self._connections = connections.ConnectionPool(self._metrics)
         self._directory = directory_module.Directory(
-            operator, lambda: self._upstreams_follower.contact_length_s
+            operator,
+            lambda: self._upstreams_follower.contact_length_s,
+            self._connections.forget,
         )
         self._roster = roster_module.Roster(
             roster_module.Member(
@@ -208,7 +211,6 @@
         return addresses
 
     def _build_work(self) -> None:
-        self._connections = connections.ConnectionPool(self._metrics)
         protocol = self._platform.upstreams
         upstreams = fleet.Fleet(self._directory)
         self._loader = loader.Loader(
--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -194,10 +194,7 @@
                 error=str(error),
             )
             return None
-        if connection.may_be_kept(response):
-            self._connections.give_back(connection)
-        else:
-            connection.close()
+        self._connections.settle(connection, response)
         return response.status, data
 
 
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -137,8 +137,8 @@
         )
         if ending is Ending.WHOLE and reader.has_rest:
             ending = Ending.BROKEN
-        if ending is Ending.WHOLE and connection.may_be_kept(response):
-            self._connections.give_back(connection)
+        if ending is Ending.WHOLE:
+            self._connections.settle(connection, response)
         else:
             connection.close()
         return ending
@@ -171,10 +171,7 @@
         pieces = connection.pieces(response, SILENCE_LIMIT_S)
         for _ in pieces:
             pass
-        if connection.may_be_kept(response):
-            self._connections.give_back(connection)
-        else:
-            connection.close()
+        self._connections.settle(connection, response)
         if reading.misdirected:
             return Ending.MISDIRECTED
         if reading.not_run:
--- a/baobabpond/settings/check.py
+++ b/baobabpond/settings/check.py
@@ -112,11 +112,7 @@
         if not isinstance(overrides, dict):
             raise errors.UserError(f'{path}: not an object', exit_code=2)
         values.update(overrides)
-    found = problems('instance', values)
-    if found:
-        raise errors.UserError(
-            f'{path}: ' + '; '.join(map(str, found)), exit_code=2
-        )
+    _refuse_problems('instance', values, path)
     return typing.cast(instance_schema.InstanceSettings, values)
 
 
@@ -128,9 +124,15 @@
     if path is None:
         raise errors.UserError('no settings are given', exit_code=2)
     values = read_file(path)
-    found = problems('host', values)
+    _refuse_problems('host', values, path)
+    return typing.cast(host_schema.HostSettings, values)
+
+
+def _refuse_problems(
+    schema_name: str, values: typing.Any, path: str | None
+) -> None:
+    found = problems(schema_name, values)
     if found:
         raise errors.UserError(
             f'{path}: ' + '; '.join(map(str, found)), exit_code=2
         )
-    return typing.cast(host_schema.HostSettings, values)
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -72,19 +72,11 @@
     def catch_up(self) -> int:
         """Read to the end now and return it; raise LogError."""
         while True:
-            with self._lock:
-                if self._position is None:
-                    self._load()
-                position = self._position
-            try:
-                page = self._log.read(
-                    self._topic, self._partition, position, 0.0
-                )
-            except log_port.OffsetExpired:
-                self._expire(position)
+            page = self._read(0.0)
+            if page is None:
                 continue
-            self._apply(position, page)
-            if position + len(page.records) >= page.end:
+            # Offsets that were compacted away leave no record to come to.
+            if not page.records or self._has_reached(page):
                 return page.end
 
     def _run(self) -> None:
@@ -106,19 +98,27 @@
                 time.sleep(self._pause_s)
 
     def _follow_once(self) -> None:
+        if self._read(READ_WAIT_S) is not None:
+            self._note_contact()
+
+    def _read(self, wait_s: float) -> log_port.Page | None:
+        """Read on and pass on what is new; None if a load must follow."""
         with self._lock:
             if self._position is None:
                 self._load()
             position = self._position
         try:
             page = self._log.read(
-                self._topic, self._partition, position, READ_WAIT_S
+                self._topic, self._partition, position, wait_s
             )
         except log_port.OffsetExpired:
             self._expire(position)
-            return
-        self._apply(position, page)
-        self._note_contact()
+            return None
+        return page if self._apply(position, page) else None
+
+    def _has_reached(self, page: log_port.Page) -> bool:
+        with self._lock:
+            return self._position is not None and self._position >= page.end
 
     def _load(self) -> None:
         """Read the newest record of each key."""
@@ -155,20 +155,24 @@
             offset=position,
         )
 
-    def _apply(self, position: int, page: log_port.Page) -> None:
-        """Pass on the records that no other read has passed on."""
+    def _apply(self, position: int, page: log_port.Page) -> bool:
+        """Pass on the records that no other read has passed on.
+
+        Return False if only a load can tell what the log holds now.
+        """
         with self._lock:
             if self._position is None:
-                return
+                return False
+            if page.end < position:
+                # The log went back.
+                self._position = None
+                return False
             known = self._position
             new = [r for r in page.records if r.offset >= known]
-            if page.end < known:
-                # The log went back; only a load tells what it holds now.
-                self._position = None
-                return
             if new:
                 self._position = new[-1].offset + 1
                 self._listener(new, False)
+            return True
 
     def _note_contact(self) -> None:
         now = time.monotonic()
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -194,6 +194,15 @@
         with self._lock:
             self._idle[connection.address].append(connection)
 
+    def settle(
+        self, connection: Connection, response: urllib3.HTTPResponse
+    ) -> None:
+        """Keep a connection whose answer came whole, or close it."""
+        if connection.may_be_kept(response):
+            self.give_back(connection)
+        else:
+            connection.close()
+
     def forget(self, address: Address) -> None:
         """Close the idle connections to an address."""
         with self._lock:
--- a/test/store/fakes.py
+++ b/test/store/fakes.py
@@ -12,6 +12,8 @@
         self.records: list[log_port.Record] = []
         self.first = 0
         self.page_size = 500
+        # Offsets at the end whose records were compacted away.
+        self.hidden_end = 0
         self.read_error: Exception | None = None
         # Outcomes of the next appends; done without one.
         self.outcomes: collections.deque[log_port.Outcome] = (
@@ -65,7 +67,8 @@
             raise self.read_error
         if offset < self.first:
             raise log_port.OffsetExpired('gone')
-        return log_port.Page(self.end, self.records[offset:])
+        end = self.end + self.hidden_end
+        return log_port.Page(end, self.records[offset:])
 
     def newest(
         self, topic: str, partition: int, after: str
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -70,6 +70,24 @@
         self.assertEqual(2, self.snapshots)
         self.assertEqual({'a', 'b', 'c'}, {key for key, _ in self.heard})
 
+    def test_log_that_went_back_is_loaded_before_the_end_is_told(
+        self,
+    ) -> None:
+        """Who catches up never goes by records that the log lost."""
+        self.log.add('a')
+        self.log.add('b')
+        self.follower.catch_up()
+        self.log.records.pop()
+        self.assertEqual(1, self.follower.catch_up())
+        self.assertEqual(2, self.snapshots)
+
+    def test_compacted_end_is_the_end(self) -> None:
+        """Offsets without records don't keep a reader waiting."""
+        self.log.add('a')
+        self.follower.catch_up()
+        self.log.hidden_end = 2
+        self.assertEqual(3, self.follower.catch_up())
+
     def test_listener_that_fails_does_not_end_the_task(self) -> None:
         """Records behind one that can't be taken still come."""
         self.log.add('a')
