Split the pool: texts and moves of runs are modules of their own

An item that arrived while its route was missing kept no due time and no single-version demand. Change: pool/texts.py, pool/mover.py; the route is applied when a run starts.

--- /dev/null
+++ b/baobabpond/pool/mover.py
@@ -0,0 +1,108 @@
+"""Move runs away from upstreams that fall silent or turn slow."""
+
+import collections.abc
+import time
+
+import structlog
+
+from .. import metrics as metrics_module
+
+from . import placement
+from . import rescue
+from . import work as work_module
+
+CHECK_S = 0.1
+SUSPEND_S = 0.15
+SUSPEND_UNREACHABLE_S = 1.0
+MOST_SUSPEND_S = 4.0
+
+LOG = structlog.get_logger(__name__)
+
+# Returns where an item could run now.
+FindChoices = collections.abc.Callable[
+    [work_module.Work], list[placement.Choice]
+]
+
+
+class Mover:
+    """Look after the runs under way; the pool's lock guards all calls."""
+
+    def __init__(
+        self,
+        pace: work_module.Pace,
+        find_choices: FindChoices,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._pace = pace
+        self._find_choices = find_choices
+        self._metrics = metrics
+        self._check_at = 0.0
+
+    def check(self, works: collections.abc.Iterable[work_module.Work]) -> None:
+        """Cancel the runs that do better elsewhere."""
+        now = time.monotonic()
+        if now < self._check_at:
+            return
+        self._check_at = now + CHECK_S
+        for work in works:
+            run = work.run
+            if run is not None and not run.cancelled:
+                self._check_run(run, now)
+
+    def _check_run(self, run: work_module.Run, now: float) -> None:
+        running = self._describe(run, now)
+        if rescue.is_stalled(running):
+            suspend(run.upstream, now, SUSPEND_S)
+            self._move(run, 'stalled', running)
+        elif rescue.should_move(running):
+            self._move(run, 'slow', running)
+
+    def _describe(self, run: work_module.Run, now: float) -> rescue.Running:
+        work = run.work
+        upstream = run.upstream
+        return rescue.Running(
+            has_begun=run.has_begun,
+            silence_s=now - run.last_event,
+            gap_s=upstream.gap_s,
+            gaps_seen=upstream.gaps_seen,
+            expected_events=self._pace.expected_events(work),
+            moves=work.moves,
+            best_gap_s=self._best_gap_s(work, upstream),
+        )
+
+    def _best_gap_s(
+        self, work: work_module.Work, present: work_module.Upstream
+    ) -> float | None:
+        gaps = [
+            choice.gap_s
+            for choice in self._find_choices(work)
+            if choice.is_free and choice.upstream != present.id
+        ]
+        return min(gaps, default=None)
+
+    def _move(
+        self, run: work_module.Run, reason: str, running: rescue.Running
+    ) -> None:
+        work = run.work
+        work.moves += 1
+        self._metrics.count(f'pool.moved.{reason}')
+        LOG.info(
+            'run moves',
+            request=work.id,
+            batch=work.batch.head.id,
+            upstream=run.upstream.id,
+            reason=reason,
+            silence_s=round(running.silence_s, 3),
+            gap_s=round(running.gap_s, 4),
+            best_gap_s=running.best_gap_s,
+            events=len(work.events),
+        )
+        run.cancel(reason)
+
+
+def suspend(
+    upstream: work_module.Upstream, now: float, least_s: float
+) -> None:
+    """Keep new runs away, longer after each failure in a row."""
+    wait_s = least_s * 2**upstream.failures_in_row
+    upstream.note_failure(now, min(MOST_SUSPEND_S, wait_s))
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -19,24 +19,19 @@
 
 from . import fleet as fleet_module
 from . import loader as loader_module
+from . import mover as mover_module
 from . import outbox as outbox_module
 from . import placement
 from . import priority
-from . import rescue
 from . import runner as runner_module
+from . import texts as texts_module
 from . import work as work_module
 
 TICK_S = 0.05
-RESCUE_S = 0.1
 RETENTION_S = 5.0
-SUSPEND_S = 0.15
-SUSPEND_UNREACHABLE_S = 1.0
-MOST_SUSPEND_S = 4.0
 RETRY_S = 0.03
 # A batch whose route is missing this long has lost it.
 ROUTE_LOST_S = 3.0
-# Items of ended batches whose events are kept for later ones.
-MOST_LEFTOVERS = 2000
 # The middle of the scale, on which 0 is the most urgent.
 ITEM_PRIORITY = 5
 
@@ -66,17 +61,14 @@
         self._metrics = metrics
         self._changed = threading.Condition()
         self._tenure: ownership.Tenure | None = None
-        self._epoch = 0
         self._works: dict[tuple[str, str], work_module.Work] = {}
         self._known: set[str] = set()
         self._route_lost: dict[str, float] = {}
-        # Events of items whose batch ended before they did.
-        self._leftovers: dict[str, book_module.Text] = {}
+        self._texts = texts_module.Texts(book)
         self._outbox = outbox_module.Outbox(book)
         self._is_urgent = False
-        self._text_number = 0
-        self._rescue_at = 0.0
         self._pace = work_module.Pace()
+        self._mover = mover_module.Mover(self._pace, self._choices, metrics)
 
     def take_status_s(self, status_s: float) -> None:
         """Take how long batches can be read."""
@@ -86,7 +78,7 @@
         """Start the work of a tenure."""
         with self._changed:
             self._tenure = tenure
-            self._epoch = tenure.epoch
+            self._texts.begin(tenure.epoch)
             self._works.clear()
             self._known.clear()
             self._outbox.begin(tenure.epoch)
@@ -164,7 +156,7 @@
             if event.weight_version:
                 run.upstream.note_version(work.model, event.weight_version)
             if work.required_version not in (0, event.weight_version):
-                self._restart(work)
+                self._texts.restart(work)
                 run.cancel('weights changed')
                 return False
             if run.has_begun:
@@ -192,7 +184,7 @@
 
     def _work(self) -> None:
         self._cancel_lost()
-        self._rescue()
+        self._mover.check(self._works.values())
         self._assign()
 
     def _take_batches(self) -> None:
@@ -234,35 +226,12 @@
         if former and min(former.versions, default=0) >= work.min_version:
             self._finish(work, former)
             return
-        texts = self._book.texts(work.id)
-        leftover = self._leftovers.pop(work.id, None)
-        kept = {text.name: len(text.events) for text in texts}
-        if leftover is not None:
-            texts.append(leftover)
-        usable = [text for text in texts if _fits(text, work)]
-        self._restart(work)
-        if usable:
-            text = max(usable, key=lambda text: len(text.events))
-            work.events = list(text.events)
-            work.text = text.name
-            work.kept_events = kept.get(text.name, 0)
-
-    def _restart(self, work: work_module.Work) -> None:
-        """Begin a new text."""
-        self._text_number += 1
-        work.text = f'{self._epoch}.{self._text_number}'
-        work.events = []
-        work.kept_events = 0
+        self._texts.resume(work)
 
     def _drop(self, work: work_module.Work) -> None:
         if work.run is not None:
             work.run.cancel('batch ended')
-        if work.events:
-            self._leftovers[work.id] = book_module.Text(
-                work.text, list(work.events)
-            )
-            while len(self._leftovers) > MOST_LEFTOVERS:
-                self._leftovers.pop(next(iter(self._leftovers)))
+        self._texts.keep(work)
 
     def _route(
         self, head: records.BatchHead, target: str
@@ -274,70 +243,13 @@
         for run in self._fleet.refresh():
             run.cancel('upstream started again')
 
-    def _rescue(self) -> None:
-        now = time.monotonic()
-        if now < self._rescue_at:
-            return
-        self._rescue_at = now + RESCUE_S
-        for work in list(self._works.values()):
-            run = work.run
-            if run is not None and not run.cancelled:
-                self._rescue_one(run, now)
-
-    def _rescue_one(self, run: work_module.Run, now: float) -> None:
-        work = run.work
-        upstream = run.upstream
-        running = rescue.Running(
-            has_begun=run.has_begun,
-            silence_s=now - run.last_event,
-            gap_s=upstream.gap_s,
-            gaps_seen=upstream.gaps_seen,
-            expected_events=self._pace.expected_events(work),
-            moves=work.moves,
-            best_gap_s=self._best_gap_s(work, upstream),
-        )
-        if rescue.is_stalled(running):
-            reason = 'stalled'
-            upstream.note_failure(now, self._suspend_s(upstream, SUSPEND_S))
-        elif rescue.should_move(running):
-            reason = 'slow'
-        else:
-            return
-        work.moves += 1
-        self._metrics.count(f'pool.moved.{reason}')
-        LOG.info(
-            'run moves',
-            request=work.id,
-            batch=work.batch.head.id,
-            upstream=upstream.id,
-            reason=reason,
-            silence_s=round(running.silence_s, 3),
-            gap_s=round(running.gap_s, 4),
-            best_gap_s=running.best_gap_s,
-            events=len(work.events),
-        )
-        run.cancel(reason)
-
-    def _best_gap_s(
-        self, work: work_module.Work, present: work_module.Upstream
-    ) -> float | None:
-        service = self._service(work)
-        if service is None:
-            return None
-        gaps = [
-            choice.gap_s
-            for choice in self._fleet.choices(
-                service, work, self._memory_tokens(service)
-            )
-            if choice.is_free and choice.upstream != present.id
-        ]
-        return min(gaps, default=None)
-
-    def _service(self, work: work_module.Work) -> str | None:
+    def _choices(self, work: work_module.Work) -> list[placement.Choice]:
+        """Return where an item may run now."""
         route = self._route(work.batch.head, work.item.target)
         if route is None:
-            return None
-        return current_module.pick_service(route, work.id)
+            return []
+        service = current_module.pick_service(route, work.id)
+        return self._fleet.choices(service, work, self._memory_tokens(service))
 
     def _memory_tokens(self, service: str) -> int:
         configuration = self._current.configuration
@@ -387,14 +299,15 @@
             self._note_lost_route(work, now)
             return
         self._route_lost.pop(work.batch.head.id, None)
+        # The route may have been missing, or another, at the item's arrival.
+        work.due = work.batch.submitted + route.due_s
+        if route.single_version and not work.single_version:
+            self._texts.require_single_version(work)
         left_s = work.batch.submitted + route.give_up_s - now
         if left_s <= 0:
             self._terminate(work, 'too old')
             return
-        service = current_module.pick_service(route, work.id)
-        choices = self._fleet.choices(
-            service, work, self._memory_tokens(service)
-        )
+        choices = self._choices(work)
         chosen = placement.choose(choices)
         if chosen is not None:
             upstream = self._fleet.find(chosen)
@@ -403,7 +316,7 @@
             return
         if work.required_version and not choices:
             # No upstream has the version any more.
-            self._restart(work)
+            self._texts.restart(work)
 
     def _note_lost_route(self, work: work_module.Work, now: float) -> None:
         if self._current.configuration is None:
@@ -512,15 +425,10 @@
         now: float,
     ) -> None:
         work.not_before = now + RETRY_S
-        least_s = SUSPEND_S
+        least_s = mover_module.SUSPEND_S
         if ending is runner_module.Ending.UNREACHABLE:
-            least_s = SUSPEND_UNREACHABLE_S
-        upstream.note_failure(now, self._suspend_s(upstream, least_s))
-
-    def _suspend_s(
-        self, upstream: work_module.Upstream, least_s: float
-    ) -> float:
-        return min(MOST_SUSPEND_S, least_s * 2**upstream.failures_in_row)
+            least_s = mover_module.SUSPEND_UNREACHABLE_S
+        mover_module.suspend(upstream, now, least_s)
 
     def _terminate(self, work: work_module.Work, reason: str) -> None:
         LOG.info(
@@ -536,11 +444,3 @@
         work.result = result
         self._outbox.add(work)
         self._changed.notify_all()
-
-
-def _fits(text: book_module.Text, work: work_module.Work) -> bool:
-    """Tell whether an item may go on from a text."""
-    versions = {version for _, version in text.events}
-    if not versions or min(versions) < work.min_version:
-        return False
-    return len(versions) == 1 or not work.single_version
--- a/test/pool/test_outbox.py
+++ b/test/pool/test_outbox.py
@@ -5,19 +5,12 @@
 from baobabpond.batches import book as book_module
 from baobabpond.batches import records
 from baobabpond.pool import outbox as outbox_module
-from baobabpond.pool import work as work_module
 from baobabpond.ports import callers
+from test.pool import examples
 
 # What the users' platform takes.
 RECORD_BYTES = 262_144
 CALL_BYTES = 2_097_152
-HEAD = records.BatchHead('b', 'h', 'r', 0.0, 1, 'm', 1, 1, 1)
-
-
-def make_work(name: str) -> work_module.Work:
-    """Return the work of an item."""
-    item = callers.Item(name, '/t', (), '', 9, 'g', 0)
-    return work_module.Work(book_module.Batch(HEAD, (item,), 0.0), item, 0.0)
 
 
 class OutboxTest(unittest.TestCase):
@@ -31,7 +24,7 @@
     def finish(self, count: int, length: int) -> None:
         """Add finished items with long outputs."""
         for number in range(count):
-            work = make_work(f'i{number}')
+            work = examples.work(f'i{number}')
             work.result = callers.Result(work.id, True, 'x' * length, (1,))
             self.outbox.add(work)
 
@@ -57,7 +50,7 @@
 
     def test_progress_is_kept_in_parts(self) -> None:
         """A long text is kept in records that follow one another."""
-        work = make_work('i')
+        work = examples.work('i')
         work.text = '7.1'
         work.events = [('y' * 1000, 1)] * 400
         book = book_module.Book()
