Don't take the log's silence for that of owners, peers or upstreams

Cause: an item larger than any memory was refused by each upstream in turn, and each refusal suspended that upstream, ever longer, for all items. Three models without lag loaded each version on all upstreams, 11 s of loads in 4 s. Change: as many as the batch fills. A read that hangs kept the contact 'unbroken' for up to 2 s: the roster forgot all peers, which are the way out of a cut, and owners that hung like everybody else lost their shard. Change: silence counts up to the last answer; a late answer tells of an outage; reads time out after 0.5 s unless the log is slow; the direct way is tried again after 0.1 s at first. Also: 'results kept' and 'results read' lines, what a run waited for, and 'baobabpond steps LOG...' with a plot.

--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -12,6 +12,7 @@
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 from ..store import follower as follower_module
+from ..store import patience
 
 from . import book as book_module
 from . import records
@@ -25,10 +26,7 @@
 RETRY_S = 0.1
 # Leaves time for a second way before the others take over.
 APPEND_TIMEOUT_S = 0.4
-# A log that answers slowly is given more time, or no append would be seen to
-# end.
 MOST_APPEND_TIMEOUT_S = 1.6
-LATENCY_FACTOR = 3.0
 CHECK_S = 0.1
 FENCE_TRIES = 3
 # Spreads the claims of several instances.
@@ -102,7 +100,9 @@
         self._rng = random.Random()
         self._tenure: Tenure | None = None
         self._sequence = 0
-        self._append_timeout_s = APPEND_TIMEOUT_S
+        self._patience = patience.Patience(
+            APPEND_TIMEOUT_S, MOST_APPEND_TIMEOUT_S
+        )
         self._confirmed_boot_s = float('-inf')
         self._may_claim = threading.Event()
         self._releasing = threading.Event()
@@ -162,6 +162,14 @@
             and self._follower.contact_length_s > wait_s
         )
 
+    def _is_silent(self, owner: book_module.OwnerView | None) -> bool:
+        """Tell whether the log is known to hold nothing new of an owner."""
+        if owner is None or owner.record.released:
+            return True
+        if self._was_own(owner.record):
+            return True
+        return self._follower.silence_s(owner.seen_at) > TAKEOVER_S
+
     def _was_own(self, record: records.OwnerRecord) -> bool:
         return (
             record.instance == self._instance
@@ -181,6 +189,9 @@
         end = self._catch_up()
         if end is None or self._book.owner is not before:
             return
+        # An owner that could not reach the log may be back with it.
+        if not self._is_silent(before):
+            return
         sent_boot_s = clock.boot_s()
         owner = records.OwnerRecord(
             self._instance, self._incarnation, end + 1, False
@@ -303,14 +314,14 @@
             self._partition,
             pending,
             fence=log_port.Fence(PRODUCER, tenure.epoch, self._sequence),
-            timeout_s=self._append_timeout_s,
+            timeout_s=self._patience.timeout_s,
         )
         took_s = time.monotonic() - started
         self._metrics.record('ownership.append', took_s)
-        self._append_timeout_s = next_timeout_s(
-            self._append_timeout_s, answer.outcome, took_s
-        )
+        if answer.outcome is log_port.Outcome.UNKNOWN:
+            self._patience.note_silence()
         if answer.outcome is log_port.Outcome.DONE:
+            self._patience.note_answer(took_s)
             self._sequence += 1
             self._confirmed_boot_s = sent_boot_s
         else:
@@ -322,15 +333,3 @@
                 records=len(pending),
             )
         return answer.outcome
-
-
-def next_timeout_s(
-    timeout_s: float, outcome: log_port.Outcome, took_s: float
-) -> float:
-    """Return how long the next append may take. Answers a slow log."""
-    if outcome is log_port.Outcome.UNKNOWN:
-        return min(MOST_APPEND_TIMEOUT_S, 2 * timeout_s)
-    if outcome is log_port.Outcome.DONE:
-        wanted_s = LATENCY_FACTOR * took_s
-        return min(MOST_APPEND_TIMEOUT_S, max(APPEND_TIMEOUT_S, wanted_s))
-    return timeout_s
--- a/baobabpond/edge/batches.py
+++ b/baobabpond/edge/batches.py
@@ -110,6 +110,14 @@
         page = callers.ResultPage(
             len(batch.items), call.position, _fitting(results)
         )
+        if page.results:
+            LOG.info(
+                'results read',
+                batch=call.batch,
+                position=call.position,
+                count=len(page.results),
+                items=len(batch.items),
+            )
         answers.send_json(exchange, 200, self._protocol.result_page(page))
 
     def read_item(self, exchange: server.Exchange, call: callers.Call) -> None:
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -45,6 +45,8 @@
 MS_PER_S = 1000
 # Records of many upstreams or instances are read together.
 DIRECTORY_PAUSE_S = 0.1
+# Tells soon that an owner is silent; owners append more often.
+OWNER_READ_WAIT_S = 0.5
 
 LOG = structlog.get_logger(__name__)
 
@@ -158,7 +160,7 @@
                 False,
             ),
             self._log,
-            lambda: self._members_follower.contact_length_s,
+            lambda since: self._members_follower.silence_s(since),
         )
         self._log.find_peers(self._peer_addresses)
         self._book = book_module.Book()
@@ -178,7 +180,10 @@
             DIRECTORY_PAUSE_S,
         )
         self._shard_follower = self._follow(
-            batches.TOPIC, SHARD, self._book.apply
+            batches.TOPIC,
+            SHARD,
+            self._book.apply,
+            read_wait_s=OWNER_READ_WAIT_S,
         )
         self._followers = (
             self._operator_follower,
@@ -193,6 +198,7 @@
         partition: int,
         listener: follower_module.Listener,
         pause_s: float = 0.0,
+        read_wait_s: float = follower_module.READ_WAIT_S,
     ) -> follower_module.Follower:
         return follower_module.Follower(
             self._log,
@@ -201,6 +207,7 @@
             listener,
             self._metrics,
             pause_s,
+            read_wait_s,
         )
 
     def _peer_addresses(self) -> list[tuple[str, int]]:
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -44,11 +44,12 @@
         self,
         own: Member,
         log: log_port.Log,
-        contact_length_s: typing.Callable[[], float],
+        silence_s: typing.Callable[[float], float],
     ) -> None:
         self._own = own
         self._log = log
-        self._contact_length_s = contact_length_s
+        # Tells for how long nothing was on the log since a moment.
+        self._silence_s = silence_s
         self._lock = threading.Lock()
         self._seen: dict[str, Seen] = {}
         self._may_announce = threading.Event()
@@ -94,12 +95,10 @@
 
     def usable(self) -> list[Member]:
         """Return the live members that are not leaving, the nearest first."""
-        now = time.monotonic()
-        # While the log is away nobody's heartbeats come.
-        knows_silence = self._contact_length_s() > GONE_S
         with self._lock:
             for name, seen in list(self._seen.items()):
-                if knows_silence and now - seen.seen_at > GONE_S:
+                # While the log is away nobody's heartbeats come.
+                if self._silence_s(seen.seen_at) > GONE_S:
                     LOG.info('instance silent', member=name)
                     del self._seen[name]
             members = [
--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -67,6 +67,19 @@
             if upstream.suspended_until <= now and _may_run(upstream, work)
         ]
 
+    def obstacle(self, service: str, work: work_module.Work) -> str:
+        """Return what an item without an upstream waits for."""
+        upstreams = self.of(service)
+        if not upstreams:
+            return 'upstreams'
+        able = [one for one in upstreams if _may_run(one, work)]
+        if not able:
+            return 'weights'
+        now = time.monotonic()
+        if all(one.suspended_until > now for one in able):
+            return 'suspension'
+        return 'slots'
+
     def find(self, upstream_id: str) -> work_module.Upstream | None:
         """Return an upstream by its id."""
         for upstream in self._upstreams.values():
--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -112,14 +112,15 @@
             return
         announced = self._current.versions
         demand = owner.demand()
-        lags = self._lags()
+        newest = self._newest_batches()
         for service in configuration.services.values():
             targets = [
                 weights.Target(
                     model,
                     announced[model],
-                    lags.get(model, DEFAULT_LAG),
+                    _lag(newest.get(model)),
                     demand[model],
+                    len(newest[model].items) if model in newest else 0,
                 )
                 for model in service.models
                 if model in announced
@@ -256,15 +257,19 @@
             for route in configuration.routes
         )
 
-    def _lags(self) -> dict[str, int]:
-        """Return the lag that each model's newest batch allows."""
-        newest: dict[str, tuple[float, int]] = {}
+    def _newest_batches(self) -> dict[str, book_module.Batch]:
+        """Return the batch of each model that was submitted last."""
+        newest: dict[str, book_module.Batch] = {}
         for batch in self._book.all_batches():
-            head = batch.head
-            if not head.model:
-                continue
-            lag = max(0, head.newest_version - head.min_version)
-            present = newest.get(head.model)
-            if present is None or batch.submitted > present[0]:
-                newest[head.model] = batch.submitted, lag
-        return {model: lag for model, (_, lag) in newest.items()}
+            model = batch.head.model
+            present = newest.get(model)
+            if present is None or batch.submitted > present.submitted:
+                newest[model] = batch
+        return newest
+
+
+def _lag(batch: book_module.Batch | None) -> int:
+    """Return the versions that a batch's samples may be behind."""
+    if batch is None:
+        return DEFAULT_LAG
+    return max(0, batch.head.newest_version - batch.head.min_version)
--- a/baobabpond/pool/mover.py
+++ b/baobabpond/pool/mover.py
@@ -9,12 +9,10 @@
 
 from . import placement
 from . import rescue
+from . import setbacks
 from . import work as work_module
 
 CHECK_S = 0.1
-SUSPEND_S = 0.15
-SUSPEND_UNREACHABLE_S = 1.0
-MOST_SUSPEND_S = 4.0
 
 LOG = structlog.get_logger(__name__)
 
@@ -52,7 +50,7 @@
     def _check_run(self, run: work_module.Run, now: float) -> None:
         running = self._describe(run, now)
         if rescue.is_stalled(running):
-            suspend(run.upstream, now, SUSPEND_S)
+            setbacks.suspend(run.upstream, now)
             self._move(run, 'stalled', running)
         elif rescue.should_move(running):
             self._move(run, 'slow', running)
@@ -98,11 +96,3 @@
             events=len(work.events),
         )
         run.cancel(reason)
-
-
-def suspend(
-    upstream: work_module.Upstream, now: float, least_s: float
-) -> None:
-    """Keep new runs away, longer after each failure in a row."""
-    wait_s = least_s * 2**upstream.failures_in_row
-    upstream.note_failure(now, min(MOST_SUSPEND_S, wait_s))
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -24,12 +24,12 @@
 from . import placement
 from . import priority
 from . import runner as runner_module
+from . import setbacks
 from . import texts as texts_module
 from . import work as work_module
 
 TICK_S = 0.05
 RETENTION_S = 5.0
-RETRY_S = 0.03
 # A batch whose route is missing this long has lost it.
 ROUTE_LOST_S = 3.0
 # The middle of the scale, on which 0 is the most urgent.
@@ -163,6 +163,7 @@
                 run.upstream.note_gap(now - run.last_event)
             run.events += 1
             run.last_event = now
+            work.refusals = 0
             work.events.append((event.data, event.weight_version))
             return True
 
@@ -193,12 +194,17 @@
             if batch.head.id not in self._known:
                 self._known.add(batch.head.id)
                 self._add_batch(batch)
+        kept = collections.defaultdict(list)
         for key, work in list(self._works.items()):
             batch = work.batch
             if batch.ended and work.result is None:
                 self._drop(work)
             if batch.ended or work.id in batch.listed:
                 del self._works[key]
+                if work.id in batch.listed:
+                    kept[batch.head.id].append(work)
+        for works in kept.values():
+            _log_kept(works)
 
     def _add_batch(self, batch: book_module.Batch) -> None:
         route = self._route(batch.head, batch.items[0].target)
@@ -217,6 +223,8 @@
             step=batch.head.step,
             min_version=batch.head.min_version,
             items=len(batch.items),
+            listed=len(batch.listed),
+            due_s=due_s,
             age_s=round(time.monotonic() - batch.submitted, 3),
         )
 
@@ -248,7 +256,7 @@
         route = self._route(work.batch.head, work.item.target)
         if route is None:
             return []
-        service = current_module.pick_service(route, work.id)
+        service = self._service(work, route)
         return self._fleet.choices(service, work, self._memory_tokens(service))
 
     def _memory_tokens(self, service: str) -> int:
@@ -293,6 +301,10 @@
             )
         )
 
+    @staticmethod
+    def _service(work: work_module.Work, route: catalogue.Route) -> str:
+        return current_module.pick_service(route, work.id)
+
     def _start_or_wait(self, work: work_module.Work, now: float) -> None:
         route = self._route(work.batch.head, work.item.target)
         if route is None:
@@ -314,6 +326,7 @@
             if upstream is not None:
                 self._start(work, upstream, left_s)
             return
+        work.obstacle = self._fleet.obstacle(self._service(work, route), work)
         if work.required_version and not choices:
             # No upstream has the version any more.
             self._texts.restart(work)
@@ -348,8 +361,10 @@
             upstream=upstream.id,
             running=len(upstream.runs),
             from_event=len(work.events) + 1,
+            waited_for=work.obstacle,
             waited_s=round(run.started - work.batch.submitted, 3),
         )
+        work.obstacle = ''
         threading.Thread(
             target=self._carry_out,
             args=(attempt,),
@@ -398,7 +413,7 @@
         elif ending is runner_module.Ending.FAILED:
             self._note_failed(work)
         elif ending is not runner_module.Ending.CANCELLED:
-            self._note_unfinished(work, upstream, ending, now)
+            setbacks.note(work, upstream, ending, now)
 
     def _complete(
         self, work: work_module.Work, upstream: work_module.Upstream
@@ -417,19 +432,6 @@
         if route is not None and work.failures >= route.attempts:
             self._terminate(work, 'failed at each attempt')
 
-    def _note_unfinished(
-        self,
-        work: work_module.Work,
-        upstream: work_module.Upstream,
-        ending: runner_module.Ending,
-        now: float,
-    ) -> None:
-        work.not_before = now + RETRY_S
-        least_s = mover_module.SUSPEND_S
-        if ending is runner_module.Ending.UNREACHABLE:
-            least_s = mover_module.SUSPEND_UNREACHABLE_S
-        mover_module.suspend(upstream, now, least_s)
-
     def _terminate(self, work: work_module.Work, reason: str) -> None:
         LOG.info(
             'item given up',
@@ -442,5 +444,23 @@
 
     def _finish(self, work: work_module.Work, result: callers.Result) -> None:
         work.result = result
+        work.finished = time.monotonic()
         self._outbox.add(work)
         self._changed.notify_all()
+
+
+def _log_kept(works: list[work_module.Work]) -> None:
+    """Log that the log keeps the results of items of one batch."""
+    batch = works[0].batch
+    now = time.monotonic()
+    LOG.info(
+        'results kept',
+        batch=batch.head.id,
+        count=len(works),
+        listed=len(batch.listed),
+        items=len(batch.items),
+        longest_wait_s=round(
+            max((now - w.finished for w in works if w.finished), default=0.0),
+            3,
+        ),
+    )
--- a/baobabpond/pool/weights.py
+++ b/baobabpond/pool/weights.py
@@ -30,6 +30,8 @@
     lag: int
     # Items that run or wait.
     demand: int
+    # Items of the newest batch; 0 if there was none.
+    batch_items: int = 0
 
 
 class PlannedLoad(typing.NamedTuple):
@@ -40,11 +42,20 @@
     version: int
 
 
-def wanted_fresh(target: Target, upstreams: int, models: int) -> int:
-    """Return how many upstreams should hold a model's newest version."""
-    by_lag = math.ceil(upstreams / (target.lag + 1))
-    by_share = upstreams // max(1, models)
-    return min(upstreams, max(by_lag, by_share))
+def wanted_fresh(target: Target, holders: list[Holder], models: int) -> int:
+    """Return how many upstreams should hold a model's newest version.
+
+    Where no lag is allowed a batch waits for its own version to be loaded:
+    more upstreams than the batch fills would only make it wait longer.
+    """
+    count = len(holders)
+    wanted = math.ceil(count / (target.lag + 1))
+    if target.lag == 0 and target.batch_items:
+        slots = sum(holder.slots for holder in holders) / max(1, count)
+        filled = math.ceil(target.batch_items / max(1.0, slots))
+        wanted = min(wanted, filled)
+    by_share = count // max(1, models)
+    return min(count, max(wanted, by_share))
 
 
 def plan(
@@ -77,7 +88,7 @@
         holder.versions.get(target.model, 0) >= target.version
         for holder in holders
     )
-    return wanted_fresh(target, len(holders), models) - fresh
+    return wanted_fresh(target, holders, models) - fresh
 
 
 def _usable_slots(target: Target, holders: list[Holder]) -> int:
--- a/baobabpond/pool/work.py
+++ b/baobabpond/pool/work.py
@@ -64,9 +64,15 @@
         # Events that the log keeps.
         self.kept_events = 0
         self.failures = 0
+        # Times in a row that upstreams refused the item without running it.
+        self.refusals = 0
         self.moves = 0
         self.run: Run | None = None
         self.not_before = 0.0
+        # What the item waited for last, until it starts.
+        self.obstacle = ''
+        # When the result was there; it is not kept yet.
+        self.finished = 0.0
         self.result: callers.Result | None = None
         # All events of the text must have one weight version.
         self.single_version = False
--- a/baobabpond/ports/log.py
+++ b/baobabpond/ports/log.py
@@ -87,9 +87,17 @@
         ...
 
     def read(
-        self, topic: str, partition: int, offset: int, wait_s: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> Page:
-        """Read from an offset; raise LogError or OffsetExpired."""
+        """Read from an offset; raise LogError or OffsetExpired.
+
+        The log waits for records; the timeout counts from the wait's end.
+        """
         ...
 
     def newest(self, topic: str, partition: int, after: str) -> NewestPage:
--- /dev/null
+++ b/baobabpond/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Report on a service from its logs."""
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -11,6 +11,8 @@
 
 # Bounds how long a silent connection goes unnoticed.
 READ_WAIT_S = 1.0
+# An answer that comes this much after its time tells that the log was away.
+LATE_S = 0.3
 RETRY_S = 0.1
 LOG = structlog.get_logger(__name__)
 
@@ -30,6 +32,7 @@
         listener: Listener,
         metrics: metrics_module.Metrics,
         pause_s: float = 0.0,
+        read_wait_s: float = READ_WAIT_S,
     ) -> None:
         self._log = log
         self._topic = topic
@@ -37,6 +40,7 @@
         self._listener = listener
         self._metrics = metrics
         self._pause_s = pause_s
+        self._read_wait_s = read_wait_s
         self._lock = threading.Lock()
         self._position: int | None = None
         self._contact = float('-inf')
@@ -55,11 +59,29 @@
 
     @property
     def contact_length_s(self) -> float:
-        """Return for how long the log has answered without a failure."""
-        if self._contact_since == float('-inf'):
+        """Return for how long the log has answered without a pause."""
+        if self._is_overdue:
             return 0.0
         return time.monotonic() - self._contact_since
 
+    def silence_s(self, since: float) -> float:
+        """Return for how long the log is known to have held nothing new.
+
+        Counted from a moment to the last answer, without the time before
+        which the log was away.
+        """
+        if self._contact_since == float('-inf'):
+            return 0.0
+        return max(0.0, self._contact - max(since, self._contact_since))
+
+    @property
+    def _is_overdue(self) -> bool:
+        longest_s = self._read_wait_s + self._pause_s + LATE_S
+        return (
+            self._contact_since == float('-inf')
+            or self.contact_age_s > longest_s
+        )
+
     def start(self) -> None:
         """Follow in a task of its own."""
         name = f'follow-{self._topic}-{self._partition}'
@@ -98,8 +120,7 @@
                 time.sleep(self._pause_s)
 
     def _follow_once(self) -> None:
-        if self._read(READ_WAIT_S) is not None:
-            self._note_contact()
+        self._read(self._read_wait_s)
 
     def _read(self, wait_s: float) -> log_port.Page | None:
         """Read on and pass on what is new; None if a load must follow."""
@@ -114,7 +135,10 @@
         except log_port.OffsetExpired:
             self._expire(position)
             return None
-        return page if self._apply(position, page) else None
+        if not self._apply(position, page):
+            return None
+        self._note_contact()
+        return page
 
     def _has_reached(self, page: log_port.Page) -> bool:
         with self._lock:
@@ -176,7 +200,7 @@
 
     def _note_contact(self) -> None:
         now = time.monotonic()
-        if self._contact_since == float('-inf'):
+        if self._is_overdue:
             self._contact_since = now
             LOG.info(
                 'log partition reached',
--- a/baobabpond/store/relay.py
+++ b/baobabpond/store/relay.py
@@ -18,13 +18,19 @@
 from ..peers import pool as pool_module
 from ..ports import log as log_port
 
-# After a failure the direct way is tried again this much later.
-DIRECT_RETRY_S = 0.4
+from . import patience
+
+# After a failure the direct way is tried again this much later, and each
+# time twice as late.
+FIRST_DIRECT_RETRY_S = 0.1
+MOST_DIRECT_RETRY_S = 0.4
 CONNECT_TIMEOUT_MS = 300
 # Above what the instance that relays allows its own call.
 RELAY_MARGIN_S = 0.6
 MOST_RELAYS = 2
 APPEND_TIMEOUT_S = 0.6
+READ_TIMEOUT_S = 0.5
+MOST_READ_TIMEOUT_S = 1.6
 MS_PER_S = 1000
 
 LOG = structlog.get_logger(__name__)
@@ -48,6 +54,13 @@
         self._failed_at = float('-inf')
         self._reached_at = float('-inf')
         self._is_lost = False
+        self._retry_s = FIRST_DIRECT_RETRY_S
+        self._patience = patience.Patience(READ_TIMEOUT_S, MOST_READ_TIMEOUT_S)
+
+    @property
+    def read_timeout_s(self) -> float:
+        """Return how long a direct read may take beyond its wait."""
+        return self._patience.timeout_s
 
     @property
     def is_direct(self) -> bool:
@@ -103,14 +116,25 @@
         return answer
 
     def read(
-        self, topic: str, partition: int, offset: int, wait_s: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> log_port.Page:
         """Read from an offset; raise LogError or OffsetExpired."""
         wait_ms = int(wait_s * MS_PER_S)
         # A waiting read would tell late that the log is back.
         direct_wait_s = 0.0 if self._is_lost else wait_s
         page = self._read(
-            lambda: self._direct.read(topic, partition, offset, direct_wait_s),
+            lambda: self._direct.read(
+                topic,
+                partition,
+                offset,
+                direct_wait_s,
+                timeout_s or self.read_timeout_s,
+            ),
             lambda client: client.read(topic, partition, offset, wait_ms),
             wait_s,
         )
@@ -146,8 +170,10 @@
                 answer = direct()
             except log_port.LogError as error:
                 failure = str(error)
+                self._note_read(started, wait_s, False)
                 self._note_direct(started, False, failure)
             else:
+                self._note_read(started, wait_s, True)
                 self._note_direct(started, True)
                 return answer
         timeout_ms = int((wait_s + APPEND_TIMEOUT_S) * MS_PER_S)
@@ -168,6 +194,13 @@
                 return page
         raise log_port.LogError(failure)
 
+    def _note_read(self, started: float, wait_s: float, done: bool) -> None:
+        late_s = time.monotonic() - started - wait_s
+        if done and late_s > 0:
+            self._patience.note_answer(late_s)
+        elif not done and late_s >= self._patience.timeout_s:
+            self._patience.note_silence()
+
     def _relay_append(
         self,
         address: pool_module.Address,
@@ -199,9 +232,10 @@
             if not self._is_lost:
                 return True
             now = time.monotonic()
-            if now - self._failed_at < DIRECT_RETRY_S:
+            if now - self._failed_at < self._retry_s:
                 return False
             self._failed_at = now
+            self._retry_s = min(MOST_DIRECT_RETRY_S, 2 * self._retry_s)
             return True
 
     def _note_direct(
@@ -214,6 +248,8 @@
                 return
             changed = reached == self._is_lost
             self._is_lost = not reached
+            if changed:
+                self._retry_s = FIRST_DIRECT_RETRY_S
             if reached:
                 self._reached_at = time.monotonic()
             else:
@@ -271,7 +307,11 @@
         self._check_direct()
         try:
             page = self._direct.read(
-                topic, partition, offset, wait_ms / MS_PER_S
+                topic,
+                partition,
+                offset,
+                wait_ms / MS_PER_S,
+                self._reachable.read_timeout_s,
             )
         except log_port.LogError as error:
             raise ttypes.LogUnavailable(str(error)) from error
--- a/baobabpond/ui/main.py
+++ b/baobabpond/ui/main.py
@@ -9,6 +9,7 @@
 
 from . import entries
 from . import host
+from . import reports
 from . import serve
 from . import settings
 
@@ -52,6 +53,15 @@
         """
         entries.show(instance, caller, data_centre)
 
+    def steps(self, *logs: str, plot: str | None = None) -> None:
+        """Print where the time of batches went.
+
+        Args:
+            logs: files with the log lines of all instances.
+            plot: path of a drawing to write, as SVG.
+        """
+        reports.show_steps(logs, plot)
+
     def version(self) -> None:
         """Print the version."""
         print(__version__)
--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -107,6 +107,26 @@
             self.add_owner('b')
         self.assertIsNone(self.ownership.tenure)
 
+    def test_owner_is_left_alone_after_the_log_was_silent(self) -> None:
+        """Calls that hang tell nothing of an owner that hangs as well."""
+        self.add_owner('b')
+        # Answers come again when this is set.
+        back = threading.Event()
+        silent_s = ownership.TAKEOVER_S + 0.5
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+        self.wait(lambda: self.follower.complete)
+        self.log.before_read = lambda: back.wait(TIMEOUT_S)
+        self.ownership.start()
+        self.addCleanup(self.ownership.release, TIMEOUT_S)
+        self.ownership.allow_claims()
+        time.sleep(silent_s)
+        back.set()
+        for _ in range(8):
+            time.sleep(0.2)
+            self.add_owner('b')
+        self.assertIsNone(self.ownership.tenure)
+
     def test_own_former_process_is_not_waited_for(self) -> None:
         """A restarted instance claims what it owned at once."""
         self.add_owner('a')
@@ -157,29 +177,3 @@
         self.assertTrue(self.work.ceased.is_set())
         last = records.decode_owner(self.log.records[-1].value)
         self.assertTrue(last.released)
-
-
-class TimeoutTest(unittest.TestCase):
-    """Wait for a slow log."""
-
-    def test_slow_log_is_given_time(self) -> None:
-        """Appends that take 0.6 s are seen to end after one repeat."""
-        timeout_s = ownership.APPEND_TIMEOUT_S
-        timeout_s = ownership.next_timeout_s(
-            timeout_s, log_port.Outcome.UNKNOWN, timeout_s
-        )
-        self.assertGreater(timeout_s, 0.6)
-        timeout_s = ownership.next_timeout_s(
-            timeout_s, log_port.Outcome.DONE, 0.6
-        )
-        self.assertGreater(timeout_s, 0.6)
-        for _ in range(9):
-            timeout_s = ownership.next_timeout_s(
-                timeout_s, log_port.Outcome.UNKNOWN, timeout_s
-            )
-        self.assertEqual(ownership.MOST_APPEND_TIMEOUT_S, timeout_s)
-
-    def test_quick_log_is_not_waited_for(self) -> None:
-        """After quick answers a lost one is noticed soon."""
-        timeout_s = ownership.next_timeout_s(1.6, log_port.Outcome.DONE, 0.005)
-        self.assertEqual(ownership.APPEND_TIMEOUT_S, timeout_s)
--- a/test/members/test_roster.py
+++ b/test/members/test_roster.py
@@ -1,6 +1,7 @@
 """Test which instances callers are sent to."""
 
 import json
+import time
 import unittest
 
 import freezegun
@@ -23,12 +24,18 @@
     """Fold heartbeats."""
 
     def setUp(self) -> None:
-        """Make a roster that has long been in contact with the log."""
-        self.contact_s = 60.0
+        """Make a roster that is in contact with the log."""
+        # When the log last answered; None: just now.
+        self.contact: float | None = None
         self.roster = roster_module.Roster(
-            make_member('own'), fakes.FakeLog(), lambda: self.contact_s
+            make_member('own'), fakes.FakeLog(), self.silence_s
         )
 
+    def silence_s(self, since: float) -> float:
+        """Return for how long the log is known to hold nothing new."""
+        until = time.monotonic() if self.contact is None else self.contact
+        return max(0.0, until - since)
+
     def hear(self, *members: roster_module.Member) -> None:
         """Take heartbeats."""
         self.roster.apply(
@@ -59,10 +66,19 @@
         """Without the log no heartbeat can come, so all stay."""
         with freezegun.freeze_time() as clock:
             self.hear(make_member('a'), make_member('b'))
-            self.contact_s = 0.0
+            self.contact = time.monotonic()
             clock.tick(30)
             self.assertEqual(['a', 'b'], self.usable())
 
+    def test_nobody_is_silent_while_a_read_hangs(self) -> None:
+        """A cut shows late; until then peers must stay known as ways out."""
+        with freezegun.freeze_time() as clock:
+            self.hear(make_member('a'))
+            clock.tick(roster_module.HEARTBEAT_S)
+            self.contact = time.monotonic()
+            clock.tick(roster_module.GONE_S)
+            self.assertEqual(['a'], self.usable())
+
     def test_own_instance_stays_while_its_heartbeats_are_late(self) -> None:
         """A caller that is answered can always come back here."""
         self.roster.announce()
--- a/test/pool/test_decisions.py
+++ b/test/pool/test_decisions.py
@@ -1,5 +1,6 @@
 """Test the pool's decisions, each without a network."""
 
+import collections
 import unittest
 
 from baobabpond.pool import placement
@@ -111,6 +112,30 @@
             for n, version in enumerate(versions)
         ]
 
+    def test_batch_without_lag_waits_for_few_loads(self) -> None:
+        """Three models and no lag: each loads only what a batch fills.
+
+        Seven upstreams of 12 slots, batches of 24 items.
+        """
+        holders = [
+            weights.Holder(
+                f'u{n}', {'a': 1, 'b': 1, 'c': 1}, False, True, 0, 12
+            )
+            for n in range(7)
+        ]
+        targets = [weights.Target(name, 2, 0, 0, 24) for name in 'abc']
+        planned = weights.plan(holders, targets, 99)
+        self.assertEqual(
+            {'a': 2, 'b': 2, 'c': 2},
+            collections.Counter(load.model for load in planned),
+        )
+
+    def test_large_batch_without_lag_loads_everywhere(self) -> None:
+        """One model whose batch fills all upstreams loads on all."""
+        target = weights.Target('m', 2, 0, 0, 120)
+        planned = weights.plan(self.holders(*[1] * 6), [target], 99)
+        self.assertEqual(6, len(planned))
+
     def test_oldest_load_first_and_few_at_once(self) -> None:
         """What can't serve any more loads before what still can."""
         target = weights.Target('m', 5, 1, 30)
--- /dev/null
+++ b/test/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Test the reports."""
--- a/test/store/fakes.py
+++ b/test/store/fakes.py
@@ -21,6 +21,7 @@
         )
         self.appends: list[tuple[list[log_port.Record], object]] = []
         self.waits: list[float] = []
+        self.timeouts: list[float | None] = []
         # Called when a read begins.
         self.before_read = lambda: None
         # Called before each page of newest records.
@@ -58,9 +59,15 @@
         return log_port.Appended(outcome, offset)
 
     def read(
-        self, topic: str, partition: int, offset: int, wait_s: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        timeout_s: float | None = None,
     ) -> log_port.Page:
         """Read what is there."""
+        self.timeouts.append(timeout_s)
         self.waits.append(wait_s)
         self.before_read()
         if self.read_error is not None:
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -3,6 +3,8 @@
 import time
 import unittest
 
+import freezegun
+
 from baobabpond import metrics
 from baobabpond.ports import log as log_port
 from baobabpond.store import follower as follower_module
@@ -81,6 +83,24 @@
         self.assertEqual(1, self.follower.catch_up())
         self.assertEqual(2, self.snapshots)
 
+    def test_silence_is_known_up_to_the_last_answer(self) -> None:
+        """A read that hangs says nothing of those that are silent."""
+        self.log.add('a')
+        with freezegun.freeze_time() as clock:
+            since = time.monotonic()
+            self.assertEqual(0.0, self.follower.silence_s(since))
+            self.follower.catch_up()
+            clock.tick(0.5)
+            self.follower.catch_up()
+            clock.tick(5.0)
+            self.assertAlmostEqual(0.5, self.follower.silence_s(since), 3)
+            self.assertEqual(0.0, self.follower.contact_length_s)
+            # The log was away meanwhile.
+            self.follower.catch_up()
+            self.assertEqual(0.0, self.follower.silence_s(since))
+            clock.tick(0.5)
+            self.assertAlmostEqual(0.5, self.follower.contact_length_s, 3)
+
     def test_compacted_end_is_the_end(self) -> None:
         """Offsets without records don't keep a reader waiting."""
         self.log.add('a')
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -88,11 +88,35 @@
             self.far.read_error = log_port.LogError('down')
             self.read_direct()
             self.direct.read_error = None
-            clock.tick(relay.DIRECT_RETRY_S + 0.01)
+            clock.tick(relay.FIRST_DIRECT_RETRY_S + 0.01)
             self.read_direct()
             self.assertEqual([1.0, 0.0], self.direct.waits)
             self.assertTrue(self.log.is_direct)
 
+    def test_slow_log_is_given_time_to_answer_reads(self) -> None:
+        """Reads that time out are given more; quick answers less."""
+
+        def hang() -> None:
+            clock.tick(self.direct.timeouts[-1])
+
+        with freezegun.freeze_time() as clock:
+            self.direct.before_read = hang
+            self.direct.read_error = log_port.LogError('timeout')
+            self.far.read_error = log_port.LogError('down')
+            for _ in range(5):
+                with contextlib.suppress(log_port.LogError):
+                    self.log.read('t', 0, 0, 0.0)
+                clock.tick(1.0)
+            self.assertEqual(relay.READ_TIMEOUT_S, self.direct.timeouts[0])
+            self.assertEqual(
+                relay.MOST_READ_TIMEOUT_S, self.direct.timeouts[-1]
+            )
+            self.direct.read_error = None
+            self.direct.before_read = lambda: clock.tick(0.01)
+            for _ in range(2):
+                self.log.read('t', 0, 0, 0.0)
+            self.assertEqual(relay.READ_TIMEOUT_S, self.direct.timeouts[-1])
+
     def test_call_that_hung_does_not_hide_a_later_success(self) -> None:
         """A failure counts only against what was known when it began."""
 
