--- a/baobabpond/pool/mover.py
+++ b/baobabpond/pool/mover.py
@@ -21,6 +21,9 @@
     [work_module.Work], list[placement.Choice]
 ]
 
+# Returns why a run shall move, '' if it shall stay.
+Decide = collections.abc.Callable[[rescue.Running], str]
+
 
 class Mover:
     """Look after the runs under way; the pool's lock guards all calls."""
@@ -30,10 +33,12 @@
         pace: work_module.Pace,
         find_choices: FindChoices,
         metrics: metrics_module.Metrics,
+        decide: Decide = rescue.decide,
     ) -> None:
         self._pace = pace
         self._find_choices = find_choices
         self._metrics = metrics
+        self._decide = decide
         self._check_at = 0.0
 
     def check(self, works: collections.abc.Iterable[work_module.Work]) -> None:
@@ -49,11 +54,11 @@
 
     def _check_run(self, run: work_module.Run, now: float) -> None:
         running = self._describe(run, now)
-        if rescue.is_stalled(running):
+        reason = self._decide(running)
+        if reason == rescue.STALLED:
             setbacks.suspend(run.upstream, now)
-            self._move(run, 'stalled', running)
-        elif rescue.should_move(running):
-            self._move(run, 'slow', running)
+        if reason:
+            self._move(run, reason, running)
 
     def _describe(self, run: work_module.Run, now: float) -> rescue.Running:
         work = run.work
--- a/baobabpond/pool/pool.py
+++ b/baobabpond/pool/pool.py
@@ -22,7 +22,7 @@
 from . import mover as mover_module
 from . import outbox as outbox_module
 from . import placement
-from . import priority
+from . import queue
 from . import runner as runner_module
 from . import setbacks
 from . import texts as texts_module
@@ -268,39 +268,9 @@
     def _assign(self) -> None:
         """Start waiting items, the most pressing first."""
         now = time.monotonic()
-        waiting = [
-            work
-            for work in self._works.values()
-            if work.run is None
-            and work.result is None
-            and work.not_before <= now
-        ]
-        if not waiting:
-            return
-        missing = collections.Counter(
-            (work.batch.head.id, work.item.group)
-            for work in self._works.values()
-            if work.result is None
-        )
-        waiting.sort(key=lambda work: self._rank(work, missing, now))
-        for work in waiting:
+        for work in queue.ordered(self._works.values(), self._pace, now):
             self._start_or_wait(work, now)
 
-    def _rank(
-        self,
-        work: work_module.Work,
-        missing: collections.Counter[tuple[str, str]],
-        now: float,
-    ) -> tuple[int, float, int]:
-        expected = self._pace.expected_events(work)
-        return priority.rank(
-            priority.Waiting(
-                work.due - now,
-                expected * work_module.INITIAL_GAP_S,
-                missing[work.batch.head.id, work.item.group],
-            )
-        )
-
     @staticmethod
     def _service(work: work_module.Work, route: catalogue.Route) -> str:
         return current_module.pick_service(route, work.id)
--- a/baobabpond/pool/rescue.py
+++ b/baobabpond/pool/rescue.py
@@ -12,6 +12,9 @@
 # Gaps seen before an upstream is called slow.
 ENOUGH_GAPS = 10
 
+STALLED = 'stalled'
+SLOW = 'slow'
+
 
 class Running(typing.NamedTuple):
     """Hold what the move of a run depends on."""
@@ -28,6 +31,13 @@
     best_gap_s: float | None
 
 
+def decide(running: Running) -> str:
+    """Return why a run shall move, '' if it shall stay."""
+    if is_stalled(running):
+        return STALLED
+    return SLOW if should_move(running) else ''
+
+
 def is_stalled(running: Running) -> bool:
     """Tell whether a run is taken for lost."""
     limit_s = STALL_LIMIT_S if running.has_begun else FIRST_EVENT_LIMIT_S
--- a/baobabpond/reports/plots.py
+++ b/baobabpond/reports/plots.py
@@ -9,6 +9,9 @@
 HEIGHT_PER_BATCH_INCHES = 0.25
 WIDTH_INCHES = 12.0
 LEAST_HEIGHT_INCHES = 3.0
+BARS_HEIGHT_INCHES = 5.0
+# Share of the room between two names that their bars take.
+GROUP_WIDTH = 0.8
 
 
 def _pyplot() -> typing.Any:
@@ -57,3 +60,22 @@
     figure.tight_layout()
     save(figure, path)
     pyplot.close(figure)
+
+
+def draw_bars(
+    names: list[str], series: dict[str, list[float]], label: str, path: str
+) -> None:
+    """Draw groups of bars: a group a name, a bar a series."""
+    pyplot = _pyplot()
+    figure, axes = pyplot.subplots(figsize=(WIDTH_INCHES, BARS_HEIGHT_INCHES))
+    width = GROUP_WIDTH / max(1, len(series))
+    for number, (name, values) in enumerate(series.items()):
+        places = [place + number * width for place in range(len(values))]
+        axes.bar(places, values, width, label=name)
+    middle = (GROUP_WIDTH - width) / 2
+    axes.set_xticks([n + middle for n in range(len(names))], names)
+    axes.set_ylabel(label)
+    axes.legend(loc='lower left', fontsize='small')
+    figure.tight_layout()
+    save(figure, path)
+    pyplot.close(figure)
--- a/baobabpond/reports/steps.py
+++ b/baobabpond/reports/steps.py
@@ -123,6 +123,8 @@
         self.unkept: collections.deque[_Item] = collections.deque()
         self.unread: collections.deque[_Item] = collections.deque()
         self.read_to = 0
+        # Items that were read before a line said that they are kept.
+        self.early = 0
 
     def item(self, item_id: str) -> _Item:
         """Return an item, from its acceptance on."""
@@ -182,6 +184,9 @@
 @_on('results kept')
 def _keep(batch: _Batch, line: lines_module.Line) -> None:
     for _ in range(line.fields['count']):
+        if batch.early:
+            batch.early -= 1
+            continue
         if not batch.unkept:
             return
         item = batch.unkept.popleft()
@@ -193,10 +198,16 @@
 def _read(batch: _Batch, line: lines_module.Line) -> None:
     until = line.fields['position'] + line.fields['count']
     for _ in range(until - batch.read_to):
-        if not batch.unread:
+        if batch.unread:
+            item = batch.unread.popleft()
+            item.spend(Phase.READER, line.time)
+        elif batch.unkept:
+            # A reader may be told before the owner logs that it is kept.
+            item = batch.unkept.popleft()
+            item.spend(Phase.LOG, line.time)
+            batch.early += 1
+        else:
             break
-        item = batch.unread.popleft()
-        item.spend(Phase.READER, line.time)
         item.is_read = True
     batch.read_to = max(batch.read_to, until)
 
--- /dev/null
+++ b/standins/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Play loads and faults against the pool's decisions in simulated time."""
--- /dev/null
+++ b/standins/experiment/policies.py
@@ -0,0 +1,106 @@
+"""Name the ways to decide; each kind has its first version as baseline."""
+
+import math
+import typing
+
+from baobabpond.pool import mover
+from baobabpond.pool import placement
+from baobabpond.pool import priority
+from baobabpond.pool import queue
+from baobabpond.pool import rescue
+from baobabpond.pool import weights
+from baobabpond import registry
+
+Place = typing.Callable[[list[placement.Choice]], str | None]
+Plan = typing.Callable[
+    [list[weights.Holder], list[weights.Target], int],
+    list[weights.PlannedLoad],
+]
+
+BASELINE = 'baseline'
+PRODUCT = 'product'
+
+orders: registry.Registry[queue.Rank] = registry.Registry('order')
+placements: registry.Registry[Place] = registry.Registry('placement')
+rescues: registry.Registry[mover.Decide] = registry.Registry('rescue')
+plans: registry.Registry[Plan] = registry.Registry('weight plan')
+
+orders.register(PRODUCT)(priority.rank)
+placements.register(PRODUCT)(placement.choose)
+rescues.register(PRODUCT)(rescue.decide)
+plans.register(PRODUCT)(weights.plan)
+
+
+class Policies(typing.NamedTuple):
+    """Name one way for each kind of decision."""
+
+    order: str = PRODUCT
+    placement: str = PRODUCT
+    rescue: str = PRODUCT
+    weights: str = PRODUCT
+
+
+@orders.register(BASELINE)
+def by_due_time(waiting: priority.Waiting) -> tuple[float, float, float]:
+    """Let the batch that is due first go first, its items as they come."""
+    return waiting.due_in_s, 0.0, 0.0
+
+
+@orders.register('shortest_first')
+def by_length(waiting: priority.Waiting) -> tuple[float, float, float]:
+    """Let short items go first."""
+    return waiting.expected_s, 0.0, 0.0
+
+
+@placements.register(BASELINE)
+def fewest_running(choices: list[placement.Choice]) -> str | None:
+    """Choose the upstream with the fewest runs, whatever its speed."""
+    free = [choice for choice in choices if choice.running < choice.slots]
+    if not free:
+        return None
+    return min(free, key=lambda choice: choice.running).upstream
+
+
+@rescues.register(BASELINE)
+def only_stalled(running: rescue.Running) -> str:
+    """Move only runs that fell silent."""
+    return rescue.STALLED if rescue.is_stalled(running) else ''
+
+
+@rescues.register('never')
+def never(running: rescue.Running) -> str:
+    """Leave all runs where they are."""
+    return ''
+
+
+@plans.register(BASELINE)
+def everywhere(
+    holders: list[weights.Holder],
+    targets: list[weights.Target],
+    most_loads: int,
+) -> list[weights.PlannedLoad]:
+    """Load each version on all upstreams, in the order of their names."""
+    room = most_loads - sum(holder.is_loading for holder in holders)
+    planned = []
+    for holder in holders:
+        for target in targets:
+            is_old = holder.versions.get(target.model, 0) < target.version
+            if len(planned) < room and is_old and holder.is_free:
+                if not holder.is_loading:
+                    planned.append(
+                        weights.PlannedLoad(
+                            holder.upstream, target.model, target.version
+                        )
+                    )
+                    break
+    return planned
+
+
+@plans.register('all_at_once')
+def all_at_once(
+    holders: list[weights.Holder],
+    targets: list[weights.Target],
+    most_loads: int,
+) -> list[weights.PlannedLoad]:
+    """Plan as the product does, without a bound on loads at once."""
+    return weights.plan(holders, targets, math.ceil(len(holders)))
--- /dev/null
+++ b/test/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Test the experiment tool, and the decisions by it."""
--- a/test/reports/test_steps.py
+++ b/test/reports/test_steps.py
@@ -8,6 +8,7 @@
 
 from baobabpond import errors
 from baobabpond.reports import lines as lines_module
+from baobabpond.reports import plots
 from baobabpond.reports import steps
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
@@ -171,6 +172,19 @@
         self.assertAlmostEqual(0.4, story.seconds()[Phase.READER], 4)
         self.assertIsNotNone(story.ended)
 
+    def test_reading_may_be_logged_before_keeping(self) -> None:
+        """Instances log independently of one another."""
+        (story,) = told(
+            submitted(),
+            text(1.5, 'batch taken up', batch='b', due_s=7.5),
+            *(starts(2.0, item) for item in 'ij'),
+            *(ends(3.0, item) for item in 'ij'),
+            text(3.2, 'results read', batch='b', position=0, count=2),
+            text(3.3, 'results kept', batch='b', count=2),
+        )
+        self.assertEqual(2, story.read)
+        self.assertAlmostEqual(0.4, story.seconds()[Phase.LOG], 4)
+
     def test_refused_batch_has_no_story(self) -> None:
         """What was not accepted took no time."""
         self.assertEqual([], told(submitted(outcome='log_away')))
@@ -183,5 +197,26 @@
             self.assertIn(phase.value, rows[0])
 
 
+class PlotTest(unittest.TestCase):
+    """Draw reports."""
+
+    def test_equal_reports_give_equal_drawings(self) -> None:
+        """A drawing is an SVG that can be compared."""
+        stories = told(submitted('b'), submitted('c'))
+        with tempfile.TemporaryDirectory() as folder:
+            drawn = []
+            for name in ('first.svg', 'second.svg'):
+                path = pathlib.Path(folder, name)
+                plots.draw_steps(stories, str(path))
+                drawn.append(path.read_text())
+        self.assertIn('<svg', drawn[0])
+        self.assertEqual(drawn[0], drawn[1])
+
+    def test_path_that_cannot_be_written_is_told(self) -> None:
+        """The user gets one line."""
+        with self.assertRaises(errors.UserError):
+            plots.draw_bars(['a'], {'x': [1.0]}, 'worth', '/nonexistent/p')
+
+
 if __name__ == '__main__':
     unittest.main()
