Load less at a start, serve without the batches, let memory spread runs

Memory: an upstream whose runs need more memory than there is goes on in turns, so memory weighs in the cost instead of holding items back.

--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -2,12 +2,17 @@
 
 import json
 import typing
+import zlib
 
 from ..ports import callers
 from ..ports import log as log_port
 
 # Below the smallest record limit that platforms are known to set.
 PART_BYTES = 200_000
+# Instances that start read all records at once, and share the log's rate.
+COMPRESSED_FROM_BYTES = 200
+COMPRESSION_LEVEL = 1
+COMPRESSED_MARK = b'\x78'
 BATCH = 'batch'
 RESULT = 'result'
 END = 'end'
@@ -109,7 +114,7 @@
 
 def decode_batch(value: bytes) -> BatchPart:
     """Decode a part of a batch."""
-    head, parts, number, items = json.loads(value)
+    head, parts, number, items = _load(value)
     return BatchPart(
         BatchHead(*head),
         parts,
@@ -136,7 +141,7 @@
         batch,
         [
             callers.Result(*fields[:3], tuple(fields[3]))
-            for fields in json.loads(value)
+            for fields in _load(value)
         ],
     )
 
@@ -153,7 +158,7 @@
 
 def decode_owner(value: bytes) -> OwnerRecord:
     """Decode the record of a shard's owner."""
-    return OwnerRecord(**json.loads(value))
+    return OwnerRecord(**_load(value))
 
 
 def encode_intent(intent: Intent) -> log_port.Record:
@@ -165,7 +170,7 @@
 
 def decode_intent(key: str, value: bytes) -> Intent:
     """Decode the announcement of an order."""
-    return Intent(key.split('/')[1], *json.loads(value))
+    return Intent(key.split('/')[1], *_load(value))
 
 
 def encode_progress(progress: Progress) -> log_port.Record:
@@ -179,7 +184,7 @@
 def decode_progress(key: str, value: bytes) -> Progress:
     """Decode events made so far."""
     _, item, text, first = key.split('/')
-    data, versions = json.loads(value)
+    data, versions = _load(value)
     return Progress(item, text, int(first), data, versions)
 
 
@@ -194,7 +199,24 @@
 
 
 def _dump(value: typing.Any) -> bytes:
-    return json.dumps(value, separators=(',', ':')).encode()
+    """Return JSON, compressed where that pays."""
+    text = json.dumps(value, separators=(',', ':')).encode()
+    if len(text) < COMPRESSED_FROM_BYTES:
+        return text
+    return zlib.compress(text, COMPRESSION_LEVEL)
+
+
+def _load(value: bytes) -> typing.Any:
+    """Read what _dump wrote, or raise ValueError.
+
+    JSON never begins as compressed data does.
+    """
+    if value[:1] == COMPRESSED_MARK:
+        try:
+            value = zlib.decompress(value)
+        except zlib.error as error:
+            raise ValueError(str(error)) from error
+    return json.loads(value)
 
 
 def _pairs(pairs: list[list[str]]) -> tuple[tuple[str, str], ...]:
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -47,6 +47,9 @@
 DIRECTORY_PAUSE_S = 0.1
 # Tells soon that an owner is silent; owners append more often.
 OWNER_READ_WAIT_S = 0.5
+# When all instances start at once, the batches take long to load; ordinary
+# requests don't wait for them longer than this.
+SHARD_PATIENCE_S = 0.3
 
 LOG = structlog.get_logger(__name__)
 
@@ -65,6 +68,7 @@
         self._log = relay.ReachableLog(self._platform.log, self._metrics)
         self._leave_requested = threading.Event()
         self._leaving = False
+        self._catalogue_known_at: float | None = None
         self._validity_s = min(
             app_module.ENTRIES_VALID_S, settings['longest_validity_s']
         )
@@ -317,9 +321,25 @@
     def _is_ready(self) -> bool:
         return (
             not self._leaving
-            and self._current.configuration is not None
-            and all(follower.complete for follower in self._followers)
+            and self._knows_catalogue
+            and (
+                self._shard_follower.complete
+                or time.monotonic() - self._catalogue_known_at
+                > SHARD_PATIENCE_S
+            )
+        )
+
+    @property
+    def _knows_catalogue(self) -> bool:
+        """Tell whether ordinary requests can be served."""
+        known = self._current.configuration is not None and all(
+            follower.complete
+            for follower in self._followers
+            if follower is not self._shard_follower
         )
+        if known and self._catalogue_known_at is None:
+            self._catalogue_known_at = time.monotonic()
+        return known
 
     def _become_ready(self) -> None:
         """Join the work once all that the instance needs is known."""
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -6,9 +6,6 @@
 FULL_SLOWDOWN = 0.25
 # An upstream that holds the group's prompt may be this much slower.
 PROMPT_BONUS = 0.9
-# Runs reach their full size at different times; far beyond this they push
-# each other out of memory and are read in again.
-MEMORY_SHARE = 1.6
 
 
 class Choice(typing.NamedTuple):
@@ -25,19 +22,19 @@
 
     @property
     def is_free(self) -> bool:
-        """Tell whether one more item may run.
-
-        An item that no memory holds runs alone.
-        """
-        if self.running >= self.slots:
-            return False
-        return self.running == 0 or self.memory <= MEMORY_SHARE
+        """Tell whether one more item may run."""
+        return self.running < self.slots
 
 
 def cost(choice: Choice) -> float:
-    """Return the expected time between events if one more item runs."""
+    """Return the expected time between events if one more item runs.
+
+    Runs that need more memory than there is go on in turns.
+    """
     filled = (choice.running + 1) / choice.slots
     expected = choice.gap_s * (1.0 + FULL_SLOWDOWN * filled)
+    if choice.running:
+        expected *= max(1.0, choice.memory)
     return expected * PROMPT_BONUS if choice.holds_prompt else expected
 
 
--- /dev/null
+++ b/measure/platform.py
@@ -0,0 +1,160 @@
+"""Measure what an instance on a platform costs, by their number."""
+
+import argparse
+import collections.abc
+import statistics
+import threading
+import time
+import typing
+
+import psutil
+
+from measure import control
+from measure import registry
+from standins.emulator import people
+from standins.emulator import world as world_module
+
+SAMPLERS = 4
+GROUPS = 8
+GROUP_SIZE = 8
+STEP_S = 2.0
+STARTED_AT_ONCE = 4
+SETTLE_S = 3.0
+FIGURES = (
+    'cores_mean',
+    'cores_owner',
+    'rss_mb_mean',
+    'store_reads_per_s',
+    'store_appends_per_s',
+    'store_kb_per_s',
+    'log_lines_per_s_owner',
+    'log_kb_per_s_owner',
+    'log_kb_per_s_mean',
+)
+
+
+class Sample(typing.NamedTuple):
+    """Hold the counters of all processes at a moment."""
+
+    time: float
+    cpu_s: list[float]
+    log_bytes: list[int]
+    log_lines: list[int]
+    store_calls: dict[str, int]
+    wire_bytes: int
+
+
+@registry.measurements.register('platform')
+def platform(
+    options: argparse.Namespace,
+) -> collections.abc.Iterator[registry.Row]:
+    """Run several numbers of instances under one load and fit lines."""
+    rows = []
+    for count in map(int, options.instances.split(',')):
+        row = _run(options.seed[0], count, options.seconds)
+        rows.append(row)
+        yield row
+    for figure in FIGURES:
+        points = [(row['instances'], row[figure]) for row in rows]
+        slope, intercept, residual = control.fit(points)
+        yield {
+            'measure': 'platform',
+            'fit': figure,
+            'at_0': round(intercept, 4),
+            'per_instance': round(slope, 5),
+            'residual': round(residual, 4),
+        }
+
+
+def _run(seed: int, count: int, seconds: float) -> registry.Row:
+    with world_module.World(seed) as world:
+        world.start(min(count, STARTED_AT_ONCE), SAMPLERS)
+        while len(world.instances) < count:
+            for _ in range(STARTED_AT_ONCE):
+                world.start_instance(f'entry-{len(world.instances) + 1}')
+            world.wait_ready()
+        time.sleep(SETTLE_S)
+        stop = threading.Event()
+        load = threading.Thread(target=_train, args=(world, stop))
+        load.start()
+        time.sleep(SETTLE_S)
+        before = _sample(world)
+        time.sleep(seconds)
+        after = _sample(world)
+        stop.set()
+        load.join()
+        return {
+            'measure': 'platform',
+            'instances': count,
+            'seed': seed,
+            **_figures(world, before, after),
+        }
+
+
+def _train(world: world_module.World, stop: threading.Event) -> None:
+    """Ask for a step every two seconds and read it."""
+    trainer = world.trainer()
+    step = 0
+    while not stop.is_set():
+        started = time.monotonic()
+        batch = people.Batch(world_module.MODEL, step, 1, GROUPS, GROUP_SIZE)
+        trainer.submit(batch)
+        trainer.read_all(batch, 10.0)
+        trainer.end(batch)
+        step += 1
+        stop.wait(max(0.0, STEP_S - (time.monotonic() - started)))
+
+
+def _sample(world: world_module.World) -> Sample:
+    cpu_s, sizes, lines = [], [], []
+    for instance in world.instances:
+        times = psutil.Process(instance.process.pid).cpu_times()
+        cpu_s.append(times.user + times.system)
+        text = instance.log_path.read_bytes()
+        sizes.append(len(text))
+        lines.append(text.count(b'\n'))
+    return Sample(
+        time.monotonic(),
+        cpu_s,
+        sizes,
+        lines,
+        dict(world.store.calls),
+        psutil.net_io_counters(pernic=True)['lo'].bytes_sent,
+    )
+
+
+def _figures(
+    world: world_module.World, before: Sample, after: Sample
+) -> dict[str, float]:
+    elapsed_s = after.time - before.time
+
+    def rates(new: list[typing.Any], old: list[typing.Any]) -> list[float]:
+        return [(a - b) / elapsed_s for a, b in zip(new, old, strict=True)]
+
+    cores = rates(after.cpu_s, before.cpu_s)
+    log_bytes = rates(after.log_bytes, before.log_bytes)
+    log_lines = rates(after.log_lines, before.log_lines)
+    calls = {
+        name: (total - before.store_calls.get(name, 0)) / elapsed_s
+        for name, total in after.store_calls.items()
+    }
+    appends = sum(v for k, v in calls.items() if 'append' in k)
+    rss = [
+        psutil.Process(instance.process.pid).memory_info().rss / 1e6
+        for instance in world.instances
+    ]
+    wire = (after.wire_bytes - before.wire_bytes) / elapsed_s
+    return {
+        'cores_mean': round(statistics.mean(cores), 4),
+        # The owner of the shard does most.
+        'cores_owner': round(max(cores), 4),
+        'rss_mb_mean': round(statistics.mean(rss), 1),
+        'rss_mb_most': round(max(rss), 1),
+        'store_reads_per_s': round(sum(calls.values()) - appends, 1),
+        'store_appends_per_s': round(appends, 1),
+        # Each byte of the store passes the loopback twice, by a relay.
+        'store_kb_per_s': round(wire / 2 / 1e3, 1),
+        'log_lines_per_s_owner': round(max(log_lines), 1),
+        'log_kb_per_s_owner': round(max(log_bytes) / 1e3, 2),
+        'log_kb_per_s_mean': round(statistics.mean(log_bytes) / 1e3, 2),
+    }
--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -2,9 +2,12 @@
 
 import argparse
 import concurrent.futures
+import logging
 import statistics
 import typing
 
+import structlog
+
 from . import load as load_module
 from . import policies as policies_module
 from . import simulation
@@ -39,6 +42,14 @@
     return found
 
 
+def _be_quiet() -> None:
+    """Log nothing below a warning in a worker."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING),
+        cache_logger_on_first_use=False,
+    )
+
+
 def _play(
     load: str, policies: policies_module.Policies, seed: int
 ) -> simulation.Outcome:
@@ -53,7 +64,9 @@
 ) -> list[Played]:
     """Play each load with each variant and each seed."""
     played = []
-    with concurrent.futures.ProcessPoolExecutor(workers) as executor:
+    with concurrent.futures.ProcessPoolExecutor(
+        workers, initializer=_be_quiet
+    ) as executor:
         futures = {
             (load, variant): [
                 executor.submit(_play, load, policies, seed)
--- a/standins/experiment/policies.py
+++ b/standins/experiment/policies.py
@@ -19,6 +19,7 @@
 
 BASELINE = 'baseline'
 PRODUCT = 'product'
+MEMORY_SHARE = 1.6
 
 orders: registry.Registry[queue.Rank] = registry.Registry('order')
 placements: registry.Registry[Place] = registry.Registry('placement')
@@ -61,6 +62,18 @@
     return min(free, key=lambda choice: choice.running).upstream
 
 
+@placements.register('memory_bound')
+def within_memory(choices: list[placement.Choice]) -> str | None:
+    """Let no more runs start than the memory will hold in turns."""
+    return placement.choose(
+        [
+            choice
+            for choice in choices
+            if choice.running == 0 or choice.memory <= MEMORY_SHARE
+        ]
+    )
+
+
 @rescues.register(BASELINE)
 def only_stalled(running: rescue.Running) -> str:
     """Move only runs that fell silent."""
--- /dev/null
+++ b/test/batches/test_records.py
@@ -0,0 +1,49 @@
+"""Test how records are written."""
+
+import unittest
+
+from baobabpond.batches import book as book_module
+from baobabpond.batches import records
+from baobabpond.ports import callers
+from baobabpond.ports import log as log_port
+
+TEXT = 'The batten holds four hundred kilograms. ' * 40
+
+
+class RecordsTest(unittest.TestCase):
+    """Write and read records."""
+
+    def test_long_records_are_small(self) -> None:
+        """Instances that start together share the log's rate."""
+        results = records.Results(
+            'b', [callers.Result('i', True, TEXT, (1, 2))]
+        )
+        record = records.encode_results(results, '1.1')
+        self.assertLess(len(record.value), len(TEXT) / 2)
+        self.assertEqual(
+            results, records.decode_results(record.key, record.value)
+        )
+
+    def test_records_written_before_are_read(self) -> None:
+        """What an earlier version kept as plain JSON still counts."""
+        found = records.decode_results('result/b/1', b'[["i",true,"t",[3]]]')
+        self.assertEqual(
+            callers.Result('i', True, 't', (3,)), found.results[0]
+        )
+
+    def test_spoilt_record_is_passed_over(self) -> None:
+        """A record that can't be read must not stop those after it."""
+        owner = records.encode_owner(records.OwnerRecord('a', 'x', 1, False))
+        book = book_module.Book()
+        book.apply(
+            [
+                log_port.Record('result/b/1', b'\x78\x9cspoilt', 0),
+                log_port.Record(owner.key, owner.value, 1),
+            ],
+            False,
+        )
+        self.assertEqual('a', book.owner.record.instance)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/test/emulator/test_requests.py
+++ b/test/emulator/test_requests.py
@@ -56,6 +56,25 @@
             self.assertEqual(200, reply.status)
             self.assertLess(time.monotonic() - asked, 1.2)
 
+    def test_ordinary_requests_do_not_wait_for_batches(self) -> None:
+        """An instance that can't read the batches yet serves the rest."""
+        self.world.store.faults.topic = 'keyed.batches'
+        self.world.store.faults.down = 'busy'
+        late = self.world.start_instance('entry-late')
+        self.world.wait_ready()
+        reply = people.Client().send(
+            late.address,
+            'POST',
+            world_module.LOOKUPS + 'a',
+            {
+                'Host': world_module.HOST,
+                'X-Request-Id': 'early',
+                'X-Deadline-Ms': '2000',
+            },
+            b'x',
+        )
+        self.assertEqual(200, reply.status)
+
     def test_non_idempotent_request_runs_once(self) -> None:
         """A lost answer ends in 502, and no second run."""
         for sampler in self.world.plain:
