Order weights during an outage of the log where upstreams check fences

Where upstreams check fences a former owner's order is refused by them, and versions only grow, so the owner may order on; where they don't, nothing changes. Change: Loader._may_order; setting upstreams_check_fences from the platform's require-fence.

--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -25,6 +25,7 @@
     store_address: str
     parts: int
     order_lease_ms: float
+    upstreams_check_fences: bool
     grace_s: float
     status_s: float
     longest_validity_s: float
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -110,7 +110,10 @@
     def take_settings(self, settings: host_schema.HostSettings) -> None:
         """Take new settings; addresses change with the next start."""
         self._settings = settings
-        self._loader.take_lease(settings['order_lease_ms'] / MS_PER_S)
+        self._loader.take_rules(
+            settings['order_lease_ms'] / MS_PER_S,
+            settings['upstreams_check_fences'],
+        )
         self._pool.take_status_s(settings['status_s'])
 
     def run_until_left(self) -> bool:
@@ -227,6 +230,7 @@
         self._loader = loader.Loader(
             self._settings['instance'],
             self._settings['order_lease_ms'] / MS_PER_S,
+            self._settings['upstreams_check_fences'],
             self._book,
             upstreams,
             self._current,
--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -51,6 +51,7 @@
         self,
         instance: str,
         lease_s: float,
+        checks_fences: bool,
         book: book_module.Book,
         fleet: fleet_module.Fleet,
         current: current_module.CurrentConfiguration,
@@ -59,6 +60,7 @@
     ) -> None:
         self._instance = instance
         self._lease_s = lease_s
+        self._checks_fences = checks_fences
         self._book = book
         self._fleet = fleet
         self._current = current
@@ -87,9 +89,13 @@
         with self._lock:
             self._tenure = None
 
-    def take_lease(self, lease_s: float) -> None:
-        """Take the least time between the orders of two holders."""
+    def take_rules(self, lease_s: float, checks_fences: bool) -> None:
+        """Take the least time between orders of two holders, in seconds.
+
+        And whether upstreams refuse a lower fence than they have seen.
+        """
         self._lease_s = lease_s
+        self._checks_fences = checks_fences
 
     def take_intents(self) -> list[log_port.Record]:
         """Return the announcements that the log shall keep."""
@@ -99,7 +105,7 @@
 
     def _run(self, tenure: ownership.Tenure, owner: Owner) -> None:
         while self._tenure is tenure:
-            if self._is_trusted():
+            if self._may_order():
                 try:
                     self._plan(tenure, owner)
                 except Exception:
@@ -142,7 +148,7 @@
                 upstream.id,
                 upstream.versions,
                 upstream.load is not None,
-                self._may_order(upstream, tenure, now),
+                self._is_due(upstream, tenure, now),
                 len(upstream.runs),
                 upstream.entry.slots,
             )
@@ -198,7 +204,15 @@
             upstream.orders_not_before = now + orders.BACK_OFF_S
         upstream.load = None
 
-    def _may_order(
+    def _may_order(self) -> bool:
+        """Tell whether orders can do no harm.
+
+        While the log is away nobody can prove that it still owns the shard.
+        Upstreams that check fences refuse a former owner themselves.
+        """
+        return self._is_trusted() or self._checks_fences
+
+    def _is_due(
         self,
         upstream: work_module.Upstream,
         tenure: ownership.Tenure,
@@ -225,6 +239,9 @@
         The next owner reads the announcement, and so knows when the lease of
         this one's orders ends.
         """
+        if not self._is_trusted():
+            LOG.info('order without announcement', upstream=upstream.id)
+            return self._checks_fences and self._tenure is tenure
         announced = clock.boot_s()
         intent = records.Intent(
             upstream.id, self._instance, uuid.uuid4().hex[:8]
--- a/standins/emulator/world.py
+++ b/standins/emulator/world.py
@@ -85,6 +85,7 @@
         self.samplers: list[sampler_module.Sampler] = []
         self.plain: list[sampler_module.Sampler] = []
         self.instances: list[Instance] = []
+        self._checks_fence = True
         self._folder = tempfile.TemporaryDirectory(prefix='baobabpond-')
 
     def __enter__(self) -> 'World':
@@ -117,6 +118,7 @@
         checks_fence: bool = True,
     ) -> None:
         """Start everything and wait until all instances are ready."""
+        self._checks_fence = checks_fence
         for _ in range(samplers):
             self.add_sampler(checks_fence)
         for _ in range(2):
@@ -163,6 +165,7 @@
             'store_address': link.url.removeprefix('http://'),
             'parts': 12,
             'order_lease_ms': 1500,
+            'upstreams_check_fences': self._checks_fence,
             'grace_s': GRACE_S,
             'status_s': 120,
             'longest_validity_s': 0.2,
--- a/test/settings/test_host.py
+++ b/test/settings/test_host.py
@@ -26,6 +26,7 @@
     'store_address': '127.0.0.1:6',
     'parts': 12,
     'order_lease_ms': 3000,
+    'upstreams_check_fences': True,
     'grace_s': 8,
     'status_s': 120,
     'longest_validity_s': 5,
