--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -29,6 +29,7 @@
 from .ports import log as log_port
 from .ports import platforms
 from .store import follower as follower_module
+from .store import handler
 from .store import relay
 from .upstreams import connections
 
@@ -83,7 +84,7 @@
             self._settings['address'],
             self._settings['peer_port'],
             LogRelay.Processor(
-                relay.RelayHandler(
+                handler.RelayHandler(
                     self._platform.log, self._log, self._metrics
                 )
             ),
--- a/baobabpond/store/relay.py
+++ b/baobabpond/store/relay.py
@@ -18,6 +18,7 @@
 from ..peers import pool as pool_module
 from ..ports import log as log_port
 
+from . import codec
 from . import patience
 
 # After a failure the direct way is tried again this much later, and each
@@ -31,7 +32,7 @@
 APPEND_TIMEOUT_S = 0.6
 READ_TIMEOUT_S = 0.5
 MOST_READ_TIMEOUT_S = 1.6
-MS_PER_S = 1000
+
 
 LOG = structlog.get_logger(__name__)
 T = typing.TypeVar('T')
@@ -97,7 +98,7 @@
         if unknown and expected_end is not None:
             # It may have taken effect; a repeat would only find a conflict.
             return answer
-        call = _encode_append(
+        call = codec.encode_append(
             topic, partition, records, expected_end, fence, timeout_s
         )
         for address in self._some_peers():
@@ -124,7 +125,7 @@
         timeout_s: float | None = None,
     ) -> log_port.Page:
         """Read from an offset; raise LogError or OffsetExpired."""
-        wait_ms = int(wait_s * MS_PER_S)
+        wait_ms = int(wait_s * codec.MS_PER_S)
         # A waiting read would tell late that the log is back.
         direct_wait_s = 0.0 if self._is_lost else wait_s
         page = self._read(
@@ -140,7 +141,7 @@
         )
         if isinstance(page, log_port.Page):
             return page
-        return log_port.Page(page.end, _decode_records(page.records))
+        return log_port.Page(page.end, codec.decode_records(page.records))
 
     def newest(
         self, topic: str, partition: int, after: str
@@ -154,7 +155,7 @@
         if isinstance(page, log_port.NewestPage):
             return page
         return log_port.NewestPage(
-            page.end, _decode_records(page.records), page.has_more
+            page.end, codec.decode_records(page.records), page.has_more
         )
 
     def _read(
@@ -176,12 +177,12 @@
                 self._note_read(started, wait_s, True)
                 self._note_direct(started, True)
                 return answer
-        timeout_ms = int((wait_s + APPEND_TIMEOUT_S) * MS_PER_S)
+        timeout_ms = int((wait_s + APPEND_TIMEOUT_S) * codec.MS_PER_S)
         for address in self._some_peers():
             try:
                 page = self._pool.call(
                     address,
-                    timeout_ms + int(RELAY_MARGIN_S * MS_PER_S),
+                    timeout_ms + int(RELAY_MARGIN_S * codec.MS_PER_S),
                     relayed,
                     (ttypes.LogUnavailable, ttypes.LogExpired),
                 )
@@ -207,7 +208,7 @@
         call: ttypes.LogAppend,
         timeout_s: float,
     ) -> log_port.Appended | None:
-        timeout_ms = int((timeout_s + RELAY_MARGIN_S) * MS_PER_S)
+        timeout_ms = int((timeout_s + RELAY_MARGIN_S) * codec.MS_PER_S)
         try:
             reply = self._pool.call(
                 address, timeout_ms, lambda client: client.append(call)
@@ -263,111 +264,9 @@
             )
 
 
-class RelayHandler:
-    """Make the log calls of other instances, directly only."""
-
-    def __init__(
-        self,
-        direct: log_port.Log,
-        reachable: ReachableLog,
-        metrics: metrics_module.Metrics,
-    ) -> None:
-        self._direct = direct
-        self._reachable = reachable
-        self._metrics = metrics
-
-    def append(self, call: ttypes.LogAppend) -> ttypes.LogAppended:
-        """Append for another instance."""
-        if not self._reachable.is_direct:
-            return ttypes.LogAppended(
-                log_port.Outcome.REFUSED.value, -1, 'no direct way here either'
-            )
-        self._metrics.count('log.appends_for_peers')
-        fence = None
-        if call.fence is not None:
-            fence = log_port.Fence(
-                call.fence.producer, call.fence.epoch, call.fence.sequence
-            )
-        answer = self._direct.append(
-            call.topic,
-            call.partition,
-            _decode_records(call.records),
-            call.expected_end,
-            fence,
-            call.timeout_ms / MS_PER_S,
-        )
-        return ttypes.LogAppended(
-            answer.outcome.value, answer.offset, answer.detail
-        )
-
-    def read(
-        self, topic: str, partition: int, offset: int, wait_ms: int
-    ) -> ttypes.LogPage:
-        """Read for another instance."""
-        self._check_direct()
-        try:
-            page = self._direct.read(
-                topic,
-                partition,
-                offset,
-                wait_ms / MS_PER_S,
-                self._reachable.read_timeout_s,
-            )
-        except log_port.LogError as error:
-            raise ttypes.LogUnavailable(str(error)) from error
-        except log_port.OffsetExpired as error:
-            raise ttypes.LogExpired(str(error)) from error
-        return ttypes.LogPage(page.end, _encode_records(page.records), False)
-
-    def newest(self, topic: str, partition: int, after: str) -> ttypes.LogPage:
-        """Read newest records for another instance."""
-        self._check_direct()
-        try:
-            page = self._direct.newest(topic, partition, after)
-        except log_port.LogError as error:
-            raise ttypes.LogUnavailable(str(error)) from error
-        return ttypes.LogPage(
-            page.end, _encode_records(page.records), page.has_more
-        )
-
-    def _check_direct(self) -> None:
-        if not self._reachable.is_direct:
-            raise ttypes.LogUnavailable('no direct way here either')
-
-
 def _reached(answer: log_port.Appended) -> bool:
     """Tell whether an answer came from a log that serves."""
     return answer.outcome not in (
         log_port.Outcome.REFUSED,
         log_port.Outcome.UNKNOWN,
     )
-
-
-def _encode_append(
-    topic: str,
-    partition: int,
-    records: list[log_port.Record],
-    expected_end: int | None,
-    fence: log_port.Fence | None,
-    timeout_s: float,
-) -> ttypes.LogAppend:
-    return ttypes.LogAppend(
-        topic=topic,
-        partition=partition,
-        records=_encode_records(records),
-        expected_end=expected_end,
-        fence=ttypes.LogFence(*fence) if fence else None,
-        timeout_ms=int(timeout_s * MS_PER_S),
-    )
-
-
-def _encode_records(
-    records: list[log_port.Record],
-) -> list[ttypes.LogRecord]:
-    return [ttypes.LogRecord(*record) for record in records]
-
-
-def _decode_records(
-    records: list[ttypes.LogRecord],
-) -> list[log_port.Record]:
-    return [log_port.Record(r.key, r.value, r.offset) for r in records]
--- /dev/null
+++ b/test/routing/test_retries.py
@@ -0,0 +1,102 @@
+"""Test retries and their budget."""
+
+import random
+import time
+import unittest
+
+from returns import result
+
+from baobabpond import answers
+from baobabpond import metrics
+from baobabpond.routing import budget
+from baobabpond.routing import service
+from baobabpond import verdicts
+from test import helpers
+
+Verdict = verdicts.Verdict
+
+
+def refuse(verdict, code='upstream_error'):
+    """Return a failed attempt."""
+    return result.Failure(verdicts.Refusal(verdict, 503, code, ''))
+
+
+def answer():
+    """Return a whole answer."""
+    return result.Success(answers.Answer(200, '', b''))
+
+
+class RetryTest(unittest.TestCase):
+    """Retry within the rules of the verdict and the budget."""
+
+    def setUp(self):
+        self.router = service.ServiceRouter(
+            'd/s', metrics.Metrics(), random.Random(1)
+        )
+        found = [helpers.upstream_state(f'u{n}').upstream for n in range(3)]
+        self.router.pool.replace(found, ())
+        self.tried = []
+
+    def send(self, outcomes, timeout_s=5.0, **overrides):
+        outcomes = iter(outcomes)
+
+        def attempt(state, _deadline):
+            self.tried.append(state.upstream.instance)
+            return next(outcomes)
+
+        context = service.RequestContext(
+            helpers.settings(backoff_initial_s=0.001, **overrides),
+            'c',
+            time.monotonic() + timeout_s,
+        )
+        return self.router.send(context, attempt)
+
+    def test_idempotent_request_is_retried_elsewhere(self):
+        outcome = self.send(
+            [refuse(Verdict.MAY_HAVE_RUN), answer()], idempotent=True
+        )
+        self.assertIsInstance(outcome, result.Success)
+        self.assertEqual(2, len(set(self.tried)))
+
+    def test_non_idempotent_request_is_retried_only_if_not_run(self):
+        outcome = self.send(
+            [refuse(Verdict.NOT_RUN), refuse(Verdict.MAY_HAVE_RUN), answer()]
+        )
+        self.assertIs(Verdict.MAY_HAVE_RUN, outcome.failure().verdict)
+        self.assertEqual(2, len(self.tried))
+
+    def test_earlier_attempt_that_may_have_run_is_not_forgotten(self):
+        outcome = self.send(
+            [refuse(Verdict.MAY_HAVE_RUN)] + [refuse(Verdict.NOT_RUN)] * 2,
+            idempotent=True,
+        )
+        self.assertIs(Verdict.MAY_HAVE_RUN, outcome.failure().verdict)
+
+    def test_budget_ends_retries(self):
+        for _ in range(30):
+            self.send(
+                [refuse(Verdict.NOT_RUN, 'upstream_refused')] * 3,
+                idempotent=True,
+            )
+        retries = len(self.tried) - 30
+        self.assertLessEqual(retries, 30 * 0.2 + 5)
+
+    def test_no_upstream_is_not_run(self):
+        self.router.pool.replace([], ())
+        refusal = self.send([]).failure()
+        self.assertEqual(
+            (Verdict.NOT_RUN, 'no_upstream'), (refusal.verdict, refusal.code)
+        )
+
+    def test_budget_refills_with_first_attempts(self):
+        saved = budget.RetryBudget()
+        while saved.withdraw():
+            pass
+        for _ in range(5):
+            saved.deposit(0.2)
+        self.assertTrue(saved.withdraw())
+        self.assertFalse(saved.withdraw())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -9,6 +9,7 @@
 from baobabpond import metrics
 from baobabpond.peers import listen
 from baobabpond.ports import log as log_port
+from baobabpond.store import handler
 from baobabpond.store import relay
 from standins.emulator import serving
 
@@ -29,7 +30,7 @@
             serving.ADDRESS,
             port,
             LogRelay.Processor(
-                relay.RelayHandler(self.far, peer, metrics.Metrics())
+                handler.RelayHandler(self.far, peer, metrics.Metrics())
             ),
         )
         self.log.find_peers(lambda: [(serving.ADDRESS, port)])
