Give reads of a slow log more time while the direct way is lost

Cause: how late a read was counted from the wait that it would have had, not from the one it was sent with; while the direct way is lost reads don't wait, so a log that answers after more than the timeout was never given more time. Test: test_slow_log_is_reached_again_by_waiting_reads, red before.

--- a/baobabpond/store/relay.py
+++ b/baobabpond/store/relay.py
@@ -137,6 +137,7 @@
                 timeout_s or self.read_timeout_s,
             ),
             lambda client: client.read(topic, partition, offset, wait_ms),
+            direct_wait_s,
             wait_s,
         )
         if isinstance(page, log_port.Page):
@@ -151,6 +152,7 @@
             lambda: self._direct.newest(topic, partition, after),
             lambda client: client.newest(topic, partition, after),
             0.0,
+            0.0,
         )
         if isinstance(page, log_port.NewestPage):
             return page
@@ -162,7 +164,8 @@
         self,
         direct: collections.abc.Callable[[], T],
         relayed: collections.abc.Callable[[LogRelay.Client], ttypes.LogPage],
-        wait_s: float,
+        direct_wait_s: float,
+        relayed_wait_s: float,
     ) -> T | ttypes.LogPage:
         failure = 'the log is out of reach'
         if self._may_go_direct():
@@ -171,13 +174,13 @@
                 answer = direct()
             except log_port.LogError as error:
                 failure = str(error)
-                self._note_read(started, wait_s, False)
+                self._note_read(started, direct_wait_s, False)
                 self._note_direct(started, False, failure)
             else:
-                self._note_read(started, wait_s, True)
+                self._note_read(started, direct_wait_s, True)
                 self._note_direct(started, True)
                 return answer
-        timeout_ms = int((wait_s + APPEND_TIMEOUT_S) * codec.MS_PER_S)
+        timeout_ms = int((relayed_wait_s + APPEND_TIMEOUT_S) * codec.MS_PER_S)
         for address in self._some_peers():
             try:
                 page = self._pool.call(
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -118,6 +118,28 @@
                 self.log.read('t', 0, 0, 0.0)
             self.assertEqual(relay.READ_TIMEOUT_S, self.direct.timeouts[-1])
 
+    def test_slow_log_is_reached_again_by_waiting_reads(self) -> None:
+        """While the way is lost reads don't wait, but get more time too."""
+
+        def answer_slowly() -> None:
+            clock.tick(min(1.2, self.direct.timeouts[-1] + 0.001))
+            slow = self.direct.timeouts[-1] < 1.2
+            self.direct.read_error = (
+                log_port.LogError('timeout') if slow else None
+            )
+
+        with freezegun.freeze_time() as clock:
+            self.direct.before_read = answer_slowly
+            self.far.read_error = log_port.LogError('down')
+            self.direct.outcomes.append(log_port.Outcome.REFUSED)
+            self.far.outcomes.append(log_port.Outcome.REFUSED)
+            self.append()
+            for _ in range(3):
+                clock.tick(1.0)
+                with contextlib.suppress(log_port.LogError):
+                    self.log.read('t', 0, 0, 1.0)
+            self.assertTrue(self.log.is_direct)
+
     def test_call_that_hung_does_not_hide_a_later_success(self) -> None:
         """A failure counts only against what was known when it began."""
 
