--- a/measure/control.py
+++ b/measure/control.py
@@ -26,16 +26,26 @@
     options: argparse.Namespace,
 ) -> collections.abc.Iterator[registry.Row]:
     """Run clusters of several sizes without load and fit lines."""
+    yield from by_size('control', options, _run, FIGURES)
+
+
+def by_size(
+    name: str,
+    options: argparse.Namespace,
+    run: collections.abc.Callable[[int, int, float], registry.Row],
+    figures: tuple[str, ...],
+) -> collections.abc.Iterator[registry.Row]:
+    """Measure several numbers of instances and fit a line to each figure."""
     rows = []
     for count in map(int, options.instances.split(',')):
-        row = _run(options.seed[0], count, options.seconds)
+        row = run(options.seed[0], count, options.seconds)
         rows.append(row)
         yield row
-    for figure in FIGURES:
+    for figure in figures:
         points = [(row['instances'], row[figure]) for row in rows]
         slope, intercept, residual = fit(points)
         yield {
-            'measure': 'control',
+            'measure': name,
             'fit': figure,
             'at_0': round(intercept, 5),
             'per_instance': round(slope, 6),
--- a/measure/platform.py
+++ b/measure/platform.py
@@ -49,21 +49,7 @@
     options: argparse.Namespace,
 ) -> collections.abc.Iterator[registry.Row]:
     """Run several numbers of instances under one load and fit lines."""
-    rows = []
-    for count in map(int, options.instances.split(',')):
-        row = _run(options.seed[0], count, options.seconds)
-        rows.append(row)
-        yield row
-    for figure in FIGURES:
-        points = [(row['instances'], row[figure]) for row in rows]
-        slope, intercept, residual = control.fit(points)
-        yield {
-            'measure': 'platform',
-            'fit': figure,
-            'at_0': round(intercept, 4),
-            'per_instance': round(slope, 5),
-            'residual': round(residual, 4),
-        }
+    yield from control.by_size('platform', options, _run, FIGURES)
 
 
 def _run(seed: int, count: int, seconds: float) -> registry.Row:
--- /dev/null
+++ b/test/routing/attempts.py
@@ -0,0 +1,16 @@
+"""Make outcomes of attempts for the tests of routing."""
+
+from returns import result
+
+from baobabpond import answers
+from baobabpond import verdicts
+
+
+def refuse(verdict, code='upstream_error'):
+    """Return a failed attempt."""
+    return result.Failure(verdicts.Refusal(verdict, 503, code, ''))
+
+
+def answer():
+    """Return a whole answer."""
+    return result.Success(answers.Answer(200, '', b''))
--- a/test/routing/test_limits.py
+++ b/test/routing/test_limits.py
@@ -5,9 +5,7 @@
 import unittest
 
 import freezegun
-from returns import result
 
-from baobabpond import answers
 from baobabpond import metrics
 from baobabpond.routing import admission
 from baobabpond.routing import baseline
@@ -15,20 +13,11 @@
 from baobabpond.routing import service
 from baobabpond import verdicts
 from test import helpers
+from test.routing import attempts
 
 Verdict = verdicts.Verdict
 
 
-def refuse(verdict, code='upstream_error'):
-    """Return a failed attempt."""
-    return result.Failure(verdicts.Refusal(verdict, 503, code, ''))
-
-
-def answer():
-    """Return a whole answer."""
-    return result.Success(answers.Answer(200, '', b''))
-
-
 class LimitTest(unittest.TestCase):
     """Move the adaptive limit."""
 
@@ -159,7 +148,7 @@
     def run_for(self, clock, seconds):
         def attempt(_state, _deadline):
             clock.tick(seconds)
-            return answer()
+            return attempts.answer()
 
         self.router.send(self.context(1000), attempt)
 
--- a/test/routing/test_retries.py
+++ b/test/routing/test_retries.py
@@ -6,26 +6,16 @@
 
 from returns import result
 
-from baobabpond import answers
 from baobabpond import metrics
 from baobabpond.routing import budget
 from baobabpond.routing import service
 from baobabpond import verdicts
 from test import helpers
+from test.routing import attempts
 
 Verdict = verdicts.Verdict
 
 
-def refuse(verdict, code='upstream_error'):
-    """Return a failed attempt."""
-    return result.Failure(verdicts.Refusal(verdict, 503, code, ''))
-
-
-def answer():
-    """Return a whole answer."""
-    return result.Success(answers.Answer(200, '', b''))
-
-
 class RetryTest(unittest.TestCase):
     """Retry within the rules of the verdict and the budget."""
 
@@ -53,21 +43,27 @@
 
     def test_idempotent_request_is_retried_elsewhere(self):
         outcome = self.send(
-            [refuse(Verdict.MAY_HAVE_RUN), answer()], idempotent=True
+            [attempts.refuse(Verdict.MAY_HAVE_RUN), attempts.answer()],
+            idempotent=True,
         )
         self.assertIsInstance(outcome, result.Success)
         self.assertEqual(2, len(set(self.tried)))
 
     def test_non_idempotent_request_is_retried_only_if_not_run(self):
         outcome = self.send(
-            [refuse(Verdict.NOT_RUN), refuse(Verdict.MAY_HAVE_RUN), answer()]
+            [
+                attempts.refuse(Verdict.NOT_RUN),
+                attempts.refuse(Verdict.MAY_HAVE_RUN),
+                attempts.answer(),
+            ]
         )
         self.assertIs(Verdict.MAY_HAVE_RUN, outcome.failure().verdict)
         self.assertEqual(2, len(self.tried))
 
     def test_earlier_attempt_that_may_have_run_is_not_forgotten(self):
         outcome = self.send(
-            [refuse(Verdict.MAY_HAVE_RUN)] + [refuse(Verdict.NOT_RUN)] * 2,
+            [attempts.refuse(Verdict.MAY_HAVE_RUN)]
+            + [attempts.refuse(Verdict.NOT_RUN)] * 2,
             idempotent=True,
         )
         self.assertIs(Verdict.MAY_HAVE_RUN, outcome.failure().verdict)
@@ -75,7 +71,7 @@
     def test_budget_ends_retries(self):
         for _ in range(30):
             self.send(
-                [refuse(Verdict.NOT_RUN, 'upstream_refused')] * 3,
+                [attempts.refuse(Verdict.NOT_RUN, 'upstream_refused')] * 3,
                 idempotent=True,
             )
         retries = len(self.tried) - 30
