Record how stale the batches are that results are read from

Two incidents are being analysed. The log line of a read of results did not say how old the instance's copy was, and was left out for empty pages, so that a stale copy could not be told from a lost result. The follower now knows up to when its copy was complete (the time at which the last read was sent that reached the end); the age is on the line and in a histogram. No decision changes.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -28,6 +28,7 @@
 # Appends are refused if the last contact with the log is older than this.
 MAX_LOG_CONTACT_AGE_S = 2.5
 APPEND_TIMEOUT_S = 0.8
+MAX_LOGGED_STALENESS_S = 1000.0
 MAX_APPEND_BYTES = 1_800_000
 FINAL_OUTCOMES = (
     log_port.AppendOutcome.DONE,
@@ -113,16 +114,27 @@
         page = callers.ResultPage(
             len(batch.items), call.position, _first_page(results)
         )
-        if page.results:
-            LOG.info(
-                'results read',
-                batch=call.batch,
-                position=call.position,
-                count=len(page.results),
-                items=len(batch.items),
-            )
+        self._record_read(batch, page)
         responses.send_json(exchange, 200, self._protocol.result_page(page))
 
+    def _record_read(
+        self, batch: state_module.Batch, page: callers.ResultPage
+    ) -> None:
+        # Capped, since it is infinite until the log was read to its end once.
+        staleness_s = min(
+            self._shard.follower.staleness_s, MAX_LOGGED_STALENESS_S
+        )
+        self._metrics.record('batches.read_staleness', staleness_s)
+        LOG.info(
+            'results read',
+            batch=batch.head.id,
+            position=page.position,
+            count=len(page.results),
+            known=len(batch.results),
+            items=len(batch.items),
+            staleness_s=round(staleness_s, 3),
+        )
+
     def read_item(self, exchange: server.Exchange, call: callers.Call) -> None:
         """Send the body of an item as it was submitted."""
         batch = self._find_or_refuse(exchange, call)
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -76,6 +76,7 @@
         self._failed_loads = 0
         self._last_contact = float('-inf')
         self._contact_started = float('-inf')
+        self._complete_at = float('-inf')
         self._stopped = threading.Event()
 
     @property
@@ -88,6 +89,14 @@
         """Return the seconds since the last successful read."""
         return time.monotonic() - self._last_contact
 
+    @property
+    def staleness_s(self) -> float:
+        """Return how long ago the records passed on were known to be all.
+
+        Infinite before the partition has been read to its end.
+        """
+        return time.monotonic() - self._complete_at
+
     @property
     def contact_duration_s(self) -> float:
         """Return for how many seconds reads have succeeded without a gap."""
@@ -132,9 +141,7 @@
             page = self._read(0.0)
             if page is None:
                 continue
-            # The last offsets may have been compacted away; then no record
-            # reaches the end.
-            if not page.records or self._has_reached_end(page):
+            if _ends_partition(page) or self._has_reached_end(page):
                 return page.end
 
     def _run(self) -> None:
@@ -171,6 +178,7 @@
             if self._position is None:
                 self._load_snapshot()
             position = self._position
+        sent_at = time.monotonic()
         try:
             page = self._log.read(
                 self._topic, self._partition, position, wait_s
@@ -181,6 +189,8 @@
         if not self._apply(position, page):
             return None
         self._record_contact()
+        if _ends_partition(page) or self._has_reached_end(page):
+            self._complete_at = max(self._complete_at, sent_at)
         return page
 
     def _has_reached_end(self, page: log_port.Page) -> bool:
@@ -265,3 +275,12 @@
                 error=str(error),
             )
         self._contact_started = float('-inf')
+
+
+def _ends_partition(page: log_port.Page) -> bool:
+    """Return whether no record follows the position that was read.
+
+    The last offsets may have been compacted away; then no record reaches the
+    end.
+    """
+    return not page.records
