Test that a stale copy never hides results (known red)

A batch has eight results on the log, of which an instance has read three when the log goes out of its reach, its records expire or it merely lags. A read at position 3 or 6 gets status 200 with an empty page, also where position 6 proves that the caller has seen more.

--- /dev/null
+++ b/test/edge/test_batch_handlers.py
@@ -0,0 +1,149 @@
+"""Test what trainers are told from a copy of the log that may be stale."""
+
+import time
+import unittest
+from unittest import mock
+
+from baobabpond import metrics
+from baobabpond.batches import records
+from baobabpond.batches import shard_state as state_module
+from baobabpond.catalogue import current as current_module
+from baobabpond.edge import batch_handlers
+from baobabpond.edge import server
+from baobabpond.ports import callers
+from baobabpond.ports import log as log_port
+from baobabpond.store import follower as follower_module
+
+from ..batches import test_shard_state as examples
+from ..store import fakes
+
+ITEMS = tuple(f'item-{number}' for number in range(8))
+
+
+class ResultsTest(unittest.TestCase):
+    """Read the results of a batch of eight, of which three are known here."""
+
+    def setUp(self) -> None:
+        """Create handlers whose copy holds the first three results."""
+        self.log = fakes.FakeLog()
+        self.shard_state = state_module.ShardState()
+        self.follower = follower_module.Follower(
+            self.log,
+            batch_handlers.TOPIC,
+            0,
+            self.shard_state.apply,
+            metrics.Metrics(),
+            read_wait_s=0.05,
+        )
+        self.protocol = mock.create_autospec(
+            callers.CallerProtocol, instance=True
+        )
+        self.protocol.result_page.return_value = b'page'
+        self.handlers = batch_handlers.BatchHandlers(
+            self.protocol,
+            batch_handlers.Shard(0, self.shard_state, self.follower),
+            self.log,
+            mock.create_autospec(
+                current_module.CurrentConfiguration, instance=True
+            ),
+            metrics.Metrics(),
+        )
+        for record in examples.make_batch('b', *ITEMS):
+            self.log.add(record.key, record.value)
+        self.add_results(0, 3)
+        self.follower.catch_up()
+
+    def add_results(self, first: int, end: int) -> None:
+        """Append the results of some items to the log."""
+        for number in range(first, end):
+            record = examples.make_result('b', ITEMS[number], f'1.{number}')
+            self.log.add(record.key, record.value)
+
+    def start_follower(self) -> None:
+        """Read along in the background until the test ends."""
+        self.log.before_read = lambda: time.sleep(0.02)
+        self.follower.start()
+        self.addCleanup(self.follower.stop)
+
+    def cut_off_log(self) -> None:
+        """Make reads of the log fail, and wait until the follower notices."""
+        self.log.read_error = log_port.LogError('out of reach')
+        self.start_follower()
+        time.sleep(0.5)
+
+    def read(self, position: int, wait_s: float = 0.0) -> mock.Mock:
+        """Read from a position and return the exchange."""
+        exchange = mock.create_autospec(server.Exchange, instance=True)
+        call = callers.Call(
+            callers.CallKind.READ_RESULTS,
+            'read-1',
+            'host',
+            '/',
+            None,
+            batch='b',
+            position=position,
+            wait_s=wait_s,
+        )
+        self.handlers.read_results(exchange, call)
+        return exchange
+
+    def assert_page(self, exchange: mock.Mock, *items: str) -> None:
+        """Check that a page with the results of some items was sent."""
+        self.assertEqual(200, exchange.send_response.call_args.args[0])
+        page = self.protocol.result_page.call_args.args[0]
+        self.assertEqual(list(items), [result.id for result in page.results])
+
+    def assert_refused(self, exchange: mock.Mock) -> None:
+        """Check that a temporary refusal with a delay was sent."""
+        status, _, headers, _, _ = exchange.send_response.call_args.args
+        self.assertEqual(503, status)
+        self.assertIn('Retry-After', dict(headers))
+
+    def test_stale_copy_never_reports_that_a_read_result_is_missing(
+        self,
+    ) -> None:
+        """Another instance may have sent results that this one lacks."""
+        self.add_results(3, 8)
+        self.cut_off_log()
+        for position in (3, 6):
+            with self.subTest(position=position):
+                self.assert_refused(self.read(position))
+
+    def test_results_are_read_on_before_an_empty_page_is_sent(self) -> None:
+        """A copy that is behind first reads the log to its end."""
+        self.add_results(3, 8)
+        self.start_follower()
+        self.assert_page(self.read(6), *ITEMS[6:])
+
+    def test_results_lost_from_sight_by_expiry_are_loaded_again(self) -> None:
+        """A snapshot is loaded before an empty page is sent."""
+        self.add_results(3, 8)
+        self.log.first = self.log.end
+        self.start_follower()
+        self.assert_page(self.read(6), *ITEMS[6:])
+
+    def test_complete_copy_reports_that_there_is_nothing_yet(self) -> None:
+        """Nothing is refused while the log is in reach."""
+        self.start_follower()
+        self.assert_page(self.read(3))
+
+    def test_known_results_are_sent_while_the_log_is_away(self) -> None:
+        """Results never change, so that a stale copy may send them."""
+        self.cut_off_log()
+        self.assert_page(self.read(1), *ITEMS[1:3])
+
+    def test_end_of_a_whole_batch_needs_no_log(self) -> None:
+        """After the last result nothing can follow."""
+        self.add_results(3, 8)
+        self.follower.catch_up()
+        self.cut_off_log()
+        self.assert_page(self.read(8))
+
+    def test_ended_batch_may_still_get_results(self) -> None:
+        """The end of a batch does not make a stale copy complete."""
+        end = records.encode_end('b')
+        self.log.add(end.key, end.value)
+        self.follower.catch_up()
+        self.add_results(3, 4)
+        self.cut_off_log()
+        self.assert_refused(self.read(3))
