Never report results as missing from a stale copy of the log

Callers saw a result at one instance and nothing in its place at another one, with status 200, as if it did not exist yet.

Cause: a read of results was answered from the instance's copy of the log however old it was. Class: a stale read served as authoritative; what callers need is monotonic reads.

Fix: an empty page is sent only if the copy has been confirmed to hold all that was on the log when the request arrived: a read of the log that was sent later has reached the end. A result that somebody has read was on the log before, so it cannot be missing. The follower's long polls confirm it, no call is added. Without a confirmation the trainer is told to come back, at once if the log is out of reach. Results that are known are sent at any age, as they never change, and after the last result of a batch nothing can follow.

Ruled out as a fix: a bound on the age of the copy, as it would have to be shorter than a long poll and would still answer wrongly within it.

--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -73,7 +73,12 @@
     @property
     def is_open(self) -> bool:
         """Return whether items may still be run."""
-        return not self.ended and len(self.finished_ids) < len(self.items)
+        return not self.ended and not self.has_all_results
+
+    @property
+    def has_all_results(self) -> bool:
+        """Return whether every item has a result."""
+        return len(self.finished_ids) == len(self.items)
 
     def item(self, item_id: str) -> callers.Item | None:
         """Return the item with an id, None if there is none."""
@@ -187,7 +192,7 @@
             self._changed.wait_for(
                 lambda: (
                     len(batch.results) > position
-                    or len(batch.results) == len(batch.items)
+                    or batch.has_all_results
                     or batch.ended
                 ),
                 timeout_s,
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -28,6 +28,9 @@
 # Appends are refused if the last contact with the log is older than this.
 MAX_LOG_CONTACT_AGE_S = 2.5
 APPEND_TIMEOUT_S = 0.8
+# Wait for the copy to catch up, beyond the time that the caller waits for
+# results: two long polls of the follower.
+MAX_COMPLETION_WAIT_S = 1.0
 MAX_LOGGED_STALENESS_S = 1000.0
 MAX_APPEND_BYTES = 1_800_000
 FINAL_OUTCOMES = (
@@ -105,25 +108,64 @@
         self, exchange: server.Exchange, call: callers.Call
     ) -> None:
         """Send the results from a position on, waiting for the first one."""
+        asked_at = time.monotonic()
         batch = self._find_or_refuse(exchange, call)
         if batch is None:
             return
-        results = self._shard.shard_state.wait_results(
-            batch, call.position, call.wait_s
-        )
+        state = self._shard.shard_state
+        results = state.wait_results(batch, call.position, call.wait_s)
+        if not results and not batch.has_all_results:
+            # Another instance may have sent results that this copy lacks.
+            is_complete = self._wait_complete(asked_at)
+            results = state.wait_results(batch, call.position, 0.0)
+            if not results and not is_complete:
+                self._refuse_stale_read(exchange, batch, call.position)
+                return
         page = callers.ResultPage(
             len(batch.items), call.position, _first_page(results)
         )
         self._record_read(batch, page)
         responses.send_json(exchange, 200, self._protocol.result_page(page))
 
+    def _wait_complete(self, asked_at: float) -> bool:
+        """Wait until the copy has what the log had at a monotonic time.
+
+        Does not wait while the log is out of reach.
+        """
+        follower = self._shard.follower
+        timeout_s = MAX_COMPLETION_WAIT_S if follower.is_in_contact else 0.0
+        return follower.wait_complete(asked_at, timeout_s)
+
+    def _refuse_stale_read(
+        self,
+        exchange: server.Exchange,
+        batch: state_module.Batch,
+        position: int,
+    ) -> None:
+        self._metrics.count('batches.stale_reads_refused')
+        LOG.info(
+            'results not sent: the copy of the log may be stale',
+            batch=batch.head.id,
+            position=position,
+            known=len(batch.results),
+            staleness_s=self._logged_staleness_s(),
+        )
+        responses.send_refusal(
+            exchange,
+            verdicts.unavailable(
+                'log_away', 'the log is out of reach', RETRY_AFTER_S
+            ),
+        )
+
+    def _logged_staleness_s(self) -> float:
+        # Infinite until the log has been read to its end once.
+        staleness_s = self._shard.follower.staleness_s
+        return round(min(staleness_s, MAX_LOGGED_STALENESS_S), 3)
+
     def _record_read(
         self, batch: state_module.Batch, page: callers.ResultPage
     ) -> None:
-        # Capped, since it is infinite until the log was read to its end once.
-        staleness_s = min(
-            self._shard.follower.staleness_s, MAX_LOGGED_STALENESS_S
-        )
+        staleness_s = self._logged_staleness_s()
         self._metrics.record('batches.read_staleness', staleness_s)
         LOG.info(
             'results read',
@@ -132,7 +174,7 @@
             count=len(page.results),
             known=len(batch.results),
             items=len(batch.items),
-            staleness_s=round(staleness_s, 3),
+            staleness_s=staleness_s,
         )
 
     def read_item(self, exchange: server.Exchange, call: callers.Call) -> None:
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -77,6 +77,7 @@
         self._last_contact = float('-inf')
         self._contact_started = float('-inf')
         self._complete_at = float('-inf')
+        self._completed = threading.Condition()
         self._stopped = threading.Event()
 
     @property
@@ -97,6 +98,11 @@
         """
         return time.monotonic() - self._complete_at
 
+    @property
+    def is_in_contact(self) -> bool:
+        """Return whether reads succeed, as far as is known."""
+        return not self._is_overdue
+
     @property
     def contact_duration_s(self) -> float:
         """Return for how many seconds reads have succeeded without a gap."""
@@ -132,6 +138,16 @@
         """Request the thread to stop."""
         self._stopped.set()
 
+    def wait_complete(self, since: float, timeout_s: float) -> bool:
+        """Wait until the records appended before a monotonic time are known.
+
+        Returns False if the log has not confirmed it in time.
+        """
+        with self._completed:
+            return self._completed.wait_for(
+                lambda: self._complete_at >= since, timeout_s
+            )
+
     def catch_up(self) -> int:
         """Read to the end of the partition and return its offset.
 
@@ -190,7 +206,7 @@
             return None
         self._record_contact()
         if _ends_partition(page) or self._has_reached_end(page):
-            self._complete_at = max(self._complete_at, sent_at)
+            self._record_complete(sent_at)
         return page
 
     def _has_reached_end(self, page: log_port.Page) -> bool:
@@ -265,6 +281,11 @@
             )
         self._last_contact = now
 
+    def _record_complete(self, sent_at: float) -> None:
+        with self._completed:
+            self._complete_at = max(self._complete_at, sent_at)
+            self._completed.notify_all()
+
     def _record_failure(self, error: Exception) -> None:
         self._metrics.count('log.read_failures')
         if self._contact_started > float('-inf'):
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -4,12 +4,12 @@
 import unittest
 from unittest import mock
 
-from baobabpond import metrics
 from baobabpond.batches import records
 from baobabpond.batches import shard_state as state_module
 from baobabpond.catalogue import current as current_module
 from baobabpond.edge import batch_handlers
 from baobabpond.edge import server
+from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import log as log_port
 from baobabpond.store import follower as follower_module
