Deny a route only from a configuration that was confirmed lately

Found while looking for the cause of missing results elsewhere: an instance that is cut off from the log answered 404 for a route that was added meanwhile, as if its copy of the configuration were current, and callers do not retry a 404. Class: a stale read served as authoritative.

Evidence: test_stale_configuration_does_not_deny_a_new_route, 404 instead of 503 before. Fix: without a route the age of the configuration decides; past one long poll the request is refused with a delay, as not run. The staleness of a follower has a finite upper bound, so that log lines stay valid JSON.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -20,6 +20,9 @@
 from . import server
 
 RETRY_AFTER_S = 0.3
+# A configuration that was confirmed longer ago may lack routes: the long poll
+# of the log and some time for its response.
+MAX_CONFIGURATION_STALENESS_S = 1.5
 # How long callers may cache the address list; some cache it for up to three
 # times as long.
 ADDRESS_LIST_TTL_S = 0.5
@@ -36,12 +39,14 @@
         self,
         protocol: callers.CallerProtocol,
         current: current_module.CurrentConfiguration,
+        configuration_staleness_s: typing.Callable[[], float],
         batch_handlers: batch_handlers_module.BatchHandlers,
         forwarder: forwarder_module.Forwarder,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._protocol = protocol
         self._current = current
+        self._configuration_staleness_s = configuration_staleness_s
         self._batch_handlers = batch_handlers
         self._forwarder = forwarder
         self._metrics = metrics
@@ -110,15 +115,7 @@
     def _route(self, exchange: server.Exchange, call: callers.Call) -> None:
         match = self._current.match(call.host, call.path)
         if match is None:
-            LOG.info(
-                'no route matches the request',
-                request=call.request_id,
-                path=call.path,
-            )
-            responses.send_refusal(
-                exchange,
-                verdicts.bad_request('no_route', 'no route', 404),
-            )
+            self._refuse_unknown_route(exchange, call)
         elif not call.request_id:
             responses.send_refusal(
                 exchange,
@@ -129,6 +126,28 @@
         else:
             self._forwarder.forward(exchange, call, match)
 
+    def _refuse_unknown_route(
+        self, exchange: server.Exchange, call: callers.Call
+    ) -> None:
+        staleness_s = self._configuration_staleness_s()
+        is_known = staleness_s <= MAX_CONFIGURATION_STALENESS_S
+        LOG.info(
+            'no route matches the request',
+            request=call.request_id,
+            path=call.path,
+            staleness_s=round(staleness_s, 3),
+            outcome='no_route' if is_known else 'configuration_stale',
+        )
+        if is_known:
+            refusal = verdicts.bad_request('no_route', 'no route', 404)
+        else:
+            refusal = verdicts.unavailable(
+                'configuration_stale',
+                'the route may have been added since',
+                RETRY_AFTER_S,
+            )
+        responses.send_refusal(exchange, refusal)
+
 
 class OperatorApp:
     """Handle requests for readiness, the address list and metrics."""
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -31,7 +31,6 @@
 # Wait for the copy to catch up, beyond the time that the caller waits for
 # results: two long polls of the follower.
 MAX_COMPLETION_WAIT_S = 1.0
-MAX_LOGGED_STALENESS_S = 1000.0
 MAX_APPEND_BYTES = 1_800_000
 FINAL_OUTCOMES = (
     log_port.AppendOutcome.DONE,
@@ -148,7 +147,7 @@
             batch=batch.head.id,
             position=position,
             known=len(batch.results),
-            staleness_s=self._logged_staleness_s(),
+            staleness_s=round(self._shard.follower.staleness_s, 3),
         )
         responses.send_refusal(
             exchange,
@@ -157,15 +156,10 @@
             ),
         )
 
-    def _logged_staleness_s(self) -> float:
-        # Infinite until the log has been read to its end once.
-        staleness_s = self._shard.follower.staleness_s
-        return round(min(staleness_s, MAX_LOGGED_STALENESS_S), 3)
-
     def _record_read(
         self, batch: state_module.Batch, page: callers.ResultPage
     ) -> None:
-        staleness_s = self._logged_staleness_s()
+        staleness_s = self._shard.follower.staleness_s
         self._metrics.record('batches.read_staleness', staleness_s)
         LOG.info(
             'results read',
@@ -174,7 +168,7 @@
             count=len(page.results),
             known=len(batch.results),
             items=len(batch.items),
-            staleness_s=staleness_s,
+            staleness_s=round(staleness_s, 3),
         )
 
     def read_item(self, exchange: server.Exchange, call: callers.Call) -> None:
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -303,6 +303,7 @@
         self._caller_app = app_module.CallerApp(
             self._platform.callers,
             self._current,
+            lambda: self._configuration_follower.staleness_s,
             handlers,
             forwarder.Forwarder(
                 self._platform.upstreams,
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -19,6 +19,7 @@
 # Delay after a failed page of a snapshot; doubles with each failure. Random
 # parts keep instances apart that start at the same time.
 MAX_LOAD_RETRY_S = 0.5
+MAX_STALENESS_S = 3600.0
 LOG = structlog.get_logger(__name__)
 
 # Receives records in offset order. The flag marks a snapshot: the newest
@@ -94,9 +95,9 @@
     def staleness_s(self) -> float:
         """Return how long ago the records passed on were known to be all.
 
-        Infinite before the partition has been read to its end.
+        MAX_STALENESS_S before the partition has been read to its end.
         """
-        return time.monotonic() - self._complete_at
+        return min(time.monotonic() - self._complete_at, MAX_STALENESS_S)
 
     @property
     def is_in_contact(self) -> bool:
--- /dev/null
+++ b/test/edge/test_app.py
@@ -0,0 +1,55 @@
+"""Test which requests are refused before they are forwarded."""
+
+import unittest
+from unittest import mock
+
+from baobabpond.catalogue import current as current_module
+from baobabpond.edge import app
+from baobabpond.edge import batch_handlers
+from baobabpond.edge import forwarder
+from baobabpond.edge import server
+from baobabpond import metrics
+from baobabpond.ports import callers
+
+
+class UnknownRouteTest(unittest.TestCase):
+    """Ask for a path that no known route matches."""
+
+    def setUp(self) -> None:
+        """Create an application that knows a configuration."""
+        self.staleness_s = 0.0
+        protocol = mock.create_autospec(callers.CallerProtocol, instance=True)
+        protocol.call.return_value = callers.Call(
+            callers.CallKind.REQUEST, 'request-1', 'host', '/new/', None
+        )
+        current = mock.create_autospec(
+            current_module.CurrentConfiguration, instance=True
+        )
+        current.match.return_value = None
+        self.app = app.CallerApp(
+            protocol,
+            current,
+            lambda: self.staleness_s,
+            mock.create_autospec(batch_handlers.BatchHandlers, instance=True),
+            mock.create_autospec(forwarder.Forwarder, instance=True),
+            metrics.Metrics(),
+        )
+
+    def ask(self) -> tuple[int, dict[str, str]]:
+        """Return the status and headers of the response."""
+        exchange = mock.create_autospec(server.Exchange, instance=True)
+        self.app.handle(exchange)
+        status, _, headers, _, _ = exchange.send_response.call_args.args
+        return status, dict(headers)
+
+    def test_route_that_no_configuration_has_is_unknown(self) -> None:
+        """A configuration that was confirmed lately is authoritative."""
+        self.staleness_s = 1.0
+        self.assertEqual(404, self.ask()[0])
+
+    def test_stale_configuration_does_not_deny_a_new_route(self) -> None:
+        """The route may have been added since; callers do not retry a 404."""
+        self.staleness_s = 30.0
+        status, headers = self.ask()
+        self.assertEqual(503, status)
+        self.assertIn('Retry-After', headers)
