Do not take a quiet log for one that is out of reach

- a pause of the follower of 0.4 s counted as loss of the log, so that empty pages were refused at once: now only a read that failed does;
- two quiet long polls with their responses take just over the 1 s that was waited for a confirmation: now 1.2 s from the arrival of the request on, which also shortens the wait of those that waited for results first;
- a quiet log confirms the configuration two long polls late, beyond the bound of 1.5 s, so that a calm instance answered 503 for unknown routes; and the staleness left out the time that a machine was suspended.
Now 2.5 s on the clock that counts suspension.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -20,9 +20,9 @@
 from . import server
 
 RETRY_AFTER_S = 0.3
-# A configuration that was confirmed longer ago may lack routes: the long poll
-# of the log and some time for its response.
-MAX_CONFIGURATION_STALENESS_S = 1.5
+# A configuration that was confirmed longer ago may lack routes. A quiet log
+# confirms it two long polls late, each of 1 s.
+MAX_CONFIGURATION_STALENESS_S = 2.5
 # How long callers may cache the address list; some cache it for up to three
 # times as long.
 ADDRESS_LIST_TTL_S = 0.5
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from .. import clock
 from .. import metrics as metrics_module
 from .. import verdicts
 from ..batches import records
@@ -28,9 +29,9 @@
 # Appends are refused if the last contact with the log is older than this.
 MAX_LOG_CONTACT_AGE_S = 2.5
 APPEND_TIMEOUT_S = 0.8
-# Wait for the copy to catch up, beyond the time that the caller waits for
-# results: two long polls of the follower.
-MAX_COMPLETION_WAIT_S = 1.0
+# Time from a request on in which the copy must be confirmed: two long polls of
+# the follower and their responses.
+MAX_CONFIRMATION_S = 1.2
 MAX_APPEND_BYTES = 1_800_000
 FINAL_OUTCOMES = (
     log_port.AppendOutcome.DONE,
@@ -107,7 +108,7 @@
         self, exchange: server.Exchange, call: callers.Call
     ) -> None:
         """Send the results from a position on, waiting for the first one."""
-        asked_at = time.monotonic()
+        asked_boot_s = clock.since_boot_s()
         batch = self._find_or_refuse(exchange, call)
         if batch is None:
             return
@@ -115,7 +116,7 @@
         results = state.wait_results(batch, call.position, call.wait_s)
         if not results and not batch.has_all_results:
             # Another instance may have sent results that this copy lacks.
-            is_complete = self._wait_complete(asked_at)
+            is_complete = self._is_copy_complete(asked_boot_s)
             results = state.wait_results(batch, call.position, 0.0)
             if not results and not is_complete:
                 self._refuse_stale_read(exchange, batch, call.position)
@@ -126,14 +127,16 @@
         self._record_read(batch, page)
         responses.send_json(exchange, 200, self._protocol.result_page(page))
 
-    def _wait_complete(self, asked_at: float) -> bool:
-        """Wait until the copy has what the log had at a monotonic time.
+    def _is_copy_complete(self, asked_boot_s: float) -> bool:
+        """Wait until the copy has all that the log had at a time since boot.
 
-        Does not wait while the log is out of reach.
+        Does not wait while the log is known to be out of reach.
         """
         follower = self._shard.follower
-        timeout_s = MAX_COMPLETION_WAIT_S if follower.is_in_contact else 0.0
-        return follower.wait_complete(asked_at, timeout_s)
+        remaining_s = asked_boot_s + MAX_CONFIRMATION_S - clock.since_boot_s()
+        if not follower.is_in_contact:
+            remaining_s = 0.0
+        return follower.wait_complete(asked_boot_s, max(0.0, remaining_s))
 
     def _refuse_stale_read(
         self,
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from .. import clock
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
@@ -77,7 +78,7 @@
         self._failed_loads = 0
         self._last_contact = float('-inf')
         self._contact_started = float('-inf')
-        self._complete_at = float('-inf')
+        self._complete_boot_s = float('-inf')
         self._completed = threading.Condition()
         self._stopped = threading.Event()
 
@@ -97,12 +98,14 @@
 
         MAX_STALENESS_S before the partition has been read to its end.
         """
-        return min(time.monotonic() - self._complete_at, MAX_STALENESS_S)
+        return min(
+            clock.since_boot_s() - self._complete_boot_s, MAX_STALENESS_S
+        )
 
     @property
     def is_in_contact(self) -> bool:
-        """Return whether reads succeed, as far as is known."""
-        return not self._is_overdue
+        """Return whether the last read that ended has succeeded."""
+        return self._contact_started > float('-inf')
 
     @property
     def contact_duration_s(self) -> float:
@@ -139,14 +142,15 @@
         """Request the thread to stop."""
         self._stopped.set()
 
-    def wait_complete(self, since: float, timeout_s: float) -> bool:
-        """Wait until the records appended before a monotonic time are known.
+    def wait_complete(self, since_boot_s: float, timeout_s: float) -> bool:
+        """Wait until the records appended before a time are passed on.
 
-        Returns False if the log has not confirmed it in time.
+        The time is in seconds since boot. Returns False if the log has not
+        confirmed it in time.
         """
         with self._completed:
             return self._completed.wait_for(
-                lambda: self._complete_at >= since, timeout_s
+                lambda: self._complete_boot_s >= since_boot_s, timeout_s
             )
 
     def catch_up(self) -> int:
@@ -195,7 +199,7 @@
             if self._position is None:
                 self._load_snapshot()
             position = self._position
-        sent_at = time.monotonic()
+        sent_boot_s = clock.since_boot_s()
         try:
             page = self._log.read(
                 self._topic, self._partition, position, wait_s
@@ -207,7 +211,7 @@
             return None
         self._record_contact()
         if _ends_partition(page) or self._has_reached_end(page):
-            self._record_complete(sent_at)
+            self._record_complete(sent_boot_s)
         return page
 
     def _has_reached_end(self, page: log_port.Page) -> bool:
@@ -282,9 +286,9 @@
             )
         self._last_contact = now
 
-    def _record_complete(self, sent_at: float) -> None:
+    def _record_complete(self, sent_boot_s: float) -> None:
         with self._completed:
-            self._complete_at = max(self._complete_at, sent_at)
+            self._complete_boot_s = max(self._complete_boot_s, sent_boot_s)
             self._completed.notify_all()
 
     def _record_failure(self, error: Exception) -> None:
--- a/test/edge/test_app.py
+++ b/test/edge/test_app.py
@@ -1,5 +1,6 @@
 """Test which requests are refused before they are forwarded."""
 
+import time
 import unittest
 from unittest import mock
 
@@ -10,6 +11,9 @@
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import callers
+from baobabpond.store import follower as follower_module
+
+from ..store import fakes
 
 
 class UnknownRouteTest(unittest.TestCase):
@@ -53,3 +57,26 @@
         status, headers = self.ask()
         self.assertEqual(503, status)
         self.assertIn('Retry-After', headers)
+
+    def test_quiet_log_in_reach_keeps_the_configuration_authoritative(
+        self,
+    ) -> None:
+        """Long polls without records confirm the configuration."""
+        log = fakes.FakeLog()
+        log.before_read = lambda: time.sleep(
+            follower_module.READ_WAIT_S + 0.004
+        )
+        follower = follower_module.Follower(
+            log,
+            'keyed.op',
+            0,
+            lambda records, is_snapshot: None,
+            metrics.Metrics(),
+        )
+        follower.start()
+        self.addCleanup(follower.stop)
+        time.sleep(2 * follower_module.READ_WAIT_S)
+        for _ in range(20):
+            time.sleep(0.1)
+            self.staleness_s = follower.staleness_s
+            self.assertEqual(404, self.ask()[0], self.staleness_s)
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import freezegun
 
@@ -157,3 +158,14 @@
         with self.assertRaises(log_port.LogError):
             self.follower.catch_up()
         self.assertFalse(self.follower.has_caught_up)
+
+    def test_staleness_includes_time_spent_suspended(self) -> None:
+        """The steady clock stands still while the machine is suspended."""
+        self.follower.catch_up()
+        clock_gettime = time.clock_gettime
+        with mock.patch(
+            'time.clock_gettime',
+            autospec=True,
+            side_effect=lambda clock: clock_gettime(clock) + 30.0,
+        ):
+            self.assertGreaterEqual(self.follower.staleness_s, 30.0)
