--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -290,13 +290,13 @@
     ) -> state_module.Batch | None:
         """Return a batch, or send a refusal and return None.
 
-        The batch is reported as unknown only after reading the log to its
-        end; otherwise the refusal is temporary.
+        The batch is reported as unknown only if the copy is known to be
+        complete; otherwise the refusal is temporary.
         """
         batch = self._shard.shard_state.get(call.batch)
         if batch is not None:
             return batch
-        if self._catch_up():
+        if self._is_copy_complete(clock.since_boot_s()):
             batch = self._shard.shard_state.get(call.batch)
             if batch is None:
                 LOG.info('unknown batch', batch=call.batch)
@@ -310,17 +310,6 @@
         )
         return None
 
-    def _catch_up(self) -> bool:
-        follower = self._shard.follower
-        if not follower.has_caught_up:
-            return False
-        try:
-            follower.catch_up()
-        except log_port.LogError as error:
-            LOG.info('log read failed', error=str(error))
-            return False
-        return True
-
 
 def _validate(submission: callers.Submission) -> None:
     """Raise BadRequest for a batch without items or with invalid ids."""
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -18,6 +18,8 @@
 from ..batches import test_shard_state as examples
 from ..store import fakes
 
+# Callers give up this long after the time that they allow.
+CALLER_PATIENCE_S = 1.5
 ITEMS = tuple(f'item-{number}' for number in range(8))
 
 
@@ -151,6 +153,40 @@
         self.cut_off_log()
         self.assert_refused(self.read(3))
 
+    def test_unknown_batch_is_answered_while_a_snapshot_is_loaded(
+        self,
+    ) -> None:
+        """A slow load must not hold the threads that serve callers."""
+        is_loading = threading.Event()
+        may_load = threading.Event()
+
+        def load_slowly() -> None:
+            is_loading.set()
+            may_load.wait(10)
+
+        self.addCleanup(may_load.set)
+        self.log.before_page = load_slowly
+        self.add_results(3, 8)
+        self.log.first = self.log.end
+        self.start_follower()
+        self.assertTrue(is_loading.wait(5))
+        exchanges: list[mock.Mock] = []
+        reader = threading.Thread(
+            target=lambda: exchanges.append(self.read(0, batch='other')),
+            daemon=True,
+        )
+        reader.start()
+        reader.join(CALLER_PATIENCE_S)
+        self.assertFalse(reader.is_alive(), 'the caller got no answer')
+        self.assert_refused(exchanges[0])
+
+    def test_unknown_batch_is_answered_while_a_read_is_slow(self) -> None:
+        """A silent connection to the log must not outlast the caller."""
+        self.log.before_read = lambda: time.sleep(3)
+        started = time.monotonic()
+        self.read(0, batch='other')
+        self.assertLess(time.monotonic() - started, CALLER_PATIENCE_S)
+
     def test_empty_page_is_sent_after_a_pause_of_the_follower(self) -> None:
         """The log is in reach, though it was not read for a moment."""
         time.sleep(0.5)
