--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -85,6 +85,21 @@
             ['a', 'b', 'z', 'c', 'zz'], [key for key, _ in self.received]
         )
 
+    def test_records_removed_during_a_load_are_left_out(self) -> None:
+        """Pages read before a removal do not bring back a part of it."""
+        for key in ('a', 'b', 'z'):
+            self.log.add(key)
+        self.log.page_size = 1
+        tombstones = iter(['a', 'b'])
+
+        def remove() -> None:
+            for key in tombstones:
+                self.log.add(key, b'')
+
+        self.log.before_page = remove
+        self.follower.catch_up()
+        self.assertEqual([('z', b'x'), ('a', b''), ('b', b'')], self.received)
+
     def test_expired_offset_reloads_the_snapshot(self) -> None:
         """Expired records are replaced by the newest record of each key."""
         self.log.add('a')
