--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -29,28 +29,64 @@
 
 
 class SnapshotLoad:
-    """The pages of a snapshot that have been read so far."""
+    """The pages of a snapshot that have been read so far.
+
+    Pages are not read atomically: of records that are removed together, some
+    may be on a page that was read before and others missing on later ones.
+    So all records appended meanwhile are read, too, before any are passed on.
+    """
 
     def __init__(self) -> None:
         # End of the partition when the first page was read.
         self.position: int | None = None
-        self.records: dict[str, log_port.Record] = {}
+        # End of the partition when the last page was read.
+        self.end = 0
+        # Offset after the records read so far.
+        self.next_offset = 0
         self.last_key = ''
+        self._records: dict[str, log_port.Record] = {}
+        self._appended: list[log_port.Record] = []
 
     def add(self, page: log_port.NewestPage) -> None:
-        """Add the next page.
-
-        Pages are not read atomically. Records appended after the first page
-        are left out; reads from the position on return them, in offset order.
-        """
+        """Add the next page, without records appended after the first one."""
         if self.position is None:
             self.position = page.end
+            self.next_offset = page.end
+        self.end = page.end
         for record in page.records:
             if record.offset < self.position:
-                self.records[record.key] = record
+                self._records[record.key] = record
         if page.records:
             self.last_key = page.records[-1].key
 
+    def add_appended(self, appended: list[log_port.Record]) -> None:
+        """Add records appended while the pages were read."""
+        for record in appended:
+            if record.offset < self.end:
+                self._appended.append(record)
+                self.next_offset = record.offset + 1
+
+    def snapshot(self) -> list[log_port.Record]:
+        """Return the newest record of each key that was not removed."""
+        removed = self._removed_keys()
+        return sorted(
+            (r for r in self._records.values() if r.key not in removed),
+            key=lambda record: record.offset,
+        )
+
+    def appended(self) -> list[log_port.Record]:
+        """Return the records after the snapshot, and all tombstones."""
+        removed = self._removed_keys()
+        return [
+            record
+            for record in self._appended
+            if record.key not in removed or not record.value
+        ]
+
+    def _removed_keys(self) -> set[str]:
+        newest = {record.key: record for record in self._appended}
+        return {key for key, record in newest.items() if not record.value}
+
 
 class Follower:
     """Pass a partition's snapshot, then appended records, to a listener."""
@@ -196,8 +232,8 @@
     def _read(self, wait_s: float) -> log_port.Page | None:
         """Read and deliver new records; return None if a reload is needed."""
         with self._lock:
-            if self._position is None:
-                self._load_snapshot()
+            if self._position is None and not self._load_snapshot():
+                return None
             position = self._position
         sent_boot_s = clock.since_boot_s()
         try:
@@ -218,10 +254,11 @@
         with self._lock:
             return self._position is not None and self._position >= page.end
 
-    def _load_snapshot(self) -> None:
+    def _load_snapshot(self) -> bool:
         """Pass a snapshot to the listener: the newest record of each key.
 
-        A load that failed continues where it stopped.
+        A load that failed continues where it stopped. Returns False if it must
+        begin again.
         """
         load = self._load
         has_more = True
@@ -232,14 +269,38 @@
             load.add(page)
             self._failed_loads = 0
             has_more = page.has_more and bool(page.records)
+        if not self._read_appended(load):
+            self._load = SnapshotLoad()
+            return False
         self._load = SnapshotLoad()
-        self._listener(
-            sorted(load.records.values(), key=lambda record: record.offset),
-            True,
-        )
-        self._position = load.position
+        self._listener(load.snapshot(), True)
+        appended = load.appended()
+        if appended:
+            self._listener(appended, False)
+        self._position = load.next_offset
         self._metrics.count('log.loads')
         self._record_contact()
+        return True
+
+    def _read_appended(self, load: SnapshotLoad) -> bool:
+        """Read what was appended during a load; return False if it expired."""
+        while load.next_offset < load.end:
+            try:
+                page = self._log.read(
+                    self._topic, self._partition, load.next_offset, 0.0
+                )
+            except log_port.OffsetExpired:
+                LOG.warning(
+                    'records expired during the load of a snapshot',
+                    topic=self._topic,
+                    partition=self._partition,
+                    offset=load.next_offset,
+                )
+                return False
+            if not page.records:
+                break
+            load.add_appended(page.records)
+        return True
 
     def _reset_position(self, position: int | None) -> None:
         with self._lock:
