Serve no batches from a copy that lacks records

If the listener of a follower fails on records (out of memory, say), the follower goes on after them, and the copy lacks them for good. The next read that reached the end confirmed the copy all the same; results were reported as missing, and later ones stood at other positions than on other instances.

Evidence: test_records_that_were_not_applied_are_not_reported_as_missing, an empty page with status 200 before; test_instance_that_lacks_records_does_not_claim, which became the shard's owner before.

Meanwhile it confirms nothing, and the instance neither serves batches nor claims the shard.

--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -155,7 +155,8 @@
         self._released.set()
 
     def _is_vacant(self) -> bool:
-        if not self._follower.has_caught_up:
+        follower = self._follower
+        if not follower.has_caught_up or follower.has_missed_records:
             return False
         owner = self._shard_state.owner
         if owner is None:
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -152,12 +152,7 @@
             known=len(batch.results),
             staleness_s=round(self._shard.follower.staleness_s, 3),
         )
-        responses.send_refusal(
-            exchange,
-            verdicts.unavailable(
-                'log_away', 'the log is out of reach', RETRY_AFTER_S
-            ),
-        )
+        responses.send_refusal(exchange, _log_away())
 
     def _record_read(
         self, batch: state_module.Batch, page: callers.ResultPage
@@ -240,9 +235,7 @@
         A retry is idempotent: the records have the same keys and contents.
         """
         if self._shard.follower.contact_age_s > MAX_LOG_CONTACT_AGE_S:
-            return verdicts.unavailable(
-                'log_away', 'the log is out of reach', RETRY_AFTER_S
-            )
+            return _log_away()
         for chunk in _split_appends(new):
             outcome = self._append_with_retries(chunk)
             if outcome is log_port.AppendOutcome.REJECTED:
@@ -293,6 +286,11 @@
         The batch is reported as unknown only if the copy is known to be
         complete; otherwise the refusal is temporary.
         """
+        if self._shard.follower.has_missed_records:
+            # Later results would stand at other positions than elsewhere.
+            LOG.error('batches not served: records are missing here')
+            responses.send_refusal(exchange, _log_away())
+            return None
         batch = self._shard.shard_state.get(call.batch)
         if batch is not None:
             return batch
@@ -302,12 +300,7 @@
                 LOG.info('unknown batch', batch=call.batch)
                 _not_found(exchange, 'unknown_batch')
             return batch
-        responses.send_refusal(
-            exchange,
-            verdicts.unavailable(
-                'log_away', 'the log is out of reach', RETRY_AFTER_S
-            ),
-        )
+        responses.send_refusal(exchange, _log_away())
         return None
 
 
@@ -344,6 +337,12 @@
     return results
 
 
+def _log_away() -> verdicts.Refusal:
+    return verdicts.unavailable(
+        'log_away', 'the log is out of reach', RETRY_AFTER_S
+    )
+
+
 def _not_found(exchange: server.Exchange, code: str) -> None:
     responses.send_refusal(
         exchange, verdicts.bad_request(code, code.replace('_', ' '), 404)
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -116,6 +116,7 @@
         self._contact_started = float('-inf')
         self._complete_boot_s = float('-inf')
         self._completed = threading.Condition()
+        self._has_missed_records = False
         self._stopped = threading.Event()
 
     @property
@@ -138,6 +139,14 @@
             clock.since_boot_s() - self._complete_boot_s, MAX_STALENESS_S
         )
 
+    @property
+    def has_missed_records(self) -> bool:
+        """Return whether the listener has failed on records.
+
+        Its state may lack them; a snapshot that it takes mends this.
+        """
+        return self._has_missed_records
+
     @property
     def is_in_contact(self) -> bool:
         """Return whether the last read that ended has succeeded."""
@@ -273,10 +282,10 @@
             self._load = SnapshotLoad()
             return False
         self._load = SnapshotLoad()
-        self._listener(load.snapshot(), True)
+        self._deliver(load.snapshot(), True)
         appended = load.appended()
         if appended:
-            self._listener(appended, False)
+            self._deliver(appended, False)
         self._position = load.next_offset
         self._metrics.count('log.loads')
         self._record_contact()
@@ -333,9 +342,18 @@
             ]
             if new:
                 self._position = new[-1].offset + 1
-                self._listener(new, False)
+                self._deliver(new, False)
             return True
 
+    def _deliver(self, new: list[log_port.Record], is_snapshot: bool) -> None:
+        try:
+            self._listener(new, is_snapshot)
+        except Exception:
+            self._has_missed_records = True
+            raise
+        if is_snapshot:
+            self._has_missed_records = False
+
     def _record_contact(self) -> None:
         now = time.monotonic()
         if self._is_overdue:
@@ -348,6 +366,8 @@
         self._last_contact = now
 
     def _record_complete(self, sent_boot_s: float) -> None:
+        if self._has_missed_records:
+            return
         with self._completed:
             self._complete_boot_s = max(self._complete_boot_s, sent_boot_s)
             self._completed.notify_all()
--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from baobabpond.batches import ownership
 from baobabpond.batches import records
@@ -101,6 +102,22 @@
         self.assertEqual([], fence[0])
         self.assertEqual(0, fence[1].sequence)
 
+    def test_instance_that_lacks_records_does_not_claim(self) -> None:
+        """It would run items whose results it does not know."""
+        self.follower.catch_up()
+        self.log.add('batch/x/0')
+        with (
+            mock.patch.object(
+                records, 'decode_batch', autospec=True, side_effect=MemoryError
+            ),
+            self.assertRaises(MemoryError),
+        ):
+            self.follower.catch_up()
+        self.follower.catch_up()
+        self.start()
+        time.sleep(0.5)
+        self.assertIsNone(self.ownership.tenure)
+
     def test_live_owner_keeps_the_shard(self) -> None:
         """No instance claims while heartbeats arrive."""
         self.add_owner('b')
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -153,6 +153,26 @@
         self.cut_off_log()
         self.assert_refused(self.read(3))
 
+    def test_records_that_were_not_applied_are_not_reported_as_missing(
+        self,
+    ) -> None:
+        """A listener failed once on results; the copy lacks them since."""
+        self.add_results(3, 8)
+        with (
+            mock.patch.object(
+                records, 'decode_results', autospec=True
+            ) as decode_results,
+            self.assertRaises(MemoryError),
+        ):
+            decode_results.side_effect = MemoryError
+            self.follower.catch_up()
+        self.start_follower()
+        exchange = self.read(6)
+        if exchange.send_response.call_args.args[0] == 200:
+            self.assert_page(exchange, *ITEMS[6:])
+        else:
+            self.assert_refused(exchange)
+
     def test_unknown_batch_is_answered_while_a_snapshot_is_loaded(
         self,
     ) -> None:
