Cut a response whose handler fails midway

A stream that had begun when its handler failed on an unexpected error ended like a complete one: the server wrote the final chunk. Found by the review; no ordinary trigger is known. Evidence: test_response_that_has_begun_does_not_look_complete was red. Fix: the connection is aborted, as for other broken streams.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -76,7 +76,9 @@
         except Exception:
             LOG.exception('request failed with an unhandled exception')
             self._metrics.count('edge.unexpected_failures')
-            if not exchange.response_started:
+            if exchange.response_started:
+                exchange.abort()
+            else:
                 responses.send_refusal(
                     exchange,
                     verdicts.uncertain('internal', 'unexpected failure'),
--- a/test/edge/test_app.py
+++ b/test/edge/test_app.py
@@ -80,3 +80,36 @@
             time.sleep(0.1)
             self.staleness_s = follower.staleness_s
             self.assertEqual(404, self.ask()[0], self.staleness_s)
+
+
+class UnexpectedFailureTest(unittest.TestCase):
+    """Handle a request whose handler fails on an error that none expects."""
+
+    def test_response_that_has_begun_does_not_look_complete(self) -> None:
+        """The connection is closed, so that the response shows as cut."""
+        protocol = mock.create_autospec(callers.CallerProtocol, instance=True)
+        protocol.call.return_value = callers.Call(
+            callers.CallKind.REQUEST, 'request-1', 'host', '/t', None
+        )
+        failing = mock.create_autospec(forwarder.Forwarder, instance=True)
+
+        def fail_in_stream(
+            exchange: server.Exchange, *_arguments: object
+        ) -> None:
+            exchange.response_started = True
+            raise RuntimeError('fails on purpose')
+
+        failing.forward.side_effect = fail_in_stream
+        caller_app = app.CallerApp(
+            protocol,
+            mock.create_autospec(
+                current_module.CurrentConfiguration, instance=True
+            ),
+            lambda: 0.0,
+            mock.create_autospec(batch_handlers.BatchHandlers, instance=True),
+            failing,
+            metrics.Metrics(),
+        )
+        exchange = mock.create_autospec(server.Exchange, instance=True)
+        caller_app.handle(exchange)
+        exchange.abort.assert_called_once_with()
