Bound pages of results by their encoded size

Pages were cut by the number of characters before JSON escapes them, so that outputs with many line feeds or non-ASCII characters made pages of 1.7 MB and more, where callers accept 1 MB.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -1,6 +1,7 @@
 """Handle trainers' requests: submit, read and end batches."""
 
 import base64
+import json
 import time
 import typing
 
@@ -331,7 +332,7 @@
 def _first_page(results: list[callers.Result]) -> list[callers.Result]:
     size = 0
     for number, result in enumerate(results):
-        size += len(result.output) + RESULT_OVERHEAD_BYTES
+        size += len(json.dumps(result.output)) + RESULT_OVERHEAD_BYTES
         if number and size > MAX_PAGE_BYTES:
             return results[:number]
     return results
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -16,10 +16,12 @@
 from baobabpond.store import follower as follower_module
 
 from ..batches import test_shard_state as examples
+from ..platform_plugin import test_plugin
 from ..store import fakes
 
 # Callers give up this long after the time that they allow.
 CALLER_PATIENCE_S = 1.5
+MAX_PAGE_BYTES = 1_000_000
 ITEMS = tuple(f'item-{number}' for number in range(8))
 
 
@@ -246,3 +248,22 @@
         self.addCleanup(self.follower.stop)
         self.assertTrue(is_polling.wait(5))
         self.assert_page(self.read(3))
+
+    def test_encoded_page_keeps_within_its_size(self) -> None:
+        """Line feeds and other escaped characters count as encoded."""
+        self.protocol.result_page.side_effect = (
+            test_plugin.load_platform().callers.result_page
+        )
+        for item in ITEMS[3:]:
+            result = callers.Result(item, True, '\n' * 170_000, (1,))
+            record = records.encode_results(
+                records.Results('b', [result]), f'2.{item}'
+            )
+            self.log.add(record.key, record.value)
+        self.follower.catch_up()
+        self.assert_page_size(self.read(3))
+
+    def assert_page_size(self, exchange: mock.Mock) -> None:
+        """Check that the body of a page keeps within its limit."""
+        body = exchange.send_response.call_args.args[3]
+        self.assertLessEqual(len(body), MAX_PAGE_BYTES)
