Remove all keys of a large batch from the log

Evidence: test_all_keys_of_a_large_batch_expire_over_several_appends was red. Fix: keys of removed batches are remembered until their tombstones come. What a process does not know of (its start came in between) stays on the log.

--- a/baobabpond/batches/retention.py
+++ b/baobabpond/batches/retention.py
@@ -24,8 +24,10 @@
 
     The retention time in seconds counts from the submission.
     """
-    keys: list[str] = []
+    keys = shard_state.leftover_keys()
     for batch in batches:
+        if len(keys) >= MAX_KEYS_PER_APPEND:
+            break
         if (
             batch.is_open
             or now - batch.submitted < retention_s + RETENTION_MARGIN_S
@@ -34,6 +36,4 @@
         for item in batch.items:
             keys += shard_state.temporary_keys(batch.head.id, item.id)
         keys += sorted(batch.keys)
-        if len(keys) >= MAX_KEYS_PER_APPEND:
-            break
     return keys[:MAX_KEYS_PER_APPEND]
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -113,6 +113,8 @@
         self._failures: dict[tuple[str, str], records.Failures] = {}
         # Keys of end records that precede their batch on the log.
         self._orphan_ends: dict[str, list[str]] = {}
+        # Keys of removed batches that are still on the log.
+        self._leftover_keys: set[str] = set()
         self._owner: ObservedOwner | None = None
         self._intents: dict[str, ObservedIntent] = {}
         self._revision = 0
@@ -145,6 +147,11 @@
         with self._changed:
             return list(self._batches.values())
 
+    def leftover_keys(self) -> list[str]:
+        """Return the keys of removed batches that are still on the log."""
+        with self._changed:
+            return sorted(self._leftover_keys)
+
     def completed(self, item: str) -> CompletedItem | None:
         """Return the completed result of an item from any batch."""
         return self._completed.get(item)
@@ -303,10 +310,13 @@
 
     def _apply_tombstone(self, kind: str, key: str) -> None:
         parts = key.split('/')
+        self._leftover_keys.discard(key)
         if kind == records.END:
             self._orphan_ends.pop(parts[1], None)
         elif kind == records.BATCH:
             batch = self._batches.pop(parts[1], None)
+            if batch is not None:
+                self._leftover_keys |= batch.keys - {key}
             for result in batch.results if batch else ():
                 completed = self._completed.get(result.id)
                 if completed is not None and completed.result is result:
--- a/test/batches/test_retention.py
+++ b/test/batches/test_retention.py
@@ -62,3 +62,25 @@
         )
         self.assertIsNone(self.shard_state.get('b'))
         self.assertEqual([], self.shard_state.partial_outputs('one'))
+
+    def test_all_keys_of_a_large_batch_expire_over_several_appends(
+        self,
+    ) -> None:
+        """The keys that did not fit into one append are removed later."""
+        items = [f'item-{number}' for number in range(500)]
+        results = [
+            test_shard_state.make_result('b', item, f'1.{number}')
+            for number, item in enumerate(items)
+        ]
+        on_log = [*test_shard_state.make_batch('b', *items), *results]
+        self.shard_state.apply(test_shard_state.with_offsets(*on_log), False)
+        removed: set[str] = set()
+        while keys := self.expired(RETENTION_S + 60):
+            removed.update(keys)
+            self.shard_state.apply(
+                test_shard_state.with_offsets(
+                    *(records.tombstone(key) for key in keys)
+                ),
+                False,
+            )
+        self.assertEqual(set(), {record.key for record in on_log} - removed)
