Do not expire batches by the time of day

With a clock more than 30 s ahead it removed batches that their trainers could still read, for good. Evidence: test_wrong_time_of_day_does_not_expire_a_batch (180 s ahead) was red.

Fix: retention counts from when the process learnt of the batch, on the steady clock. A batch stays longer after a change of owner to a process that started later; owners that restart within the retention time put removal off. When items are given up still rests on the time of day (open, with the jumping clocks).

--- a/baobabpond/batches/retention.py
+++ b/baobabpond/batches/retention.py
@@ -22,7 +22,8 @@
 ) -> list[str]:
     """Return keys of closed batches past the time they can be read.
 
-    The retention time in seconds counts from the submission.
+    The retention time in seconds counts from when this process learnt of a
+    batch: the submission is a time of day of another instance.
     """
     keys = shard_state.leftover_keys()
     for batch in batches:
@@ -30,7 +31,7 @@
             break
         if (
             batch.is_open
-            or now - batch.submitted < retention_s + RETENTION_MARGIN_S
+            or now - batch.known_since < retention_s + RETENTION_MARGIN_S
         ):
             continue
         for item in batch.items:
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -60,8 +60,10 @@
     ) -> None:
         self.head = head
         self.items = items
-        # Monotonic time of the first submission.
+        # Monotonic time of the first submission, as far as times of day agree.
         self.submitted = submitted
+        # Monotonic time since which this process knows the batch.
+        self.known_since = time.monotonic()
         self.results: list[callers.Result] = []
         # Ids of the items that have a result.
         self.finished_ids: set[str] = set()
--- a/test/batches/test_retention.py
+++ b/test/batches/test_retention.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 from baobabpond.batches import records
 from baobabpond.batches import retention
@@ -84,3 +85,19 @@
                 False,
             )
         self.assertEqual(set(), {record.key for record in on_log} - removed)
+
+    def test_wrong_time_of_day_does_not_expire_a_batch(self) -> None:
+        """Times of day differ between instances, and may be stepped."""
+        now = time.time()
+        head = test_shard_state.make_head('b')._replace(submitted_at=now)
+        with mock.patch('time.time', autospec=True, return_value=now + 180):
+            self.shard_state.apply(
+                test_shard_state.with_offsets(
+                    *records.encode_batch(
+                        head, (test_shard_state.make_item('one'),)
+                    ),
+                    test_shard_state.make_result('b', 'one', '1.1'),
+                ),
+                True,
+            )
+        self.assertEqual([], self.expired(1.0))
