--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -8,6 +8,7 @@
 import structlog
 
 from . import metrics as metrics_module
+from . import readiness
 from .batches import ownership
 from .batches import shard_state as state_module
 from .catalogue import current as current_module
@@ -52,10 +53,6 @@
 # Shorter than the default, to detect early that the owner of the shard has
 # stopped appending; owners append more often than this.
 OWNER_READ_WAIT_S = 0.5
-# Readiness waits no longer than this for the batches, which take long to load
-# when all instances start at the same time; ordinary requests do not need
-# them.
-SHARD_LOAD_TIMEOUT_S = 0.3
 
 LOG = structlog.get_logger(__name__)
 
@@ -74,7 +71,6 @@
         self._log = relay.FailoverLog(self._platform.log, self._metrics)
         self._leave_requested = threading.Event()
         self._leaving = False
-        self._catalogue_loaded_at: float | None = None
         self._validity_s = min(
             app_module.ADDRESS_LIST_TTL_S, settings['longest_validity_s']
         )
@@ -210,6 +206,11 @@
             self._members_follower,
             self._shard_follower,
         )
+        self._readiness = readiness.Readiness(
+            self._current,
+            [f for f in self._followers if f is not self._shard_follower],
+            self._shard_follower,
+        )
 
     def _make_follower(
         self,
@@ -318,7 +319,7 @@
         operator_app = app_module.OperatorApp(
             self._platform.callers,
             self._roster,
-            lambda: self._is_ready,
+            lambda: not self._leaving and self._readiness.is_ready,
             self._metrics,
             self._validity_s,
         )
@@ -353,36 +354,9 @@
             catalogue.Limits(),
         )
 
-    @property
-    def _is_ready(self) -> bool:
-        return (
-            not self._leaving
-            and self._catalogue_loaded
-            and (
-                self._shard_follower.has_caught_up
-                or time.monotonic() - self._catalogue_loaded_at
-                > SHARD_LOAD_TIMEOUT_S
-            )
-        )
-
-    @property
-    def _catalogue_loaded(self) -> bool:
-        """Return whether ordinary requests can be served.
-
-        That is once the configuration, upstreams and members are read.
-        """
-        loaded = self._current.configuration is not None and all(
-            follower.has_caught_up
-            for follower in self._followers
-            if follower is not self._shard_follower
-        )
-        if loaded and self._catalogue_loaded_at is None:
-            self._catalogue_loaded_at = time.monotonic()
-        return loaded
-
     def _join_when_ready(self) -> None:
         """Announce the instance and let it claim batches once it is ready."""
-        while not self._is_ready:
+        while not self._readiness.is_ready:
             if self._leaving:
                 return
             time.sleep(READY_CHECK_INTERVAL_S)
