Log a digest of each ordinary request

A caller that sends a request again gives it a new id, so that the log lines of an incident did not tell whether the requests at upstreams that ended one after the other were the same one. The digest covers host, method, target and body.

--- /dev/null
+++ b/baobabpond/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Recognise requests under which upstreams crash, and limit their runs."""
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -10,6 +10,7 @@
 from .. import verdicts
 from ..catalogue import current as current_module
 from ..catalogue import directory as directory_module
+from ..crashes import identity
 from ..ports import callers
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
@@ -87,6 +88,7 @@
         LOG.info(
             'request ended',
             request=call.request_id,
+            digest=identity.digest_request(context.request),
             route=match.route.name,
             service=context.service,
             configuration=match.configuration.version,
