--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -32,6 +32,8 @@
 PLAIN_SERVICE = 'meja-pesanan'
 READY_TIMEOUT_S = 20.0
 GRACE_S = 5
+# An upstream that has crashed is back after this time, with a new id.
+RESTART_S = 1.0
 
 
 class Instance:
@@ -87,6 +89,8 @@
         self.plain_services: list[upstream_module.Upstream] = []
         self.instances: list[Instance] = []
         self._checks_fence = True
+        self._restart_lock = threading.Lock()
+        self._is_stopped = False
         self._folder = tempfile.TemporaryDirectory(prefix='baobabpond-')
 
     def __enter__(self) -> 'Deployment':
@@ -95,6 +99,8 @@
 
     def __exit__(self, *_: object) -> None:
         """Kill the instances and stop all servers."""
+        with self._restart_lock:
+            self._is_stopped = True
         for instance in self.instances:
             if instance.process.poll() is None:
                 instance.resume()
@@ -117,17 +123,14 @@
         instances: int = 3,
         samplers: int = 3,
         checks_fence: bool = True,
+        plain_services: int = 2,
     ) -> None:
         """Start upstreams and instances; wait until all are ready."""
         self._checks_fence = checks_fence
         for _ in range(samplers):
             self.add_sampler(checks_fence)
-        for _ in range(2):
-            self.plain_services.append(
-                upstream_module.Upstream(
-                    self.store, self.recorder, PLAIN_SERVICE
-                )
-            )
+        for _ in range(plain_services):
+            self._add_plain_service()
         self.operator.publish(routes(), services())
         for number in range(instances):
             self.start_instance(f'entry-{number + 1}')
@@ -147,6 +150,26 @@
         self.samplers.append(sampler)
         return sampler
 
+    def _add_plain_service(self, port: int | None = None) -> None:
+        service = upstream_module.Upstream(
+            self.store, self.recorder, PLAIN_SERVICE, port=port
+        )
+        service.on_crash = self._restart_later
+        self.plain_services.append(service)
+
+    def _restart_later(self, crashed: upstream_module.Upstream) -> None:
+        timer = threading.Timer(RESTART_S, self._restart, (crashed,))
+        timer.daemon = True
+        timer.start()
+
+    def _restart(self, crashed: upstream_module.Upstream) -> None:
+        with self._restart_lock:
+            if self._is_stopped:
+                return
+            crashed.stop()
+            self.plain_services.remove(crashed)
+            self._add_plain_service(crashed.port)
+
     def start_instance(self, name: str) -> Instance:
         """Start an instance whose connection to the store can be cut."""
         host, port = self.store.address.rsplit(':', 1)
--- a/standins/emulator/serving.py
+++ b/standins/emulator/serving.py
@@ -44,10 +44,12 @@
 _ports = _cycle_ports()
 
 
-def serve(handler: server.Handler, threads: int = THREADS) -> server.Server:
+def serve(
+    handler: server.Handler, threads: int = THREADS, port: int | None = None
+) -> server.Server:
     """Start a server for a handler, with threads of its own."""
     http_server = server.Server(
-        (ADDRESS, free_port()),
+        (ADDRESS, port or free_port()),
         handler,
         threads,
         metrics.Metrics(),
@@ -83,7 +85,14 @@
 def close_without_response(exchange: server.Exchange) -> None:
     """Close a connection without sending a response."""
     exchange.abort()
-    exchange.socket.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):
+        exchange.socket.shutdown(socket.SHUT_RDWR)
+
+
+def stop_listening(http_server: server.Server) -> None:
+    """Refuse new connections from now on."""
+    with contextlib.suppress(OSError):
+        http_server.socket.shutdown(socket.SHUT_RDWR)
 
 
 def send_raw_response(
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -23,6 +23,8 @@
 DRIP_INTERVAL_S = 0.1
 # A plain request with this body always fails.
 FAILING_BODY = b'fails'
+# A plain request with this body ends the upstream that runs it.
+CRASHING_BODY = b'crashes'
 
 
 class RunRecord(typing.NamedTuple):
@@ -49,6 +51,14 @@
     intent_holder: str
 
 
+class CrashRecord(typing.NamedTuple):
+    """The end of an upstream under a request."""
+
+    request_id: str
+    upstream: str
+    crashed_at: float
+
+
 class Recorder:
     """Record the runs and weight orders of all upstreams."""
 
@@ -56,6 +66,7 @@
         self._lock = threading.Lock()
         self.runs: list[RunRecord] = []
         self.orders: list[OrderRecord] = []
+        self.crashes: list[CrashRecord] = []
         # By request id, the signatures of successful responses.
         self.signatures: dict[str, set[str]] = collections.defaultdict(set)
         # By request id, when the last event of its stream was first sent.
@@ -66,6 +77,11 @@
         with self._lock:
             self.runs.append(run)
 
+    def record_crash(self, crash: CrashRecord) -> None:
+        """Add the crash of an upstream."""
+        with self._lock:
+            self.crashes.append(crash)
+
     def record_signature(self, request_id: str, signature: str) -> None:
         """Add the signature of a successful response."""
         with self._lock:
@@ -98,6 +114,7 @@
         models: tuple[str, ...] = (),
         slots: int = 8,
         checks_fence: bool = True,
+        port: int | None = None,
     ) -> None:
         self.id = f'i-{uuid.uuid4().hex[:8]}'
         self.service = service
@@ -118,8 +135,11 @@
         # If set, weight orders are executed after this delay, and their
         # responses are never sent.
         self.order_delay_s: float | None = None
+        # Called after the upstream has crashed under a request.
+        self.on_crash: typing.Callable[[Upstream], None] = lambda _: None
         self._store = store
         self._recorder = recorder
+        self._exchanges: set[server.Exchange] = set()
         self._slots = slots
         self._checks_fence = checks_fence
         self._lock = threading.Lock()
@@ -129,9 +149,14 @@
         self._loading_model: str | None = None
         self._draining = False
         self._stopped = threading.Event()
-        self.server = serving.serve(self._handle)
+        self.server = serving.serve(self._handle, port=port)
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
 
+    @property
+    def port(self) -> int:
+        """Return the port on which the upstream listens."""
+        return self.server.bind_addr[1]
+
     def drain(self) -> None:
         """Register the upstream as draining; it still serves requests."""
         self._draining = True
@@ -154,6 +179,23 @@
         self.fault = 'reset'
         self.server.stop()
 
+    def _crash_under(self, request_id: str) -> None:
+        """End as a process does: all connections close, none is accepted."""
+        with self._lock:
+            if self._stopped.is_set():
+                return
+            self._stopped.set()
+            exchanges = list(self._exchanges)
+        self.fault = 'reset'
+        serving.stop_listening(self.server)
+        self._recorder.record_crash(
+            CrashRecord(request_id, self.id, time.monotonic())
+        )
+        for exchange in exchanges:
+            serving.close_without_response(exchange)
+        threading.Thread(target=self.server.stop, daemon=True).start()
+        self.on_crash(self)
+
     def _leaving_headers(self) -> server.Headers:
         return [('Server-Leaving', '1')] if self.announces_leaving else []
 
@@ -285,6 +327,7 @@
             else:
                 is_refused = False
                 self._running += 1
+                self._exchanges.add(exchange)
         if is_refused:
             serving.reply(
                 exchange,
@@ -301,6 +344,7 @@
         finally:
             with self._lock:
                 self._running -= 1
+                self._exchanges.discard(exchange)
 
     def _send_response(
         self,
@@ -313,6 +357,10 @@
             RunRecord(request_id, self.id, 0, time.monotonic(), [])
         )
         time.sleep(EVENT_INTERVAL_S * self.slow_factor)
+        if body == CRASHING_BODY:
+            self._crash_under(request_id)
+        if self._stopped.is_set() and self.fault == 'reset':
+            return
         if self.fault == 'error' or body == FAILING_BODY:
             exchange.send_response(500, 'Failed', common_headers, b'failed')
             return
--- a/test/emulator/base.py
+++ b/test/emulator/base.py
@@ -15,12 +15,18 @@
     INSTANCES = 3
     SAMPLERS = 3
     CHECKS_FENCE = True
+    PLAIN_SERVICES = 2
 
     def setUp(self) -> None:
         """Start the deployment."""
         self.deployment = deployment_module.Deployment()
         self.addCleanup(self.deployment.__exit__)
-        self.deployment.start(self.INSTANCES, self.SAMPLERS, self.CHECKS_FENCE)
+        self.deployment.start(
+            self.INSTANCES,
+            self.SAMPLERS,
+            self.CHECKS_FENCE,
+            self.PLAIN_SERVICES,
+        )
         self.trainer = self.deployment.trainer()
         self.client = clients.Client()
 
