Refuse a request under which three upstreams have crashed

Cause: a query of death, and no memory of it. A cut response leads to a retry on another upstream at once; the next request, instance or incarnation starts from nothing, as ejections are kept for each instance and incarnation.

Without the isolation of suspects test.edge.test_forwarder fails: 502 for five innocent requests of five that shared the first crash.

Fix: a digest identifies a request. After a cut connection one probe tells whether the incarnation has ended; if so, a crash is recorded under the digest, one record for each digest and incarnation on a topic of its own, which all instances follow. Three crashes refuse the request at every instance, as not run, with a delay. Before that it is a suspect: it runs at one upstream at a time, where no other suspect of this instance runs, its retries end with the second crash, and the last upstream of a service is spared. A completed run clears it. Upstreams known to have ended get nothing more, though they are registered for some more seconds.

Why it works: an upstream that ends under a request cuts its connection at the instance that sent it, which counts the crash at once and appends it in the background, until the log has it. Only runs that begin before the record is read add to the three crashes. Requests that only shared a crash are retried apart from the one that caused it, complete, and are cleared.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -74,6 +74,23 @@
             and not current.draining
         )
 
+    def is_registered(self, entry: catalogue.UpstreamEntry) -> bool:
+        """Return whether the incarnation of an entry is registered."""
+        with self._lock:
+            current = self._entries.get(entry.id)
+        return current is not None and current.incarnation == entry.incarnation
+
+    def is_replaced(self, entry: catalogue.UpstreamEntry) -> bool:
+        """Return whether another incarnation is registered at the address."""
+        address = entry.host, entry.port
+        with self._lock:
+            others = list(self._entries.values())
+        return any(
+            (other.host, other.port) == address
+            and other.incarnation != entry.incarnation
+            for other in others
+        )
+
     def observe(
         self, entry: catalogue.UpstreamEntry, head: upstream_port.ResponseHead
     ) -> None:
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -42,6 +42,8 @@
 
     exchange: server.Exchange
     request: upstream_port.Request
+    # Recognises the request if it is sent again under another id.
+    digest: str
     route: catalogue.Route
     service: str
     # Monotonic time.
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -10,6 +10,7 @@
 from .. import verdicts
 from ..catalogue import current as current_module
 from ..catalogue import directory as directory_module
+from ..crashes import guard as guard_module
 from ..crashes import identity
 from ..ports import callers
 from ..ports import catalogue
@@ -40,6 +41,10 @@
     # Server error of the upstream; sent to the caller if no retry succeeds.
     response: urllib3.HTTPResponse | None = None
     body: bytes = b''
+    # The upstream broke the connection off before a whole response.
+    was_cut: bool = False
+    # The upstream has ended since.
+    has_crashed: bool = False
 
 
 class CallerDisconnected(Exception):
@@ -56,8 +61,10 @@
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
         watcher: server.DisconnectWatcher,
+        guard: guard_module.CrashGuard,
         metrics: metrics_module.Metrics,
     ) -> None:
+        self._guard = guard
         self._directory = directory
         self._metrics = metrics
         self._dependencies = attempts_module.AttemptDependencies(
@@ -88,7 +95,7 @@
         LOG.info(
             'request ended',
             request=call.request_id,
-            digest=identity.digest_request(context.request),
+            digest=context.digest,
             route=match.route.name,
             service=context.service,
             configuration=match.configuration.version,
@@ -114,20 +121,30 @@
         tried: set[str] = set()
         verdict = verdicts.Verdict.NOT_RUN
         last = None
+        crashes = 0
         stream = streams.StreamRelay(context, self._dependencies)
         attempts = context.route.max_attempts
         for number in range(1, attempts + 1):
             if context.remaining_s < MIN_ATTEMPT_S:
                 break
             entries = self._directory.usable(context.service)
-            entry = self._dependencies.load_balancer.choose(entries, tried)
-            if entry is None:
+            placement = self._guard.choose(
+                context.digest,
+                lambda: self._directory.usable(context.service),
+                tried,
+                context.remaining_s - MIN_ATTEMPT_S,
+            )
+            if placement is None:
+                crash_refusal = self._guard.refusal(context.digest)
+                if verdict is verdicts.Verdict.NOT_RUN and crash_refusal:
+                    return crash_refusal
                 break
+            entry = placement.entry
             tried.add(entry.id)
             has_alternatives = number < attempts and len(tried) < len(entries)
             last = self._attempt(
                 context._replace(has_alternatives=has_alternatives),
-                entry,
+                placement,
                 stream,
             )
             reasons.append(f'{entry.id}: {last.reason if last else "ok"}')
@@ -137,6 +154,9 @@
                 verdict = verdicts.Verdict.MAY_HAVE_RUN
                 if not _is_retryable(context.route):
                     break
+            crashes += last.has_crashed
+            if not self._guard.may_retry(context.digest, crashes):
+                break
         if last is not None and last.response is not None:
             self._send_response(context, last.response, last.body)
             return None
@@ -145,13 +165,33 @@
     def _attempt(
         self,
         context: attempts_module.RequestContext,
-        entry: catalogue.UpstreamEntry,
+        placement: guard_module.Placement,
         stream: streams.StreamRelay,
     ) -> FailedAttempt | None:
         """Try one upstream; return None if the caller got its response.
 
-        Raises CallerDisconnected.
+        Records whether the upstream completed the request or crashed under
+        it. Raises CallerDisconnected.
         """
+        entry = placement.entry
+        digest, request_id = context.digest, context.request.id
+        try:
+            failure = self._try_upstream(context, entry, stream)
+            if failure is None or failure.response is not None:
+                self._guard.record_completion(digest, request_id)
+            elif failure.was_cut:
+                has_crashed = self._guard.record_cut(digest, request_id, entry)
+                failure = failure._replace(has_crashed=has_crashed)
+            return failure
+        finally:
+            self._guard.release(placement)
+
+    def _try_upstream(
+        self,
+        context: attempts_module.RequestContext,
+        entry: catalogue.UpstreamEntry,
+        stream: streams.StreamRelay,
+    ) -> FailedAttempt | None:
         attempt = attempts_module.Attempt(self._dependencies, context, entry)
         try:
             with attempt:
@@ -165,7 +205,11 @@
             )
         except connections_module.ResponseFailed as error:
             failure = FailedAttempt(
-                verdicts.Verdict.MAY_HAVE_RUN, f'cut: {error}'
+                verdicts.Verdict.MAY_HAVE_RUN,
+                f'cut: {error}',
+                was_cut=not isinstance(
+                    error, connections_module.ResponseTimedOut
+                ),
             )
         if attempt.caller_disconnected:
             raise CallerDisconnected
@@ -219,7 +263,9 @@
         failure = _check_response(context, response, response_head, b'')
         if failure is None and not stream.relay(attempt, response):
             reason = f'stream ended early after event {stream.last_event}'
-            failure = FailedAttempt(verdicts.Verdict.MAY_HAVE_RUN, reason)
+            failure = FailedAttempt(
+                verdicts.Verdict.MAY_HAVE_RUN, reason, was_cut=stream.was_cut
+            )
         return failure
 
     def _send_response(
@@ -249,16 +295,18 @@
     limit_s = route.timeout_s
     if call.deadline_s is not None:
         limit_s = min(limit_s, call.deadline_s)
+    request = upstream_port.Request(
+        call.request_id,
+        exchange.method,
+        exchange.target,
+        call.host,
+        list(exchange.headers.items()),
+        exchange.read_body(),
+    )
     return attempts_module.RequestContext(
         exchange,
-        upstream_port.Request(
-            call.request_id,
-            exchange.method,
-            exchange.target,
-            call.host,
-            list(exchange.headers.items()),
-            exchange.read_body(),
-        ),
+        request,
+        identity.digest_request(request),
         route,
         current_module.pick_service(route, call.request_id),
         received_at + limit_s,
--- a/baobabpond/edge/streams.py
+++ b/baobabpond/edge/streams.py
@@ -26,6 +26,8 @@
         self._context = context
         self._dependencies = dependencies
         self.last_event = _requested_last_event(context)
+        # Whether the upstream broke the last attempt off.
+        self.was_cut = False
 
     def relay(
         self, attempt: attempts.Attempt, response: urllib3.HTTPResponse
@@ -36,6 +38,7 @@
             response, self._event_timeout_s()
         )
         exchange = self._context.exchange
+        self.was_cut = False
         try:
             for event, raw in reader.read_raw(chunks):
                 if not self._is_next(event.id):
@@ -47,9 +50,13 @@
                 attempt.connection.extend_body(self._event_timeout_s())
                 if attempt.failed:
                     attempt.record_response()
+        except connections_module.ResponseTimedOut:
+            return False
         except connections_module.ResponseFailed:
+            self.was_cut = True
             return False
         if reader.has_partial_event:
+            self.was_cut = True
             return False
         if not exchange.response_started:
             self._begin(response)
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -13,6 +13,7 @@
 from .batches import shard_state as state_module
 from .catalogue import current as current_module
 from .catalogue import directory as directory_module
+from .crashes import components as crash_components
 from .edge import app as app_module
 from .edge import batch_handlers
 from .edge import forwarder
@@ -93,6 +94,7 @@
         for follower in self._followers:
             follower.start()
         self._roster.start()
+        self._crashes.start()
         self._ownership.start()
         for http_server in self._servers:
             http_server.start_thread('http')
@@ -177,7 +179,15 @@
             self._log,
             lambda since: self._members_follower.silence_s(since),
         )
-        self._log.set_peer_source(self._peer_addresses)
+        self._log.set_peer_source(self._roster.peer_addresses)
+        self._crashes = crash_components.CrashComponents(
+            self._settings['instance'],
+            self._log,
+            self._directory,
+            self._connections,
+            self._load_balancer,
+            self._metrics,
+        )
         self._shard_state = state_module.ShardState()
         self._configuration_follower = self._make_follower(
             decoder.configuration_topic, 0, self._apply_configuration
@@ -205,6 +215,7 @@
             self._upstreams_follower,
             self._members_follower,
             self._shard_follower,
+            self._crashes.follower,
         )
         self._readiness = readiness.Readiness(
             self._current,
@@ -230,13 +241,6 @@
             read_wait_s,
         )
 
-    def _peer_addresses(self) -> list[tuple[str, int]]:
-        addresses = []
-        for member in self._roster.peers():
-            host, port = member.peer_listen.rsplit(':', 1)
-            addresses.append((host, int(port)))
-        return addresses
-
     def _build_scheduler(self) -> None:
         protocol = self._platform.upstreams
         upstreams = fleet.Fleet(self._directory)
@@ -312,6 +316,7 @@
                 self._connections,
                 self._load_balancer,
                 self._caller_watch,
+                self._crashes.guard,
                 self._metrics,
             ),
             self._metrics,
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -127,6 +127,14 @@
         own = self._own.instance
         return [m for m in self.usable() if m.instance != own]
 
+    def peer_addresses(self) -> list[tuple[str, int]]:
+        """Return where the other usable members listen for instances."""
+        addresses = []
+        for member in self.peers():
+            host, port = member.peer_listen.rsplit(':', 1)
+            addresses.append((host, int(port)))
+        return addresses
+
     def _run(self) -> None:
         self._may_announce.wait()
         while True:
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -38,6 +38,10 @@
     """Raised when connecting fails; nothing was sent."""
 
 
+class ConnectionRefused(ConnectionFailed):
+    """Raised when nothing listens at the address."""
+
+
 class ResponseFailed(Exception):
     """Raised when a response is missing or cut; the request may have run."""
 
@@ -71,11 +75,15 @@
         idle_s = time.monotonic() - self.idle_since
         return idle_s > self.idle_limit_s or sockets.is_readable(sock)
 
-    def connect(self) -> None:
+    def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Connect to the upstream; raise ConnectionFailed."""
+        self._http.timeout = timeout_s
         try:
             self._http.connect()
         except TRANSPORT_ERRORS as error:
+            # urllib3 keeps the error of the socket as the cause.
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                raise ConnectionRefused(str(error)) from error
             raise ConnectionFailed(str(error)) from error
         if self._aborted:
             self.close()
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -356,9 +356,11 @@
         self._recorder.record_run(
             RunRecord(request_id, self.id, 0, time.monotonic(), [])
         )
-        time.sleep(EVENT_INTERVAL_S * self.slow_factor)
         if body == CRASHING_BODY:
+            time.sleep(EVENT_INTERVAL_S)
             self._crash_under(request_id)
+        else:
+            time.sleep(EVENT_INTERVAL_S * self.slow_factor)
         if self._stopped.is_set() and self.fault == 'reset':
             return
         if self.fault == 'error' or body == FAILING_BODY:
--- /dev/null
+++ b/test/crashes/test_detector.py
@@ -0,0 +1,69 @@
+"""Test which upstreams count as ended after a cut connection."""
+
+import contextlib
+import socket
+import unittest
+from unittest import mock
+
+from baobabpond.catalogue import directory as directory_module
+from baobabpond.crashes import detector as detector_module
+from baobabpond import metrics
+from baobabpond.upstreams import connections as connections_module
+
+from . import examples
+
+ADDRESS = '127.0.0.1'
+
+
+class DetectorTest(unittest.TestCase):
+    """Probe an address."""
+
+    def setUp(self) -> None:
+        """Create a listener and a directory that knows the upstream."""
+        self.listener = socket.create_server((ADDRESS, 0))
+        self.addCleanup(self.listener.close)
+        self.entry = examples.entry('i-1')._replace(
+            host=ADDRESS, port=self.listener.getsockname()[1]
+        )
+        self.directory = mock.create_autospec(
+            directory_module.UpstreamDirectory, instance=True
+        )
+        self.directory.is_registered.return_value = True
+        self.directory.is_replaced.return_value = False
+        self.connections = connections_module.ConnectionPool(metrics.Metrics())
+        self.detector = detector_module.CrashDetector(
+            self.directory, self.connections, metrics.Metrics()
+        )
+
+    def test_upstream_that_lives_on(self) -> None:
+        """Its answer got lost; the probe's connection is put to use."""
+        self.assertFalse(self.detector.has_ended(self.entry))
+        pooled = self.connections.acquire((self.entry.host, self.entry.port))
+        self.addCleanup(pooled.close)
+        self.assertFalse(pooled.is_new)
+
+    def test_upstream_that_ended(self) -> None:
+        """Nothing listens at its address, though it is still registered."""
+        self.listener.close()
+        self.assertTrue(self.detector.has_ended(self.entry))
+
+    def test_successor_listens_at_the_address(self) -> None:
+        """The directory shows another incarnation there."""
+        self.directory.is_replaced.return_value = True
+        self.assertTrue(self.detector.has_ended(self.entry))
+        with contextlib.closing(
+            self.connections.acquire((self.entry.host, self.entry.port))
+        ):
+            pass
+
+    def test_no_answer_to_the_probe(self) -> None:
+        """The directory decides; silence alone is no crash."""
+        with mock.patch.object(
+            connections_module.Connection,
+            'connect',
+            autospec=True,
+            side_effect=connections_module.ConnectionFailed('timed out'),
+        ):
+            self.assertFalse(self.detector.has_ended(self.entry))
+            self.directory.is_registered.return_value = False
+            self.assertTrue(self.detector.has_ended(self.entry))
--- /dev/null
+++ b/test/edge/test_forwarder.py
@@ -0,0 +1,229 @@
+"""Test retries of requests that were in flight where upstreams crashed."""
+
+import concurrent.futures
+import pathlib
+import time
+import typing
+import unittest
+from unittest import mock
+
+from baobabpond.catalogue import current as current_module
+from baobabpond.catalogue import directory as directory_module
+from baobabpond.crashes import detector
+from baobabpond.crashes import guard as guard_module
+from baobabpond.crashes import registry as registry_module
+from baobabpond.crashes import sharing
+from baobabpond.edge import forwarder as forwarder_module
+from baobabpond.edge import server
+from baobabpond import metrics
+from baobabpond.ports import callers
+from baobabpond.ports import catalogue
+from baobabpond.ports import platforms
+from baobabpond.upstreams import connections
+from baobabpond.upstreams import load_balancer
+from standins.emulator import deployment
+from standins.emulator import serving
+from standins.emulator import store as store_module
+from standins.emulator import upstream as upstream_module
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SERVICE = 'orders'
+# Requests at the first upstream last until it crashes.
+SLOW_FACTOR = 50.0
+# Elsewhere they take 50 ms.
+USUAL_FACTOR = 5.0
+INNOCENTS = 5
+
+
+def choose_first(
+    balancer: load_balancer.LoadBalancer,
+    entries: list[catalogue.UpstreamEntry],
+    tried: set[str],
+) -> catalogue.UpstreamEntry | None:
+    """Choose the first untried upstream, whatever its load."""
+    return next((entry for entry in entries if entry.id not in tried), None)
+
+
+class CrashTest(unittest.TestCase):
+    """Forward requests to three upstreams in this process."""
+
+    def setUp(self) -> None:
+        """Start the upstreams and create a forwarder."""
+        platforms.load('users_platform', ROOT / 'platform')
+        platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
+        self.store = store_module.Store()
+        self.addCleanup(self.store.stop)
+        self.recorder = upstream_module.Recorder()
+        self.upstreams = [self.start_upstream() for _ in range(3)]
+        directory = mock.create_autospec(
+            directory_module.UpstreamDirectory, instance=True
+        )
+        directory.usable.side_effect = lambda service: list(
+            map(self.entry_of, self.upstreams)
+        )
+        directory.accepts_requests.return_value = True
+        directory.is_replaced.return_value = False
+        pool = connections.ConnectionPool(metrics.Metrics())
+        balancer = load_balancer.LoadBalancer()
+        self.registry = registry_module.CrashRegistry()
+        guard = guard_module.CrashGuard(
+            self.registry,
+            mock.create_autospec(sharing.CrashSharing, instance=True),
+            detector.CrashDetector(directory, pool, metrics.Metrics()),
+            balancer,
+            metrics.Metrics(),
+        )
+        self.forwarder = forwarder_module.Forwarder(
+            platform.upstreams,
+            directory,
+            pool,
+            balancer,
+            mock.create_autospec(server.DisconnectWatcher, instance=True),
+            guard,
+            metrics.Metrics(),
+        )
+
+    def start_upstream(self) -> upstream_module.Upstream:
+        """Start an upstream at which requests overlap."""
+        upstream = upstream_module.Upstream(self.store, self.recorder, SERVICE)
+        upstream.slow_factor = USUAL_FACTOR
+        self.addCleanup(upstream.stop)
+        return upstream
+
+    def entry_of(
+        self, upstream: upstream_module.Upstream
+    ) -> catalogue.UpstreamEntry:
+        """Return the registration of an upstream."""
+        return catalogue.UpstreamEntry(
+            upstream.id,
+            SERVICE,
+            serving.ADDRESS,
+            upstream.port,
+            'a',
+            8,
+            False,
+            upstream.started_at_ms,
+            {},
+        )
+
+    def forward(
+        self,
+        request_id: str,
+        body: bytes,
+        kind: catalogue.RouteKind = catalogue.RouteKind.IDEMPOTENT,
+    ) -> tuple[int, dict[str, str]]:
+        """Forward a request; return the status and headers of the answer."""
+        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange.method = 'POST'
+        exchange.target = '/orders/a'
+        exchange.headers = {}
+        exchange.response_started = False
+        exchange.status = 200
+        exchange.read_body.return_value = body
+        call = callers.Call(
+            callers.CallKind.REQUEST, request_id, 'host', '/orders/a', 2.0
+        )
+        match = current_module.RouteMatch(
+            self.route(kind),
+            catalogue.Configuration(1, (), {}, catalogue.Limits()),
+        )
+        self.forwarder.forward(exchange, call, match)
+        arguments = exchange.send_response.call_args.args
+        return arguments[0], dict(arguments[2])
+
+    def route(self, kind: catalogue.RouteKind) -> catalogue.Route:
+        """Return a route that allows two attempts."""
+        fields: dict[str, typing.Any] = dict.fromkeys(
+            catalogue.Route._fields, 0
+        )
+        fields.update(
+            name='orders',
+            kind=kind,
+            shares=(catalogue.ServiceWeight(SERVICE, 1.0),),
+            timeout_s=2.0,
+            target_latency_s=0.2,
+            max_attempts=2,
+            resumable=False,
+        )
+        return catalogue.Route(**fields)
+
+    def run_counts(self) -> dict[str, int]:
+        """Return how many upstreams ran each request."""
+        counts: dict[str, int] = {}
+        for run in self.recorder.runs:
+            counts[run.request_id] = counts.get(run.request_id, 0) + 1
+        return counts
+
+    def forward_together(self) -> dict[str, int]:
+        """Send a crashing request amid innocent ones; return statuses."""
+        bodies = {f'good-{n}': f'{n}'.encode() for n in range(INNOCENTS)}
+        with concurrent.futures.ThreadPoolExecutor(INNOCENTS) as executor:
+            results = {
+                request_id: executor.submit(self.forward, request_id, body)
+                for request_id, body in bodies.items()
+            }
+            deployment.wait_for(lambda: len(self.recorder.runs) == INNOCENTS)
+            status, _ = self.forward('poison', upstream_module.CRASHING_BODY)
+            statuses = {name: r.result()[0] for name, r in results.items()}
+        return {**statuses, 'poison': status}
+
+    def test_innocents_of_one_crash_are_answered(self) -> None:
+        """They are retried apart from the request that crashes upstreams."""
+        # All of them meet at the first upstream, and again if they may.
+        self.upstreams[0].slow_factor = SLOW_FACTOR
+        with mock.patch.object(
+            load_balancer.LoadBalancer,
+            'choose',
+            autospec=True,
+            side_effect=choose_first,
+        ):
+            statuses = self.forward_together()
+        self.assertEqual(502, statuses.pop('poison'))
+        self.assertEqual({200}, set(statuses.values()), statuses)
+        self.assertEqual(2, len(self.recorder.crashes))
+        for name, count in self.run_counts().items():
+            self.assertEqual(2, count, name)
+
+    def test_poison_is_refused_without_a_run(self) -> None:
+        """The third crash is the last, under any request id."""
+        statuses = []
+        for number in range(6):
+            status, headers = self.forward(
+                f'poison-{number}', upstream_module.CRASHING_BODY
+            )
+            statuses.append(status)
+            if status == 503:
+                self.assertIn('Retry-After', headers)
+            self.upstreams = [
+                self.start_upstream()
+                if upstream.fault == 'reset'
+                else upstream
+                for upstream in self.upstreams
+            ]
+        self.assertEqual([502, 502, 503, 503, 503, 503], statuses)
+        self.assertEqual(3, len(self.recorder.crashes))
+
+    def test_non_idempotent_request_is_sent_once(self) -> None:
+        """A crash under it is remembered, but it is not retried."""
+        status, _ = self.forward(
+            'entry-1',
+            upstream_module.CRASHING_BODY,
+            catalogue.RouteKind.NON_IDEMPOTENT,
+        )
+        self.assertEqual(502, status)
+        self.assertEqual({'entry-1': 1}, self.run_counts())
+
+    def test_lost_answer_is_no_crash(self) -> None:
+        """The upstream lives on, and the request is retried at once."""
+        self.upstreams[0].fault = 'answer_lost'
+        started = time.monotonic()
+        for number in range(4):
+            status, _ = self.forward(f'good-{number}', b'same')
+            self.assertEqual(200, status)
+        self.assertLess(time.monotonic() - started, 2.0)
+        self.assertEqual([], self.recorder.crashes)
+        self.assertFalse(
+            self.registry.has_ended(
+                self.entry_of(self.upstreams[0]).incarnation
+            )
+        )
--- a/test/members/test_roster.py
+++ b/test/members/test_roster.py
@@ -50,6 +50,12 @@
         """Return the names of the instances that callers may use."""
         return [member.instance for member in self.roster.usable()]
 
+    def test_addresses_of_peers(self) -> None:
+        """This instance and leaving ones are not among them."""
+        self.roster.announce()
+        self.apply_heartbeats(make_member('a'), make_member('b', leaving=True))
+        self.assertEqual([('a', 2)], self.roster.peer_addresses())
+
     def test_silent_instance_is_removed_in_time(self) -> None:
         """A lost instance is removed within two heartbeats and a second."""
         with freezegun.freeze_time() as clock:
