--- a/standins/emulator/failures.py
+++ b/standins/emulator/failures.py
@@ -9,6 +9,7 @@
 
 from . import clients
 from . import deployment as deployment_module
+from . import upstream as upstream_module
 
 OMITTED_FIELDS = ('timestamp', 'level')
 
@@ -111,6 +112,24 @@
     )
 
 
+def crashing_request(deployment: deployment_module.Deployment) -> None:
+    """Send a request that ends upstreams again and again."""
+    for number in range(6):
+        clients.Client().send(
+            deployment.addresses()[number % 2],
+            'POST',
+            deployment_module.LOOKUPS + 'x',
+            {
+                'Host': deployment_module.HOST,
+                'X-Request-Id': f'lookup-{number}',
+                'X-Deadline-Ms': '2000',
+            },
+            upstream_module.CRASHING_BODY,
+        )
+        time.sleep(deployment_module.RESTART_S)
+    print_log_lines(deployment, 'lookup-5 was refused', ['lookup-'])
+
+
 def main() -> None:
     """Cause each failure on a deployment of its own."""
     for failure in (
@@ -118,6 +137,7 @@
         late_batch,
         cut_stream,
         unscored_result,
+        crashing_request,
     ):
         with deployment_module.Deployment() as deployment:
             deployment.start(instances=2, samplers=3)
--- a/test/emulator/test_crashing_requests.py
+++ b/test/emulator/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Send a request under which upstreams crash, beside innocent ones."""
 
 import concurrent.futures
+import signal
 import threading
 import time
 import typing
@@ -17,6 +18,7 @@
 MAX_LATE_RUNS = 3
 NEWS_S = 3.0
 REPEAT_S = 0.2
+RELOAD_S = 1.0
 CRASHING_PHASE_S = 9.0
 # Callers come back after a refusal, up to this many times.
 CALLER_ATTEMPTS = 4
@@ -73,6 +75,15 @@
             for run in self.deployment.recorder.runs
         )
 
+    def reload_configuration(self) -> None:
+        """Publish a new version and let instances reload their settings."""
+        self.deployment.operator.publish(
+            deployment_module.routes(), deployment_module.services()
+        )
+        for instance in self.deployment.live_instances():
+            instance.process.send_signal(signal.SIGHUP)
+        self.run_for(RELOAD_S)
+
     def assert_refused_everywhere(self) -> None:
         """Each instance refuses the request as not run, with a delay."""
         for address in self.deployment.addresses():
@@ -92,6 +103,8 @@
         self.deployment.wait_ready()
         before = len(self.deployment.recorder.runs)
         self.assert_refused_everywhere()
+        self.reload_configuration()
+        self.assert_refused_everywhere()
         # The record outlives the instances that saw the crashes.
         for instance in self.deployment.instances[: self.INSTANCES]:
             instance.kill()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -183,6 +183,24 @@
         unit_test='test.emulator.test_leaving.LeavingTest'
         '.test_plain_service_without_the_store',
     ),
+    Mutant(
+        5,
+        'a request is refused after three crashes',
+        'baobabpond/crashes/registry.py',
+        'if crashes >= MAX_CRASHES and is_recent:',
+        'if False:',
+        unit_test='test.edge.test_forwarder.CrashTest'
+        '.test_poison_is_refused_without_a_run',
+    ),
+    Mutant(
+        5,
+        'suspects run apart from one another',
+        'baobabpond/crashes/isolation.py',
+        'free = [e for e in entries if e.incarnation not in self._running]',
+        'free = entries',
+        unit_test='test.edge.test_forwarder.CrashTest'
+        '.test_innocents_of_one_crash_are_answered',
+    ),
 )
 
 
