--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -23,7 +23,7 @@
 DRIP_INTERVAL_S = 0.1
 # A plain request with this body always fails.
 FAILING_BODY = b'fails'
-# A plain request with this body ends the upstream that runs it.
+# A request with this body ends the upstream that runs it.
 CRASHING_BODY = b'crashes'
 
 
@@ -338,7 +338,10 @@
             return
         try:
             if model:
-                self._send_stream(exchange, request_id, model, common_headers)
+                is_crashing = body == CRASHING_BODY
+                self._send_stream(
+                    exchange, request_id, model, common_headers, is_crashing
+                )
             else:
                 self._send_response(exchange, request_id, body, common_headers)
         finally:
@@ -386,6 +389,7 @@
         request_id: str,
         model: str,
         common_headers: server.Headers,
+        is_crashing: bool,
     ) -> None:
         after = int(exchange.headers.get('Last-Event-Id', '0'))
         run = RunRecord(request_id, self.id, after, time.monotonic(), [])
@@ -405,6 +409,8 @@
         )
         for number in range(after + 1, event_count(request_id) + 1):
             time.sleep(EVENT_INTERVAL_S * self.slow_factor)
+            if is_crashing and run.versions:
+                self._crash_under(request_id)
             while self.fault == 'drip':
                 exchange.write(b': still here\n\n')
                 time.sleep(DRIP_INTERVAL_S)
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -28,6 +28,9 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SERVICE = 'orders'
+MODEL = 'peg-sizing'
+# In place of the status of a response that was cut.
+CUT = 0
 # Requests at the first upstream last until it crashes.
 SLOW_FACTOR = 50.0
 # Elsewhere they take 50 ms.
@@ -85,7 +88,9 @@
 
     def start_upstream(self) -> upstream_module.Upstream:
         """Start an upstream at which requests overlap."""
-        upstream = upstream_module.Upstream(self.store, self.recorder, SERVICE)
+        upstream = upstream_module.Upstream(
+            self.store, self.recorder, SERVICE, (MODEL,)
+        )
         upstream.slow_factor = USUAL_FACTOR
         self.addCleanup(upstream.stop)
         return upstream
@@ -114,11 +119,15 @@
     ) -> tuple[int, dict[str, str]]:
         """Forward a request; return the status and headers of the answer."""
         exchange = mock.create_autospec(server.Exchange, instance=True)
+        is_stream = kind is catalogue.RouteKind.STREAMING
         exchange.method = 'POST'
         exchange.target = '/orders/a'
-        exchange.headers = {}
+        exchange.headers = {'X-Model': MODEL} if is_stream else {}
         exchange.response_started = False
         exchange.status = 200
+        exchange.begin_stream.side_effect = lambda *arguments: setattr(
+            exchange, 'response_started', True
+        )
         exchange.read_body.return_value = body
         call = callers.Call(
             callers.CallKind.REQUEST, request_id, 'host', '/orders/a', 2.0
@@ -128,6 +137,8 @@
             catalogue.Configuration(1, (), {}, catalogue.Limits()),
         )
         self.forwarder.forward(exchange, call, match)
+        if exchange.abort.called:
+            return CUT, {}
         arguments = exchange.send_response.call_args.args
         return arguments[0], dict(arguments[2])
 
@@ -143,7 +154,7 @@
             timeout_s=2.0,
             target_latency_s=0.2,
             max_attempts=2,
-            resumable=False,
+            resumable=kind is catalogue.RouteKind.STREAMING,
         )
         return catalogue.Route(**fields)
 
@@ -186,10 +197,22 @@
 
     def test_poison_is_refused_without_a_run(self) -> None:
         """The third crash is the last, under any request id."""
+        statuses = self.repeat_poison(catalogue.RouteKind.IDEMPOTENT)
+        self.assertEqual([502, 502, 503, 503, 503, 503], statuses)
+        self.assertEqual(3, len(self.recorder.crashes))
+
+    def test_poison_among_streams_is_refused(self) -> None:
+        """Its stream was resumed at the second upstream."""
+        statuses = self.repeat_poison(catalogue.RouteKind.STREAMING)
+        self.assertEqual([CUT, CUT, 503, 503, 503, 503], statuses)
+        self.assertEqual(3, len(self.recorder.crashes))
+
+    def repeat_poison(self, kind: catalogue.RouteKind) -> list[int]:
+        """Send a crashing request under new ids; return the statuses."""
         statuses = []
         for number in range(6):
             status, headers = self.forward(
-                f'poison-{number}', upstream_module.CRASHING_BODY
+                f'poison-{number}', upstream_module.CRASHING_BODY, kind
             )
             statuses.append(status)
             if status == 503:
@@ -200,8 +223,7 @@
                 else upstream
                 for upstream in self.upstreams
             ]
-        self.assertEqual([502, 502, 503, 503, 503, 503], statuses)
-        self.assertEqual(3, len(self.recorder.crashes))
+        return statuses
 
     def test_non_idempotent_request_is_sent_once(self) -> None:
         """A crash under it is remembered, but it is not retried."""
