Load the batches once after a common start and pass them on

Fix: the instances that start form a tree in rendezvous order of their names, which all read from the roster. The root loads from the log; each other one reads the pages from its parent's memory as soon as the parent has them, over a new call between instances. A parent that refuses, dies, hangs or has dropped its pages is replaced by another candidate, from the page after the last key, and in the end by the log. All waits are bounded, and longer for lower levels, so that the children of a lost root load first. Pages are kept for 10 s after the load.

A load from peers is not counted as contact with the log, and a copy is still confirmed only by a read of the log that reached its end.

--- a/baobabpond/gen/peer/LogRelay.py
+++ b/baobabpond/gen/peer/LogRelay.py
@@ -48,6 +48,17 @@
         """
         pass
 
+    def snapshot(self, topic, partition, after, wait_ms):
+        """
+        Parameters:
+         - topic
+         - partition
+         - after
+         - wait_ms
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -168,6 +179,48 @@
             raise result.unavailable
         raise TApplicationException(TApplicationException.MISSING_RESULT, "newest failed: unknown result")
 
+    def snapshot(self, topic, partition, after, wait_ms):
+        """
+        Parameters:
+         - topic
+         - partition
+         - after
+         - wait_ms
+
+        """
+        self.send_snapshot(topic, partition, after, wait_ms)
+        return self.recv_snapshot()
+
+    def send_snapshot(self, topic, partition, after, wait_ms):
+        self._oprot.writeMessageBegin('snapshot', TMessageType.CALL, self._seqid)
+        args = snapshot_args()
+        args.topic = topic
+        args.partition = partition
+        args.after = after
+        args.wait_ms = wait_ms
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_snapshot(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = snapshot_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.unavailable is not None:
+            raise result.unavailable
+        if result.expired is not None:
+            raise result.expired
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "snapshot failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -176,6 +229,7 @@
         self._processMap["append"] = Processor.process_append
         self._processMap["read"] = Processor.process_read
         self._processMap["newest"] = Processor.process_newest
+        self._processMap["snapshot"] = Processor.process_snapshot
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -276,6 +330,35 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_snapshot(self, seqid, iprot, oprot):
+        args = snapshot_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = snapshot_result()
+        try:
+            result.success = self._handler.snapshot(args.topic, args.partition, args.after, args.wait_ms)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except LogUnavailable as unavailable:
+            msg_type = TMessageType.REPLY
+            result.unavailable = unavailable
+        except LogExpired as expired:
+            msg_type = TMessageType.REPLY
+            result.expired = expired
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("snapshot", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -746,5 +829,189 @@
     (0, TType.STRUCT, 'success', [LogPage, None], None, ),  # 0
     (1, TType.STRUCT, 'unavailable', [LogUnavailable, None], None, ),  # 1
 )
+
+
+class snapshot_args(object):
+    """
+    Attributes:
+     - topic
+     - partition
+     - after
+     - wait_ms
+
+    """
+
+
+    def __init__(self, topic=None, partition=None, after=None, wait_ms=None,):
+        self.topic = topic
+        self.partition = partition
+        self.after = after
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.topic = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.partition = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.after = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('snapshot_args')
+        if self.topic is not None:
+            oprot.writeFieldBegin('topic', TType.STRING, 1)
+            oprot.writeString(self.topic.encode('utf-8') if sys.version_info[0] == 2 else self.topic)
+            oprot.writeFieldEnd()
+        if self.partition is not None:
+            oprot.writeFieldBegin('partition', TType.I32, 2)
+            oprot.writeI32(self.partition)
+            oprot.writeFieldEnd()
+        if self.after is not None:
+            oprot.writeFieldBegin('after', TType.STRING, 3)
+            oprot.writeString(self.after.encode('utf-8') if sys.version_info[0] == 2 else self.after)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 4)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(snapshot_args)
+snapshot_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'topic', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'partition', None, None, ),  # 2
+    (3, TType.STRING, 'after', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'wait_ms', None, None, ),  # 4
+)
+
+
+class snapshot_result(object):
+    """
+    Attributes:
+     - success
+     - unavailable
+     - expired
+
+    """
+
+
+    def __init__(self, success=None, unavailable=None, expired=None,):
+        self.success = success
+        self.unavailable = unavailable
+        self.expired = expired
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = LogPage()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.unavailable = LogUnavailable.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.expired = LogExpired.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('snapshot_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.unavailable is not None:
+            oprot.writeFieldBegin('unavailable', TType.STRUCT, 1)
+            self.unavailable.write(oprot)
+            oprot.writeFieldEnd()
+        if self.expired is not None:
+            oprot.writeFieldBegin('expired', TType.STRUCT, 2)
+            self.expired.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(snapshot_result)
+snapshot_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [LogPage, None], None, ),  # 0
+    (1, TType.STRUCT, 'unavailable', [LogUnavailable, None], None, ),  # 1
+    (2, TType.STRUCT, 'expired', [LogExpired, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -32,6 +32,7 @@
 from .ports import catalogue
 from .ports import log as log_port
 from .ports import platforms
+from .store import first_load as first_load_module
 from .store import follower as follower_module
 from .store import handler
 from .store import relay
@@ -87,7 +88,10 @@
             self._settings['peer_port'],
             LogRelay.Processor(
                 handler.RelayHandler(
-                    self._platform.log, self._log, self._metrics
+                    self._platform.log,
+                    self._log,
+                    self._metrics,
+                    [self._shard_first_load],
                 )
             ),
         )
@@ -204,11 +208,19 @@
             self._roster.apply,
             DIRECTORY_READ_PAUSE_S,
         )
+        self._shard_first_load = first_load_module.FirstLoad(
+            batch_handlers.TOPIC,
+            SHARD,
+            self._settings['instance'],
+            self._roster.known_peers,
+            self._metrics,
+        )
         self._shard_follower = self._make_follower(
             batch_handlers.TOPIC,
             SHARD,
             self._shard_state.apply,
             read_wait_s=OWNER_READ_WAIT_S,
+            first_load=self._shard_first_load,
         )
         self._followers = (
             self._configuration_follower,
@@ -230,6 +242,7 @@
         listener: follower_module.Listener,
         pause_s: float = 0.0,
         read_wait_s: float = follower_module.READ_WAIT_S,
+        first_load: first_load_module.FirstLoad | None = None,
     ) -> follower_module.Follower:
         return follower_module.Follower(
             self._log,
@@ -239,6 +252,7 @@
             self._metrics,
             pause_s,
             read_wait_s,
+            first_load,
         )
 
     def _build_scheduler(self) -> None:
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -29,6 +29,12 @@
     data_centre: str
     leaving: bool
 
+    @property
+    def peer_address(self) -> tuple[str, int]:
+        """Return the address for other instances, as host and port."""
+        host, port = self.peer_listen.rsplit(':', 1)
+        return host, int(port)
+
 
 class LastHeartbeat(typing.NamedTuple):
     """A member and the monotonic time of its last heartbeat."""
@@ -53,6 +59,7 @@
         self._silence_s = silence_s
         self._lock = threading.Lock()
         self._heartbeats: dict[str, LastHeartbeat] = {}
+        self._is_loaded = False
         self._may_announce = threading.Event()
         self._changed = threading.Event()
 
@@ -80,6 +87,7 @@
                 if record.key not in self._heartbeats:
                     LOG.info('instance discovered', member=record.key)
                 self._heartbeats[record.key] = LastHeartbeat(member, now)
+            self._is_loaded = True
 
     def start(self) -> None:
         """Start sending heartbeats in a background thread once announced."""
@@ -127,13 +135,13 @@
         own = self._own.instance
         return [m for m in self.usable() if m.instance != own]
 
+    def known_peers(self) -> list[Member] | None:
+        """Return the peers, None before the first heartbeats are read."""
+        return self.peers() if self._is_loaded else None
+
     def peer_addresses(self) -> list[tuple[str, int]]:
-        """Return where the other usable members listen for instances."""
-        addresses = []
-        for member in self.peers():
-            host, port = member.peer_listen.rsplit(':', 1)
-            addresses.append((host, int(port)))
-        return addresses
+        """Return the addresses of the peers for other instances."""
+        return [member.peer_address for member in self.peers()]
 
     def _run(self) -> None:
         self._may_announce.wait()
--- a/baobabpond/peers/pool.py
+++ b/baobabpond/peers/pool.py
@@ -98,11 +98,18 @@
             if connection is not None:
                 connection.transport.close()
             # Idle connections to an unreachable instance are broken too.
-            self._close_idle(address)
+            self.close_idle(address)
             raise PeerError(str(error)) from error
         self._release(address, connection)
         return result
 
+    def close_idle(self, address: Address) -> None:
+        """Close the connections to an instance that no call uses."""
+        with self._lock:
+            connections = self._idle.pop(address, [])
+        for connection in connections:
+            connection.transport.close()
+
     def _acquire(self, address: Address) -> Connection[C]:
         with self._lock:
             idle = self._idle[address]
@@ -122,9 +129,3 @@
                 idle.append(connection)
                 return
         connection.transport.close()
-
-    def _close_idle(self, address: Address) -> None:
-        with self._lock:
-            connections = self._idle.pop(address, [])
-        for connection in connections:
-            connection.transport.close()
--- a/baobabpond/ports/log.py
+++ b/baobabpond/ports/log.py
@@ -65,6 +65,11 @@
     records: list[Record]
     has_more: bool
 
+    @property
+    def is_last(self) -> bool:
+        """Return whether no page follows."""
+        return not (self.has_more and self.records)
+
 
 class LogError(Exception):
     """Report that a read of the log failed."""
--- a/baobabpond/schema/peer.thrift
+++ b/baobabpond/schema/peer.thrift
@@ -104,4 +104,7 @@
   LogAppended append(1: LogAppend call)
   LogPage read(1: string topic, 2: i32 partition, 3: i64 offset, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
   LogPage newest(1: string topic, 2: i32 partition, 3: string after) throws (1: LogUnavailable unavailable)
+  // Returns a page of the snapshot that the instance itself loads or has loaded lately.
+  // LogUnavailable: the page is not loaded yet; LogExpired: the snapshot is not kept.
+  LogPage snapshot(1: string topic, 2: i32 partition, 3: string after, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
 }
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -11,6 +11,9 @@
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
+from . import first_load as first_load_module
+from . import snapshots
+
 # Long-poll wait of a read. Bounds how long a dead connection goes unnoticed.
 READ_WAIT_S = 1.0
 # A response later than this after the end of its long poll means that the log
@@ -28,66 +31,6 @@
 Listener = collections.abc.Callable[[list[log_port.Record], bool], None]
 
 
-class SnapshotLoad:
-    """The pages of a snapshot that have been read so far.
-
-    Pages are not read atomically: of records that are removed together, some
-    may be on a page that was read before and others missing on later ones.
-    So all records appended meanwhile are read, too, before any are passed on.
-    """
-
-    def __init__(self) -> None:
-        # End of the partition when the first page was read.
-        self.position: int | None = None
-        # End of the partition when the last page was read.
-        self.end = 0
-        # Offset after the records read so far.
-        self.next_offset = 0
-        self.last_key = ''
-        self._records: dict[str, log_port.Record] = {}
-        self._appended: list[log_port.Record] = []
-
-    def add(self, page: log_port.NewestPage) -> None:
-        """Add the next page, without records appended after the first one."""
-        if self.position is None:
-            self.position = page.end
-            self.next_offset = page.end
-        self.end = page.end
-        for record in page.records:
-            if record.offset < self.position:
-                self._records[record.key] = record
-        if page.records:
-            self.last_key = page.records[-1].key
-
-    def add_appended(self, appended: list[log_port.Record]) -> None:
-        """Add records appended while the pages were read."""
-        for record in appended:
-            if record.offset < self.end:
-                self._appended.append(record)
-                self.next_offset = record.offset + 1
-
-    def snapshot(self) -> list[log_port.Record]:
-        """Return the newest record of each key that was not removed."""
-        removed = self._removed_keys()
-        return sorted(
-            (r for r in self._records.values() if r.key not in removed),
-            key=lambda record: record.offset,
-        )
-
-    def appended(self) -> list[log_port.Record]:
-        """Return the records after the snapshot, and all tombstones."""
-        removed = self._removed_keys()
-        return [
-            record
-            for record in self._appended
-            if record.key not in removed or not record.value
-        ]
-
-    def _removed_keys(self) -> set[str]:
-        newest = {record.key: record for record in self._appended}
-        return {key for key, record in newest.items() if not record.value}
-
-
 class Follower:
     """Pass a partition's snapshot, then appended records, to a listener."""
 
@@ -100,6 +43,7 @@
         metrics: metrics_module.Metrics,
         pause_s: float = 0.0,
         read_wait_s: float = READ_WAIT_S,
+        first_load: first_load_module.FirstLoad | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
@@ -110,7 +54,8 @@
         self._read_wait_s = read_wait_s
         self._lock = threading.Lock()
         self._position: int | None = None
-        self._load = SnapshotLoad()
+        self._first_load = first_load
+        self._load = snapshots.SnapshotLoad()
         self._failed_loads = 0
         self._last_contact = float('-inf')
         self._contact_started = float('-inf')
@@ -225,6 +170,8 @@
                     partition=self._partition,
                 )
                 time.sleep(RETRY_S)
+            if self._first_load is not None:
+                self._first_load.shared.drop_expired()
             if self._pause_s:
                 time.sleep(self._pause_s)
 
@@ -241,8 +188,11 @@
     def _read(self, wait_s: float) -> log_port.Page | None:
         """Read and deliver new records; return None if a reload is needed."""
         with self._lock:
-            if self._position is None and not self._load_snapshot():
-                return None
+            if self._position is None:
+                if not self._load_snapshot():
+                    return None
+                # Confirm at once that the records are all.
+                wait_s = 0.0
             position = self._position
         sent_boot_s = clock.since_boot_s()
         try:
@@ -270,28 +220,38 @@
         begin again.
         """
         load = self._load
-        has_more = True
-        while has_more:
-            page = self._log.newest(
-                self._topic, self._partition, load.last_key
-            )
-            load.add(page)
-            self._failed_loads = 0
-            has_more = page.has_more and bool(page.records)
+        load.start()
+        is_complete = self._first_load is not None and self._first_load.run(
+            load
+        )
+        while not is_complete:
+            is_complete = self._load_page(load)
         if not self._read_appended(load):
-            self._load = SnapshotLoad()
+            self._load = snapshots.SnapshotLoad()
             return False
-        self._load = SnapshotLoad()
+        self._load = snapshots.SnapshotLoad()
         self._deliver(load.snapshot(), True)
         appended = load.appended()
         if appended:
             self._deliver(appended, False)
         self._position = load.next_offset
-        self._metrics.count('log.loads')
-        self._record_contact()
+        self._record_load(load)
+        if load.pages_from_log:
+            self._record_contact()
         return True
 
-    def _read_appended(self, load: SnapshotLoad) -> bool:
+    def _load_page(self, load: snapshots.SnapshotLoad) -> bool:
+        """Read the next page from the log; return whether it is the last."""
+        after = load.last_key
+        page = self._log.newest(self._topic, self._partition, after)
+        load.add(page)
+        load.pages_from_log += 1
+        self._failed_loads = 0
+        if self._first_load is not None:
+            self._first_load.add(after, page)
+        return page.is_last
+
+    def _read_appended(self, load: snapshots.SnapshotLoad) -> bool:
         """Read what was appended during a load; return False if it expired."""
         while load.next_offset < load.end:
             try:
@@ -311,10 +271,26 @@
             load.add_appended(page.records)
         return True
 
+    def _record_load(self, load: snapshots.SnapshotLoad) -> None:
+        self._metrics.count('log.loads')
+        self._metrics.record('log.load', load.took_s)
+        self._metrics.record('log.load_wait', load.waited_s)
+        LOG.info(
+            'snapshot loaded',
+            topic=self._topic,
+            partition=self._partition,
+            took_s=round(load.took_s, 3),
+            waited_s=round(load.waited_s, 3),
+            records=load.record_count,
+            bytes=load.byte_count,
+            pages_from_log=load.pages_from_log,
+            pages_from_peers=load.pages_from_peers,
+        )
+
     def _reset_position(self, position: int | None) -> None:
         with self._lock:
             if self._position == position:
-                self._position = None
+                self._require_reload()
         LOG.warning(
             'offset expired before it was read; reloading the snapshot',
             topic=self._topic,
@@ -322,6 +298,12 @@
             offset=position,
         )
 
+    def _require_reload(self) -> None:
+        """Load again, from the log; others cannot use this snapshot either."""
+        self._position = None
+        if self._first_load is not None:
+            self._first_load.shared.drop()
+
     def _apply(self, position: int, page: log_port.Page) -> bool:
         """Deliver records that no concurrent read has delivered already.
 
@@ -332,7 +314,7 @@
                 return False
             if page.end < position:
                 # The log was truncated.
-                self._position = None
+                self._require_reload()
                 return False
             next_offset = self._position
             new = [
--- a/baobabpond/store/handler.py
+++ b/baobabpond/store/handler.py
@@ -1,15 +1,17 @@
-"""Serve log calls relayed by instances that cannot reach the log."""
+"""Serve log calls of other instances."""
 
 from .. import metrics as metrics_module
 from ..gen.peer import ttypes
 from ..ports import log as log_port
 
 from . import codec
+from . import first_load
 from . import relay
+from . import snapshots
 
 
 class RelayHandler:
-    """Execute relayed log calls, over the direct path only.
+    """Execute relayed log calls, over the direct path only; share snapshots.
 
     A relayed call is never relayed again, so that calls cannot loop.
     """
@@ -19,10 +21,14 @@
         direct: log_port.Log,
         reachable: relay.FailoverLog,
         metrics: metrics_module.Metrics,
+        first_loads: list[first_load.FirstLoad],
     ) -> None:
         self._direct = direct
         self._reachable = reachable
         self._metrics = metrics
+        self._shared = {
+            (load.topic, load.partition): load.shared for load in first_loads
+        }
 
     def append(self, call: ttypes.LogAppend) -> ttypes.LogAppended:
         """Append on behalf of another instance."""
@@ -88,6 +94,28 @@
             page.end, codec.encode_records(page.records), page.has_more
         )
 
+    def snapshot(
+        self, topic: str, partition: int, after: str, wait_ms: int
+    ) -> ttypes.LogPage:
+        """Return a page of the first snapshot that this instance has read.
+
+        Raises LogUnavailable if it is not read yet, LogExpired if it is not
+        kept.
+        """
+        shared = self._shared.get((topic, partition))
+        if shared is None:
+            raise ttypes.LogExpired('the topic is not shared')
+        try:
+            page = shared.wait_page(after, wait_ms / codec.MS_PER_S)
+        except snapshots.SnapshotDropped as error:
+            raise ttypes.LogExpired('no snapshot is kept') from error
+        if page is None:
+            raise ttypes.LogUnavailable('the page is not read yet')
+        self._metrics.count('log.snapshot_pages_for_peers')
+        return ttypes.LogPage(
+            page.end, codec.encode_records(page.records), page.has_more
+        )
+
     def _check_direct(self) -> None:
         if not self._reachable.is_direct:
             raise ttypes.LogUnavailable('no direct way here either')
--- a/test/members/test_roster.py
+++ b/test/members/test_roster.py
@@ -108,3 +108,17 @@
         """A malformed record changes nothing."""
         self.roster.apply([log_port.Record('x', b'[]')], False)
         self.assertEqual([], self.usable())
+
+    def test_peers_are_unknown_before_the_first_heartbeats(self) -> None:
+        """An empty list says that there are no others."""
+        self.assertIsNone(self.roster.known_peers())
+        self.roster.apply([], True)
+        self.assertEqual([], self.roster.known_peers())
+
+    def test_addresses_of_peers_are_those_for_instances(self) -> None:
+        """Callers use another port."""
+        self.apply_heartbeats(make_member('own'), make_member('a'))
+        self.assertEqual([('a', 2)], self.roster.peer_addresses())
+        self.assertEqual(
+            ['a'], [peer.instance for peer in self.roster.known_peers()]
+        )
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -31,7 +31,9 @@
             serving.ADDRESS,
             port,
             LogRelay.Processor(
-                handler.RelayHandler(self.peer_log, peer, metrics.Metrics())
+                handler.RelayHandler(
+                    self.peer_log, peer, metrics.Metrics(), []
+                )
             ),
         )
         self.log.set_peer_source(lambda: [(serving.ADDRESS, port)])
