--- a/test/store/test_first_load.py
+++ b/test/store/test_first_load.py
@@ -171,6 +171,19 @@
         sleep.assert_not_called()
         self.check_copies(8)
 
+    def test_older_pages_do_not_continue_a_load(self) -> None:
+        """They may lack records before the position that is read on from."""
+        self.load(0)
+        load = snapshots.SnapshotLoad()
+        load.add(
+            log_port.NewestPage(
+                self.log.end + 1, [log_port.Record('b', b'x', 1)], True
+            )
+        )
+        with mock.patch.object(first_load, 'MAX_OTHERS', 0):
+            self.assertFalse(self.cluster.loads[self.order[1]].run(load))
+        self.assertEqual(['b'], list(load.records))
+
     def test_reload_asks_no_peer(self) -> None:
         """A follower whose offset expired reads the log, without waiting."""
         self.load(*range(7))
