--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -212,6 +212,7 @@
             batch_handlers.TOPIC,
             SHARD,
             self._settings['instance'],
+            self._settings['data_centre'],
             self._roster.known_peers,
             self._metrics,
         )
--- a/baobabpond/store/first_load.py
+++ b/baobabpond/store/first_load.py
@@ -1,7 +1,8 @@
 """Load a first snapshot from instances that start at the same time.
 
 The instances form a tree, in rendezvous order. Its root reads the snapshot
-from the log, and each of the others reads it, page by page, from its parent.
+from the log, and each of the others reads it, page by page, from its parent,
+which is in the same data centre for all but one instance of each.
 """
 
 import collections.abc
@@ -72,6 +73,7 @@
         topic: str,
         partition: int,
         instance: str,
+        data_centre: str,
         peers: collections.abc.Callable[[], list[roster.Member] | None],
         metrics: metrics_module.Metrics,
         pool: pool_module.ClientPool[LogRelay.Client] | None = None,
@@ -79,6 +81,7 @@
         self._topic = topic
         self._partition = partition
         self._instance = instance
+        self._data_centre = data_centre
         self._peers = peers
         self._metrics = metrics
         self._pool = pool or pool_module.ClientPool(
@@ -232,19 +235,34 @@
 
     def _find_position(self) -> Position:
         peers = {peer.instance: peer for peer in self._wait_for_peers()}
+        centres = {name: peer.data_centre for name, peer in peers.items()}
+        centres[self._instance] = self._data_centre
         order = sorted(
-            {self._instance, *peers},
+            centres,
             key=lambda name: entries.rendezvous_rank(self._topic, name),
         )
-        own_rank = order.index(self._instance)
-        ancestors = _ancestors(own_rank)
-        others = [rank for rank in range(own_rank) if rank not in ancestors]
+        ancestors = self._ancestors(order, centres)
+        earlier = order[: order.index(self._instance)]
+        others = [name for name in earlier if name not in ancestors]
         return Position(
             len(ancestors),
-            [
-                peers[order[rank]]
-                for rank in [*ancestors, *others[:MAX_OTHERS]]
-            ],
+            [peers[name] for name in ancestors + others[:MAX_OTHERS]],
+        )
+
+    def _ancestors(
+        self, order: list[str], centres: dict[str, str]
+    ) -> list[str]:
+        """Return the instances above this one, from its parent to the root.
+
+        The first instance of each data centre is the root of a tree of the
+        data centre; these roots form a tree too.
+        """
+        local = [name for name in order if centres[name] == self._data_centre]
+        roots: dict[str, str] = {}
+        for name in order:
+            roots.setdefault(centres[name], name)
+        return _path_to_root(local, self._instance) + _path_to_root(
+            list(roots.values()), local[0]
         )
 
     def _wait_for_peers(self) -> list[roster.Member]:
@@ -257,10 +275,11 @@
         return []
 
 
-def _ancestors(rank: int) -> list[int]:
-    """Return the ranks above one in the tree, from its parent to the root."""
-    ranks = []
+def _path_to_root(order: list[str], name: str) -> list[str]:
+    """Return the names above one in a tree that is filled in an order."""
+    rank = order.index(name)
+    path = []
     while rank > 0:
         rank = (rank - 1) // FAN_OUT
-        ranks.append(rank)
-    return ranks
+        path.append(order[rank])
+    return path
--- a/test/store/clusters.py
+++ b/test/store/clusters.py
@@ -24,30 +24,49 @@
     return entries.rendezvous_rank(TOPIC, name)
 
 
-class LocalPool:
-    """Call the handlers of instances in this process."""
+class Network:
+    """Pass calls between the instances in this process."""
 
     def __init__(self) -> None:
         self.handlers: dict[pool_module.Address, LogRelay.Iface] = {}
-        self.call_count = 0
+        self.data_centres: dict[pool_module.Address, str] = {}
         # Calls that an instance still serves before it is disconnected.
         self.calls_left: dict[pool_module.Address, int] = {}
+        # Data centres of caller and callee of each call.
+        self.calls: list[tuple[str, str]] = []
 
-    def call(
+    def pass_call(
         self,
+        data_centre: str,
         address: pool_module.Address,
-        timeout_ms: int,
         invoke: collections.abc.Callable[[LogRelay.Iface], T],
-        propagated: tuple[type[Exception], ...] = (),
     ) -> T:
         """Call an instance, unless it was disconnected."""
-        self.call_count += 1
+        self.calls.append((data_centre, self.data_centres[address]))
         if address in self.calls_left:
             self.calls_left[address] -= 1
             if self.calls_left[address] < 0:
                 raise pool_module.PeerError('connection reset')
         return invoke(self.handlers[address])
 
+
+class LocalPool:
+    """Call other instances for one in a data centre."""
+
+    def __init__(self, network: Network, data_centre: str) -> None:
+        self._network = network
+        self._data_centre = data_centre
+
+    def call(
+        self,
+        address: pool_module.Address,
+        timeout_ms: int,
+        invoke: collections.abc.Callable[[LogRelay.Iface], T],
+        propagated: tuple[type[Exception], ...] = (),
+    ) -> T:
+        """Call an instance."""
+        return self._network.pass_call(self._data_centre, address, invoke)
+
     def close_idle(self, address: pool_module.Address) -> None:
         """Do nothing: there are no connections."""
 
@@ -55,36 +74,51 @@
 class Cluster:
     """Instances that know one another and load from one log."""
 
-    def __init__(self, log: log_port.Log, instances: int) -> None:
+    def __init__(
+        self,
+        log: log_port.Log,
+        instances: int,
+        data_centres: tuple[str, ...] = ('dc',),
+    ) -> None:
         self.log = log
-        self.pool = LocalPool()
+        self.network = Network()
         self.received: list[list[log_port.Record]] = []
         self.loads: dict[str, first_load.FirstLoad] = {}
         self.followers: dict[str, follower_module.Follower] = {}
         self._members: list[roster.Member] = []
         for number in range(instances):
-            self.add(f'edge-{number}')
+            self.add(
+                f'edge-{number}', data_centres[number % len(data_centres)]
+            )
 
     @property
     def order(self) -> list[str]:
         """Return the names of the instances in the order of the tree."""
         return sorted(self.followers, key=rank)
 
-    def add(self, name: str) -> follower_module.Follower:
+    def add(
+        self, name: str, data_centre: str = 'dc'
+    ) -> follower_module.Follower:
         """Add an instance, which the others know."""
-        own = roster.Member(name, '', f'{name}:{PEER_PORT}', 'dc', False)
+        own = roster.Member(
+            name, '', f'{name}:{PEER_PORT}', data_centre, False
+        )
         self._members.append(own)
         instance_log = relay.FailoverLog(self.log, metrics.Metrics())
         load = first_load.FirstLoad(
             TOPIC,
             0,
             name,
+            data_centre,
             lambda: [peer for peer in self._members if peer != own],
             metrics.Metrics(),
-            typing.cast(pool_module.ClientPool, self.pool),
+            typing.cast(
+                pool_module.ClientPool, LocalPool(self.network, data_centre)
+            ),
         )
         self.loads[name] = load
-        self.pool.handlers[own.peer_address] = handler.RelayHandler(
+        self.network.data_centres[own.peer_address] = data_centre
+        self.network.handlers[own.peer_address] = handler.RelayHandler(
             self.log, instance_log, metrics.Metrics(), [load]
         )
         self.followers[name] = follower_module.Follower(
@@ -99,8 +133,8 @@
 
     def disconnect(self, name: str, after_calls: int = 0) -> None:
         """Refuse the calls to an instance, but for the next ones."""
-        self.pool.calls_left[name, PEER_PORT] = after_calls
+        self.network.calls_left[name, PEER_PORT] = after_calls
 
     def reconnect(self, name: str) -> None:
         """Serve the calls to an instance again."""
-        del self.pool.calls_left[name, PEER_PORT]
+        del self.network.calls_left[name, PEER_PORT]
--- a/test/store/test_first_load.py
+++ b/test/store/test_first_load.py
@@ -71,6 +71,35 @@
         self.check_copies(7)
         self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
 
+    def test_snapshot_enters_each_data_centre_once(self) -> None:
+        """All but one instance of each read from one of the same."""
+        self.cluster = clusters.Cluster(self.log, 12, ('a', 'b', 'c'))
+        self.order = self.cluster.order
+        for rank in range(12):
+            self.load(rank)
+        self.check_copies(12)
+        self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
+        calls = self.cluster.network.calls
+        self.assertEqual(11 * len(PAGE_KEYS), len(calls))
+        entering = [call for call in calls if call[0] != call[1]]
+        self.assertEqual(2 * len(PAGE_KEYS), len(entering))
+
+    def test_dead_root_of_a_data_centre_is_replaced(self) -> None:
+        """Its children read from another data centre."""
+        self.cluster = clusters.Cluster(self.log, 12, ('a', 'b', 'c'))
+        self.order = self.cluster.order
+        centres = self.cluster.network.data_centres
+        root_centre = centres[self.order[0], clusters.PEER_PORT]
+        dead = next(
+            rank
+            for rank, name in enumerate(self.order)
+            if centres[name, clusters.PEER_PORT] != root_centre
+        )
+        self.cluster.disconnect(self.order[dead])
+        self.load(*(rank for rank in range(12) if rank != dead))
+        self.check_copies(11)
+        self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
+
     def test_dead_root_is_replaced_by_one_instance(self) -> None:
         """The next instance in the order reads the log; the others do not."""
         self.cluster.disconnect(self.order[0])
@@ -187,7 +216,7 @@
     def test_reload_asks_no_peer(self) -> None:
         """A follower whose offset expired reads the log, without waiting."""
         self.load(*range(7))
-        calls = self.cluster.pool.call_count
+        calls = len(self.cluster.network.calls)
         self.log.loads.clear()
         follower = self.cluster.followers[self.order[-1]]
         with mock.patch.object(self.log, 'read', autospec=True) as read:
@@ -196,7 +225,7 @@
                 log_port.Page(self.log.end, []),
             ]
             follower.catch_up()
-        self.assertEqual(calls, self.cluster.pool.call_count)
+        self.assertEqual(calls, len(self.cluster.network.calls))
         self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
 
     def test_expired_snapshot_is_not_shared(self) -> None:
@@ -287,7 +316,7 @@
     def setUp(self) -> None:
         """Serve the pages of an instance that has not read any yet."""
         self.load = first_load.FirstLoad(
-            clusters.TOPIC, 0, 'peer', list, metrics.Metrics()
+            clusters.TOPIC, 0, 'peer', 'dc', list, metrics.Metrics()
         )
         log = fakes.FakeLog()
         self.address = (serving.ADDRESS, serving.free_port())
