Use an upstream again that was only taken for ended

Two ways lead there: a partition that refuses connections, and a probe without an answer while the registration has lapsed.

Fix: an ended upstream is left out for 6 s, by when its registration has lapsed. Without an answer to the probe only another incarnation at the address shows an end.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -74,12 +74,6 @@
             and not current.draining
         )
 
-    def is_registered(self, entry: catalogue.UpstreamEntry) -> bool:
-        """Return whether the incarnation of an entry is registered."""
-        with self._lock:
-            current = self._entries.get(entry.id)
-        return current is not None and current.incarnation == entry.incarnation
-
     def is_replaced(self, entry: catalogue.UpstreamEntry) -> bool:
         """Return whether another incarnation is registered at the address."""
         address = entry.host, entry.port
--- a/baobabpond/crashes/detector.py
+++ b/baobabpond/crashes/detector.py
@@ -25,8 +25,8 @@
     def has_ended(self, entry: catalogue.UpstreamEntry) -> bool:
         """Return whether the incarnation of an entry has ended.
 
-        A cut connection alone does not show it. If nothing answers the probe,
-        the directory decides.
+        A cut connection alone does not show it, nor does silence, nor a
+        registration that has lapsed.
         """
         self._metrics.count('crashes.probes')
         connection = connections_module.Connection((entry.host, entry.port))
@@ -35,6 +35,6 @@
         except connections_module.ConnectionRefused:
             return True
         except connections_module.ConnectionFailed:
-            return not self._directory.is_registered(entry)
+            return self._directory.is_replaced(entry)
         self._connections.release(connection)
         return self._directory.is_replaced(entry)
--- a/baobabpond/crashes/registry.py
+++ b/baobabpond/crashes/registry.py
@@ -17,8 +17,11 @@
 # Requests that are remembered; those without a crash for the longest time go
 # first.
 MAX_REQUESTS = 200
-# Crashed incarnations that are remembered.
+# Crashed incarnations that are remembered, and for how long: until their
+# registrations have lapsed. A partition that refuses connections looks like a
+# crash; after this time such an upstream is used again.
 MAX_INCARNATIONS = 200
+ENDED_S = 6.0
 
 Incarnation = tuple[str, int]
 
@@ -50,8 +53,8 @@
         )
         # Crashes whose records have not been appended to the log yet.
         self._unshared: set[Crash] = set()
-        # Oldest first.
-        self._ended: dict[Incarnation, None] = {}
+        # When this process learnt of their end.
+        self._ended: dict[Incarnation, float] = {}
 
     def standing(self, digest: str) -> Standing:
         """Return how a request may be run now."""
@@ -76,8 +79,9 @@
         return time.monotonic() - last
 
     def has_ended(self, incarnation: Incarnation) -> bool:
-        """Return whether an incarnation is known to have crashed."""
-        return incarnation in self._ended
+        """Return whether an incarnation has crashed lately."""
+        ended_at = self._ended.get(incarnation, float('-inf'))
+        return time.monotonic() - ended_at < ENDED_S
 
     def record_end(self, incarnation: Incarnation) -> None:
         """Remember that an incarnation has crashed."""
@@ -134,10 +138,10 @@
         return expired
 
     def _add(self, crash: Crash) -> list[Crash]:
-        self._record_end(crash.incarnation)
         crashes = self._requests.setdefault(crash.digest, {})
         if crash in crashes:
             return []
+        self._record_end(crash.incarnation)
         crashes[crash] = time.monotonic()
         self._requests.move_to_end(crash.digest)
         displaced: list[Crash] = []
@@ -157,7 +161,7 @@
             del self._requests[crash.digest]
 
     def _record_end(self, incarnation: Incarnation) -> None:
-        self._ended.setdefault(incarnation)
+        self._ended[incarnation] = time.monotonic()
         if len(self._ended) > MAX_INCARNATIONS:
             del self._ended[next(iter(self._ended))]
 
--- a/test/crashes/test_registry.py
+++ b/test/crashes/test_registry.py
@@ -9,6 +9,8 @@
 from . import examples
 
 Standing = registry_module.Standing
+# The registration of an upstream that has ended lapses within this time.
+LAPSE_S = 5.2
 
 
 class StandingTest(unittest.TestCase):
@@ -56,6 +58,16 @@
         self.assertTrue(self.registry.has_ended(('i-1', 3)))
         self.assertFalse(self.registry.has_ended(('i-1', 4)))
 
+    def test_upstream_taken_for_ended_is_tried_again(self) -> None:
+        """A partition that refuses connections looks like an end."""
+        self.registry.add(examples.crash('poison', 'i-1'))
+        self.assertTrue(self.registry.has_ended(('i-1', 1)))
+        self.clock.tick(LAPSE_S)
+        self.assertTrue(self.registry.has_ended(('i-1', 1)))
+        self.clock.tick(LAPSE_S)
+        self.assertFalse(self.registry.has_ended(('i-1', 1)))
+        self.assert_standing(Standing.SUSPECT)
+
     def test_completed_run_clears_a_request(self) -> None:
         """Its crashes are returned, so that others forget them too."""
         self.add(2)
