--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -67,7 +67,7 @@
     @property
     def has_caught_up(self) -> bool:
         """Return whether the partition has been read to its end once."""
-        return self._last_contact > float('-inf')
+        return self._complete_boot_s > float('-inf')
 
     @property
     def contact_age_s(self) -> float:
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -111,6 +111,15 @@
         self.assertEqual(2, self.snapshots)
         self.assertEqual({'a', 'b', 'c'}, {key for key, _ in self.received})
 
+    def test_loaded_snapshot_is_not_the_end_yet(self) -> None:
+        """A copy has caught up once a read has reached the end after it."""
+        self.log.add('a')
+        seen: list[bool] = []
+        self.log.before_read = lambda: seen.append(self.follower.has_caught_up)
+        self.follower.catch_up()
+        self.assertEqual([False], seen)
+        self.assertTrue(self.follower.has_caught_up)
+
     def test_truncated_log_is_reloaded_before_catch_up_returns(
         self,
     ) -> None:
