Let the relay of a link hold and delay what it forwards

A link to the store could only be cut, which connections notice at once. Tests of an instance whose store is silent or slow, while others reach it, had no means.

The relay can hold all messages until the link is restored, with connections open, and delay each chunk. The emulated trainer sets the time that a read may wait.

--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -203,13 +203,17 @@
         return response
 
     def read_from(
-        self, batch: Batch, position: int, address: str | None = None
+        self,
+        batch: Batch,
+        position: int,
+        address: str | None = None,
+        wait_ms: int = WAIT_MS,
     ) -> Response:
-        """Read results from a position on, waiting up to WAIT_MS."""
+        """Read results from a position on, waiting for the first one."""
         response = self._send(
             'GET',
             f'/api/lots/{batch.id}?after={position}',
-            {'X-Wait-Ms': str(WAIT_MS)},
+            {'X-Wait-Ms': str(wait_ms)},
             address=address,
         )
         if response.status == 200:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -3,18 +3,23 @@
 import contextlib
 import socket
 import threading
+import time
 
 CHUNK_BYTES = 65_536
 
 
 class Relay:
-    """Forward connections to a target unless the link is cut."""
+    """Forward connections to a target unless the link is cut or held."""
 
     def __init__(self, address: str, port: int, target: tuple[str, int]):
         self._target = target
         self._lock = threading.Lock()
         self._connections: set[socket.socket] = set()
         self._is_cut = False
+        self._flows = threading.Event()
+        self._flows.set()
+        # Added to the time that each chunk takes in each direction.
+        self.delay_s = 0.0
         self._listener = socket.create_server((address, port))
         self.url = f'http://{address}:{port}'
         threading.Thread(target=self._accept, daemon=True).start()
@@ -27,13 +32,20 @@
         for connection in connections:
             _close(connection)
 
+    def hold(self) -> None:
+        """Keep connections open and accept new ones, but forward nothing."""
+        self._flows.clear()
+
     def restore(self) -> None:
-        """Accept connections again."""
+        """Accept connections again, and forward what was held, at once."""
         self._is_cut = False
+        self.delay_s = 0.0
+        self._flows.set()
 
     def close(self) -> None:
         """Close all connections and the listener."""
         self.cut()
+        self._flows.set()
         _close(self._listener)
 
     def _accept(self) -> None:
@@ -59,6 +71,8 @@
     def _forward(self, source: socket.socket, sink: socket.socket) -> None:
         with contextlib.suppress(OSError):
             while chunk := source.recv(CHUNK_BYTES):
+                self._flows.wait()
+                time.sleep(self.delay_s)
                 sink.sendall(chunk)
         with self._lock:
             self._connections -= {source, sink}
