Keep refusing batches after a reload that cannot restore their order

Evidence: test_reload_does_not_hide_that_records_were_not_applied was red, item-5 at position 3. Fix: such an instance serves no batches until it is restarted, and its refusal has a code of its own.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -290,7 +290,14 @@
         if self._shard.follower.has_missed_records:
             # Later results would stand at other positions than elsewhere.
             LOG.error('batches not served: records are missing here')
-            responses.send_refusal(exchange, _log_away())
+            responses.send_refusal(
+                exchange,
+                verdicts.unavailable(
+                    'copy_incomplete',
+                    'this instance lacks records; use another one',
+                    RETRY_AFTER_S,
+                ),
+            )
             return None
         batch = self._shard.shard_state.get(call.batch)
         if batch is not None:
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -88,7 +88,8 @@
     def has_missed_records(self) -> bool:
         """Return whether the listener has failed on records.
 
-        Its state may lack them; a snapshot that it takes mends this.
+        Its state lacks them for good: a snapshot that it takes later restores
+        them, but not their order.
         """
         return self._has_missed_records
 
@@ -152,7 +153,7 @@
             page = self._read(0.0)
             if page is None:
                 continue
-            if _ends_partition(page) or self._has_reached_end(page):
+            if self._has_reached_end(page):
                 return page.end
 
     def _run(self) -> None:
@@ -205,11 +206,15 @@
         if not self._apply(position, page):
             return None
         self._record_contact()
-        if _ends_partition(page) or self._has_reached_end(page):
+        if self._has_reached_end(page):
             self._record_complete(sent_boot_s)
         return page
 
     def _has_reached_end(self, page: log_port.Page) -> bool:
+        if not page.records:
+            # The last offsets may have been compacted away; then no record
+            # reaches the end.
+            return True
         with self._lock:
             return self._position is not None and self._position >= page.end
 
@@ -230,10 +235,10 @@
             self._load = snapshots.SnapshotLoad()
             return False
         self._load = snapshots.SnapshotLoad()
-        self._deliver(load.snapshot(), True)
+        self._listener(load.snapshot(), True)
         appended = load.appended()
         if appended:
-            self._deliver(appended, False)
+            self._listener(appended, False)
         self._position = load.next_offset
         self._record_load(load)
         if load.pages_from_log:
@@ -324,17 +329,15 @@
             ]
             if new:
                 self._position = new[-1].offset + 1
-                self._deliver(new, False)
+                self._deliver(new)
             return True
 
-    def _deliver(self, new: list[log_port.Record], is_snapshot: bool) -> None:
+    def _deliver(self, new: list[log_port.Record]) -> None:
         try:
-            self._listener(new, is_snapshot)
+            self._listener(new, False)
         except Exception:
             self._has_missed_records = True
             raise
-        if is_snapshot:
-            self._has_missed_records = False
 
     def _record_contact(self) -> None:
         now = time.monotonic()
@@ -364,12 +367,3 @@
                 error=str(error),
             )
         self._contact_started = float('-inf')
-
-
-def _ends_partition(page: log_port.Page) -> bool:
-    """Return whether no record follows the position that was read.
-
-    The last offsets may have been compacted away; then no record reaches the
-    end.
-    """
-    return not page.records
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -175,6 +175,32 @@
         else:
             self.assert_refused(exchange)
 
+    def test_reload_does_not_hide_that_records_were_not_applied(
+        self,
+    ) -> None:
+        """Results that come late stand at other positions than elsewhere."""
+        self.add_results(3, 5)
+        with (
+            mock.patch.object(
+                records, 'decode_results', autospec=True
+            ) as decode_results,
+            self.assertRaises(MemoryError),
+        ):
+            decode_results.side_effect = MemoryError
+            self.follower.catch_up()
+        self.add_results(5, 6)
+        self.follower.catch_up()
+        self.add_results(6, 8)
+        self.log.first = self.log.end
+        self.start_follower()
+        time.sleep(0.5)
+        self.assertEqual(2, len(self.log.loads))
+        exchange = self.read(3)
+        if exchange.send_response.call_args.args[0] == 200:
+            self.assert_page(exchange, *ITEMS[3:])
+        else:
+            self.assert_refused(exchange)
+
     def test_unknown_batch_is_answered_while_a_snapshot_is_loaded(
         self,
     ) -> None:
