--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -76,6 +76,19 @@
         self.start_follower()
         time.sleep(0.5)
 
+    def fail_to_apply(self) -> None:
+        """Let the listener fail on the results that are on the log."""
+        with (
+            mock.patch.object(
+                records,
+                'decode_results',
+                autospec=True,
+                side_effect=MemoryError,
+            ),
+            self.assertRaises(MemoryError),
+        ):
+            self.follower.catch_up()
+
     def read(
         self, position: int, wait_s: float = 0.0, batch: str = 'b'
     ) -> mock.Mock:
@@ -106,6 +119,14 @@
         self.assertEqual(503, status)
         self.assertIn('Retry-After', dict(headers))
 
+    def assert_right_or_refused(self, position: int) -> None:
+        """Check that a read gets the results from a position, or a 503."""
+        exchange = self.read(position)
+        if exchange.send_response.call_args.args[0] == 200:
+            self.assert_page(exchange, *ITEMS[position:])
+        else:
+            self.assert_refused(exchange)
+
     def test_stale_copy_never_reports_that_a_read_result_is_missing(
         self,
     ) -> None:
@@ -160,34 +181,16 @@
     ) -> None:
         """A listener failed once on results; the copy lacks them since."""
         self.add_results(3, 8)
-        with (
-            mock.patch.object(
-                records, 'decode_results', autospec=True
-            ) as decode_results,
-            self.assertRaises(MemoryError),
-        ):
-            decode_results.side_effect = MemoryError
-            self.follower.catch_up()
+        self.fail_to_apply()
         self.start_follower()
-        exchange = self.read(6)
-        if exchange.send_response.call_args.args[0] == 200:
-            self.assert_page(exchange, *ITEMS[6:])
-        else:
-            self.assert_refused(exchange)
+        self.assert_right_or_refused(6)
 
     def test_reload_does_not_hide_that_records_were_not_applied(
         self,
     ) -> None:
         """Results that come late stand at other positions than elsewhere."""
         self.add_results(3, 5)
-        with (
-            mock.patch.object(
-                records, 'decode_results', autospec=True
-            ) as decode_results,
-            self.assertRaises(MemoryError),
-        ):
-            decode_results.side_effect = MemoryError
-            self.follower.catch_up()
+        self.fail_to_apply()
         self.add_results(5, 6)
         self.follower.catch_up()
         self.add_results(6, 8)
@@ -195,11 +198,7 @@
         self.start_follower()
         time.sleep(0.5)
         self.assertEqual(2, len(self.log.loads))
-        exchange = self.read(3)
-        if exchange.send_response.call_args.args[0] == 200:
-            self.assert_page(exchange, *ITEMS[3:])
-        else:
-            self.assert_refused(exchange)
+        self.assert_right_or_refused(3)
 
     def test_unknown_batch_is_answered_while_a_snapshot_is_loaded(
         self,
