Send all requests to upstreams through one gateway; log stated limits

Reports, orders, runs, reward calls and callers' requests each sent and read responses on their own; none looked at a stated limit, and nothing could tell whether an instance had been told one. The gateway is now the only sender; it decodes what a response states about the upstream, and a tracker logs each change of a limit with its age. Nothing is limited yet.

A late response to an earlier request, a misdirected one and an unsigned one without a limit change nothing; an unreadable limit is counted and logged.

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -6,10 +6,10 @@
 
 import urllib3
 
-from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import server
@@ -61,7 +61,7 @@
     """Objects that all attempts use."""
 
     protocol: upstream_port.UpstreamProtocol
-    directory: directory_module.UpstreamDirectory
+    gateway: gateway_module.Gateway
     connections: connections_module.ConnectionPool
     watcher: server.DisconnectWatcher
     load_balancer: load_balancer_module.LoadBalancer
@@ -133,23 +133,20 @@
         Raises ConnectionFailed or ResponseFailed.
         """
         request = self._context.request
-        if self.connection.is_new:
-            self.connection.connect()
-        if not self._dependencies.directory.accepts_requests(self._entry):
-            raise connections_module.ConnectionFailed('the upstream leaves')
-        response = self.connection.exchange(
-            request.method,
-            request.target,
-            self._dependencies.protocol.request_headers(
-                request, self._entry.id, remaining_s, last_event
+        response, self._response_head = self._dependencies.gateway.exchange(
+            self.connection,
+            self._entry,
+            gateway_module.Outgoing(
+                request.id,
+                request.method,
+                request.target,
+                self._dependencies.protocol.request_headers(
+                    request, self._entry.id, remaining_s, last_event
+                ),
+                request.body or None,
             ),
-            request.body or None,
             remaining_s if timeout_s is None else timeout_s,
         )
-        self._response_head = self._dependencies.protocol.parse_response_head(
-            response.status, response.headers
-        )
-        self._dependencies.directory.observe(self._entry, self._response_head)
         return response, self._response_head
 
     def record_response(self) -> None:
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -16,6 +16,7 @@
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import attempts as attempts_module
@@ -58,6 +59,7 @@
         self,
         protocol: upstream_port.UpstreamProtocol,
         directory: directory_module.UpstreamDirectory,
+        gateway: gateway_module.Gateway,
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
         watcher: server.DisconnectWatcher,
@@ -68,7 +70,7 @@
         self._directory = directory
         self._metrics = metrics
         self._dependencies = attempts_module.AttemptDependencies(
-            protocol, directory, connections, watcher, load_balancer
+            protocol, gateway, connections, watcher, load_balancer
         )
 
     def forward(
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -32,11 +32,13 @@
 from .ports import catalogue
 from .ports import log as log_port
 from .ports import platforms
+from .ratelimits import tracker
 from .store import first_load as first_load_module
 from .store import follower as follower_module
 from .store import handler
 from .store import relay
 from .upstreams import connections
+from .upstreams import gateway
 from .upstreams import load_balancer
 
 CALLER_THREADS = 48
@@ -172,6 +174,10 @@
             lambda: self._upstreams_follower.contact_duration_s,
             self._connections.close_idle,
         )
+        self._limits = tracker.LimitTracker(self._metrics)
+        self._gateway = gateway.Gateway(
+            self._platform.upstreams, self._directory, self._limits
+        )
         self._roster = roster_module.Roster(
             roster_module.Member(
                 self._settings['instance'],
@@ -269,7 +275,7 @@
             orders.OrderClient(
                 self._settings['instance'],
                 protocol,
-                self._directory,
+                self._gateway,
                 self._connections,
                 self._metrics,
             ),
@@ -280,11 +286,11 @@
             upstreams,
             self._current,
             runner.Runner(
-                protocol, self._directory, self._connections, self._metrics
+                protocol, self._gateway, self._connections, self._metrics
             ),
             reward_stage.RewardStage(
                 reward_client.RewardClient(
-                    protocol, self._directory, self._connections
+                    protocol, self._gateway, self._connections
                 ),
                 self._directory,
                 self._load_balancer,
@@ -328,6 +334,7 @@
             forwarder.Forwarder(
                 self._platform.upstreams,
                 self._directory,
+                self._gateway,
                 self._connections,
                 self._load_balancer,
                 self._caller_watch,
--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -7,9 +7,9 @@
 import structlog
 
 from .. import metrics as metrics_module
-from ..catalogue import directory as directory_module
 from ..ports import upstreams as upstream_port
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 
 from . import load_planner
 from . import state
@@ -52,13 +52,13 @@
         self,
         instance: str,
         protocol: upstream_port.UpstreamProtocol,
-        directory: directory_module.UpstreamDirectory,
+        gateway: gateway_module.Gateway,
         connections: connections_module.ConnectionPool,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._instance = instance
         self._protocol = protocol
-        self._directory = directory
+        self._gateway = gateway
         self._connections = connections
         self._metrics = metrics
 
@@ -184,16 +184,11 @@
     ) -> tuple[int, bytes] | None:
         connection = self._connections.acquire(upstream.address)
         try:
-            if connection.is_new:
-                connection.connect()
-            response = connection.exchange(
-                method, target, headers, body, CALL_TIMEOUT_S
-            )
-            self._directory.observe(
+            response, _ = self._gateway.exchange(
+                connection,
                 upstream.entry,
-                self._protocol.parse_response_head(
-                    response.status, response.headers
-                ),
+                gateway_module.Outgoing('', method, target, headers, body),
+                CALL_TIMEOUT_S,
             )
             data = b''.join(connection.iter_body(response, CALL_TIMEOUT_S))
         except (
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -7,10 +7,10 @@
 import structlog
 import urllib3
 
-from ..catalogue import directory as directory_module
 from ..ports import callers
 from ..ports import upstreams as upstream_port
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 
 from . import runner
 from . import state
@@ -40,11 +40,11 @@
     def __init__(
         self,
         protocol: upstream_port.UpstreamProtocol,
-        directory: directory_module.UpstreamDirectory,
+        gateway: gateway_module.Gateway,
         connections: connections_module.ConnectionPool,
     ) -> None:
         self._protocol = protocol
-        self._directory = directory
+        self._gateway = gateway
         self._connections = connections
 
     def call(self, attempt: state.RewardAttempt) -> RewardResponse:
@@ -57,10 +57,6 @@
             return RewardResponse(runner.RunOutcome.CANCELLED)
         timed_out = False
         try:
-            if connection.is_new:
-                connection.connect()
-            if not self._directory.accepts_requests(attempt.entry):
-                raise connections_module.ConnectionFailed('upstream leaves')
             return self._exchange(attempt, connection)
         except connections_module.ConnectionFailed as error:
             outcome = runner.RunOutcome.UNREACHABLE
@@ -88,19 +84,20 @@
     ) -> RewardResponse:
         call = typing.cast(callers.RewardCall, attempt.task.item.reward_call)
         request = _build_request(call)
-        response = connection.exchange(
-            request.method,
-            request.target,
-            self._protocol.request_headers(
-                request, attempt.entry.id, attempt.timeout_s
+        response, head = self._gateway.exchange(
+            connection,
+            attempt.entry,
+            gateway_module.Outgoing(
+                request.id,
+                request.method,
+                request.target,
+                self._protocol.request_headers(
+                    request, attempt.entry.id, attempt.timeout_s
+                ),
+                request.body,
             ),
-            request.body,
             attempt.timeout_s,
         )
-        head = self._protocol.parse_response_head(
-            response.status, response.headers
-        )
-        self._directory.observe(attempt.entry, head)
         # The signature is the score; the body only has to be complete.
         connection.drain_body(response, attempt.timeout_s)
         if head.request_id not in ('', call.id):
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -8,10 +8,10 @@
 import structlog
 
 from .. import metrics as metrics_module
-from ..catalogue import directory as directory_module
 from ..ports import upstreams as upstream_port
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
+from ..upstreams import gateway as gateway_module
 
 from . import state
 
@@ -73,12 +73,12 @@
     def __init__(
         self,
         protocol: upstream_port.UpstreamProtocol,
-        directory: directory_module.UpstreamDirectory,
+        gateway: gateway_module.Gateway,
         connections: connections_module.ConnectionPool,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._protocol = protocol
-        self._directory = directory
+        self._gateway = gateway
         self._connections = connections
         self._metrics = metrics
 
@@ -91,10 +91,6 @@
             connection.close()
             return RunOutcome.CANCELLED
         try:
-            if connection.is_new:
-                connection.connect()
-            if not self._directory.accepts_requests(run.upstream.entry):
-                raise connections_module.ConnectionFailed('upstream leaves')
             outcome = self._exchange(attempt, connection, sink)
         except connections_module.ConnectionFailed as error:
             connection.close()
@@ -113,24 +109,25 @@
         sink: EventSink,
     ) -> RunOutcome:
         run = attempt.run
-        response = connection.exchange(
-            attempt.request.method,
-            attempt.request.target,
-            self._protocol.request_headers(
-                attempt.request,
-                run.upstream.id,
-                attempt.remaining_s,
-                len(run.task.events),
-                attempt.priority,
-                attempt.expected_version,
+        response, response_head = self._gateway.exchange(
+            connection,
+            run.upstream.entry,
+            gateway_module.Outgoing(
+                attempt.request.id,
+                attempt.request.method,
+                attempt.request.target,
+                self._protocol.request_headers(
+                    attempt.request,
+                    run.upstream.id,
+                    attempt.remaining_s,
+                    len(run.task.events),
+                    attempt.priority,
+                    attempt.expected_version,
+                ),
+                attempt.request.body,
             ),
-            attempt.request.body,
             READ_TIMEOUT_S,
         )
-        response_head = self._protocol.parse_response_head(
-            response.status, response.headers
-        )
-        self._directory.observe(run.upstream.entry, response_head)
         if response_head.request_id not in ('', attempt.request.id):
             self._metrics.count('upstream.foreign_answers')
             connection.close()
--- a/baobabpond/ports/upstreams.py
+++ b/baobabpond/ports/upstreams.py
@@ -33,6 +33,11 @@
     signature: str
     # The upstream is shutting down and accepts nothing new for long.
     is_leaving: bool = False
+    # Requests a second that the upstream takes from all instances together;
+    # None if not stated.
+    request_limit: float | None = None
+    # It states a limit that is no such number.
+    has_unreadable_limit: bool = False
 
     @property
     def is_from_upstream(self) -> bool:
--- /dev/null
+++ b/baobabpond/ratelimits/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the request rates that upstreams state for all instances together."""
--- /dev/null
+++ b/baobabpond/upstreams/gateway.py
@@ -0,0 +1,71 @@
+"""Send requests to upstreams: the only way by which any reaches one."""
+
+import time
+import typing
+
+import urllib3
+
+from ..catalogue import directory as directory_module
+from ..ports import catalogue
+from ..ports import upstreams as upstream_port
+from ..ratelimits import tracker as tracker_module
+
+from . import connections as connections_module
+
+
+class Outgoing(typing.NamedTuple):
+    """A request as it is sent to an upstream."""
+
+    # Empty for a report or an order.
+    id: str
+    method: str
+    target: str
+    headers: upstream_port.Headers
+    body: bytes | None
+
+
+class Gateway:
+    """Exchange requests, and learn what responses state about upstreams."""
+
+    def __init__(
+        self,
+        protocol: upstream_port.UpstreamProtocol,
+        directory: directory_module.UpstreamDirectory,
+        limits: tracker_module.LimitTracker,
+    ) -> None:
+        self._protocol = protocol
+        self._directory = directory
+        self._limits = limits
+
+    def exchange(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+        outgoing: Outgoing,
+        timeout_s: float,
+    ) -> tuple[urllib3.HTTPResponse, upstream_port.ResponseHead]:
+        """Send a request and return the response, its body still unread.
+
+        Connects first if necessary. The time-out applies to sending, and to
+        the head as a whole. Raises ConnectionFailed if nothing was sent, and
+        ResponseFailed.
+        """
+        if connection.is_new:
+            connection.connect()
+        if not self._directory.accepts_requests(entry):
+            raise connections_module.ConnectionFailed('the upstream leaves')
+        sent_at = time.monotonic()
+        response = connection.exchange(
+            outgoing.method,
+            outgoing.target,
+            outgoing.headers,
+            outgoing.body,
+            timeout_s,
+        )
+        head = self._protocol.parse_response_head(
+            response.status, response.headers
+        )
+        self._directory.observe(entry, head)
+        if head.request_id in ('', outgoing.id):
+            self._limits.observe(entry, head, sent_at)
+        return response, head
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -19,7 +19,9 @@
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
+from baobabpond.ratelimits import tracker
 from baobabpond.upstreams import connections
+from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
 from standins.emulator import deployment
 from standins.emulator import serving
@@ -79,6 +81,11 @@
         self.forwarder = forwarder_module.Forwarder(
             platform.upstreams,
             directory,
+            gateway.Gateway(
+                platform.upstreams,
+                directory,
+                tracker.LimitTracker(metrics.Metrics()),
+            ),
             pool,
             balancer,
             mock.create_autospec(server.DisconnectWatcher, instance=True),
--- a/test/platform_plugin/test_plugin.py
+++ b/test/platform_plugin/test_plugin.py
@@ -187,6 +187,30 @@
         )
         self.assertIsNone(parse(200, {'X-Server-Load': 'x'}).load)
 
+    def test_request_limit(self) -> None:
+        """A limit that is no rate is reported as unreadable."""
+        cases = {
+            '2.5': (2.5, False),
+            '0': (0.0, False),
+            '1e9': (1e9, False),
+            '-1': (None, True),
+            'nan': (None, True),
+            'inf': (None, True),
+            'many': (None, True),
+            '': (None, True),
+        }
+        for text, expected in cases.items():
+            with self.subTest(text=text):
+                head = self.protocol.parse_response_head(
+                    200, {'Server-Limit': text}
+                )
+                self.assertEqual(
+                    expected, (head.request_limit, head.has_unreadable_limit)
+                )
+        head = self.protocol.parse_response_head(200, {})
+        self.assertIsNone(head.request_limit)
+        self.assertFalse(head.has_unreadable_limit)
+
     def test_event_with_a_weight_version(self) -> None:
         """A weight version in a block belongs to its event."""
         event = self.protocol.parse_event(
--- /dev/null
+++ b/test/ratelimits/__init__.py
@@ -0,0 +1,1 @@
+"""Test the rate limits of upstreams."""
