--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -51,6 +51,15 @@
     intent_holder: str
 
 
+class Arrival(typing.NamedTuple):
+    """A request of any kind as it reached an upstream."""
+
+    upstream: str
+    arrived_at: float
+    path: str
+    request_id: str
+
+
 class CrashRecord(typing.NamedTuple):
     """The end of an upstream under a request."""
 
@@ -66,6 +75,7 @@
         self._lock = threading.Lock()
         self.runs: list[RunRecord] = []
         self.orders: list[OrderRecord] = []
+        self.arrivals: list[Arrival] = []
         self.crashes: list[CrashRecord] = []
         # By request id, the signatures of successful responses.
         self.signatures: dict[str, set[str]] = collections.defaultdict(set)
@@ -77,6 +87,20 @@
         with self._lock:
             self.runs.append(run)
 
+    def record_arrival(self, arrival: Arrival) -> None:
+        """Add a request that has reached an upstream."""
+        with self._lock:
+            self.arrivals.append(arrival)
+
+    def arrivals_at(self, upstream: str, since: float) -> list[float]:
+        """Return when requests reached an upstream from a moment on."""
+        with self._lock:
+            return sorted(
+                arrival.arrived_at
+                for arrival in self.arrivals
+                if arrival.upstream == upstream and arrival.arrived_at >= since
+            )
+
     def record_crash(self, crash: CrashRecord) -> None:
         """Add the crash of an upstream."""
         with self._lock:
@@ -130,6 +154,8 @@
         self.fault: str | None = None
         # If set, all responses state that the upstream is leaving.
         self.announces_leaving = False
+        # If set, all responses state this limit of requests a second.
+        self.request_limit: str | None = None
         # If set, connections of streams are closed after this many events.
         self.cut_after_events: int | None = None
         # If set, weight orders are executed after this delay, and their
@@ -196,8 +222,14 @@
         threading.Thread(target=self.server.stop, daemon=True).start()
         self.on_crash(self)
 
-    def _leaving_headers(self) -> server.Headers:
-        return [('Server-Leaving', '1')] if self.announces_leaving else []
+    def _state_headers(self) -> server.Headers:
+        """Return what all responses state about the upstream."""
+        headers = []
+        if self.announces_leaving:
+            headers.append(('Server-Leaving', '1'))
+        if self.request_limit is not None:
+            headers.append(('Server-Limit', self.request_limit))
+        return headers
 
     def _send_heartbeats(self) -> None:
         while not self._stopped.is_set():
@@ -228,6 +260,14 @@
     def _handle(self, exchange: server.Exchange) -> None:
         body = exchange.read_body()
         path = serving.query(exchange).path
+        self._recorder.record_arrival(
+            Arrival(
+                self.id,
+                time.monotonic(),
+                path,
+                exchange.headers.get('X-Request-Id', ''),
+            )
+        )
         if self.fault == 'silent':
             while self.fault == 'silent' and not self._stopped.is_set():
                 time.sleep(0.05)
@@ -251,7 +291,7 @@
                 'running': self._running,
             }
         time.sleep(REPORT_DELAY_S)
-        serving.reply(exchange, 200, report, self._leaving_headers())
+        serving.reply(exchange, 200, report, self._state_headers())
 
     def _handle_order(
         self, exchange: server.Exchange, order: dict[str, typing.Any]
@@ -273,7 +313,7 @@
             serving.close_without_response(exchange)
             return
         serving.reply(
-            exchange, self._apply_order(order), None, self._leaving_headers()
+            exchange, self._apply_order(order), None, self._state_headers()
         )
 
     def _find_intent_holder(self) -> str:
@@ -315,9 +355,14 @@
             ('X-Server-Seal', f'seal.{self.id}.{uuid.uuid4().hex[:8]}'),
             ('X-Server-Load', f'{self._running},0,{self._slots}'),
         ]
-        common_headers += self._leaving_headers()
+        common_headers += self._state_headers()
         if headers.get('X-Target-Instance') not in (None, self.id):
-            serving.reply(exchange, 421, None, [('X-Not-Executed', '1')])
+            serving.reply(
+                exchange,
+                421,
+                None,
+                [('X-Not-Executed', '1'), *self._state_headers()],
+            )
             return
         model = headers.get('X-Model')
         with self._lock:
@@ -333,7 +378,7 @@
                 exchange,
                 503,
                 None,
-                [('X-Not-Executed', '1'), *self._leaving_headers()],
+                [('X-Not-Executed', '1'), *self._state_headers()],
             )
             return
         try:
