--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -8,6 +8,7 @@
 
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import permits as permits_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
@@ -79,10 +80,12 @@
         dependencies: AttemptDependencies,
         context: RequestContext,
         entry: catalogue.UpstreamEntry,
+        permit: permits_module.Permit,
     ) -> None:
         self._dependencies = dependencies
         self._context = context
         self._entry = entry
+        self._permit = permit
         self._started = time.monotonic()
         self._watch_handle = 0
         self._latency_s: float | None = None
@@ -115,11 +118,23 @@
         else:
             self.connection.close()
         load = self._response_head.load if self._response_head else None
-        failed = self.failed and not self.caller_disconnected
+        failed: bool | None = self.failed and not self.caller_disconnected
+        if kind is gateway_module.NoPermit or self._is_limited_refusal:
+            failed = None
         self._dependencies.load_balancer.record_outcome(
             self._entry, self._latency_s, failed, load
         )
 
+    @property
+    def _is_limited_refusal(self) -> bool:
+        """Return whether an upstream with a limit refused the request."""
+        head = self._response_head
+        return (
+            head is not None
+            and head.not_run
+            and head.request_limit is not None
+        )
+
     def send(
         self,
         remaining_s: float,
@@ -136,6 +151,7 @@
         response, self._response_head = self._dependencies.gateway.exchange(
             self.connection,
             self._entry,
+            self._permit,
             gateway_module.Outgoing(
                 request.id,
                 request.method,
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -15,11 +15,14 @@
 from ..ports import callers
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import bucket as bucket_module
+from ..ratelimits import permits as permits_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import attempts as attempts_module
+from . import placer as placer_module
 from . import responses
 from . import server
 from . import streams
@@ -64,9 +67,13 @@
         load_balancer: load_balancer_module.LoadBalancer,
         watcher: server.DisconnectWatcher,
         guard: guard_module.CrashGuard,
+        permits: permits_module.Permits,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._guard = guard
+        self._placer = placer_module.Placer(
+            directory, guard, load_balancer, permits
+        )
         self._directory = directory
         self._metrics = metrics
         self._dependencies = attempts_module.AttemptDependencies(
@@ -130,23 +137,24 @@
             if context.remaining_s < MIN_ATTEMPT_S:
                 break
             entries = self._directory.usable(context.service)
-            placement = self._guard.choose(
-                context.digest,
-                lambda: self._directory.usable(context.service),
-                tried,
-                context.remaining_s - MIN_ATTEMPT_S,
-            )
-            if placement is None:
+            try:
+                placed = self._place(context, tried, number)
+            except permits_module.RateLimited as error:
+                reasons.append(str(error))
+                if verdict is verdicts.Verdict.NOT_RUN:
+                    return _rate_limited(error)
+                break
+            if placed is None:
                 crash_refusal = self._guard.refusal(context.digest)
                 if verdict is verdicts.Verdict.NOT_RUN and crash_refusal:
                     return crash_refusal
                 break
-            entry = placement.entry
+            entry = placed.placement.entry
             tried.add(entry.id)
             has_alternatives = number < attempts and len(tried) < len(entries)
             last = self._attempt(
                 context._replace(has_alternatives=has_alternatives),
-                placement,
+                placed,
                 stream,
             )
             reasons.append(f'{entry.id}: {last.reason if last else "ok"}')
@@ -164,10 +172,29 @@
             return None
         return _make_refusal(context, verdict, bool(tried))
 
+    def _place(
+        self,
+        context: attempts_module.RequestContext,
+        tried: set[str],
+        attempt_number: int,
+    ) -> placer_module.Placed | None:
+        urgency = bucket_module.RETRY
+        if attempt_number == 1:
+            urgency = bucket_module.caller_urgency(context.route.priority)
+        return self._placer.place(
+            placer_module.PlacementRequest(
+                context.digest,
+                context.service,
+                tried,
+                context.remaining_s - MIN_ATTEMPT_S,
+                urgency,
+            )
+        )
+
     def _attempt(
         self,
         context: attempts_module.RequestContext,
-        placement: guard_module.Placement,
+        placed: placer_module.Placed,
         stream: streams.StreamRelay,
     ) -> FailedAttempt | None:
         """Try one upstream; return None if the caller got its response.
@@ -175,10 +202,10 @@
         Records whether the upstream completed the request or crashed under
         it. Raises CallerDisconnected.
         """
-        entry = placement.entry
+        entry = placed.placement.entry
         digest, request_id = context.digest, context.request.id
         try:
-            failure = self._try_upstream(context, entry, stream)
+            failure = self._try_upstream(context, placed, stream)
             if failure is None or failure.response is not None:
                 self._guard.record_completion(digest, request_id)
             elif failure.was_cut:
@@ -186,15 +213,17 @@
                 failure = failure._replace(has_crashed=has_crashed)
             return failure
         finally:
-            self._guard.release(placement)
+            self._guard.release(placed.placement)
 
     def _try_upstream(
         self,
         context: attempts_module.RequestContext,
-        entry: catalogue.UpstreamEntry,
+        placed: placer_module.Placed,
         stream: streams.StreamRelay,
     ) -> FailedAttempt | None:
-        attempt = attempts_module.Attempt(self._dependencies, context, entry)
+        attempt = attempts_module.Attempt(
+            self._dependencies, context, placed.placement.entry, placed.permit
+        )
         try:
             with attempt:
                 if context.route.kind is catalogue.RouteKind.STREAMING:
@@ -351,6 +380,14 @@
     )
 
 
+def _rate_limited(error: permits_module.RateLimited) -> verdicts.Refusal:
+    return verdicts.unavailable(
+        'upstreams_limited',
+        'the upstreams take no more requests now',
+        round(error.retry_s, 2),
+    )
+
+
 def _check_response(
     context: attempts_module.RequestContext,
     response: urllib3.HTTPResponse,
--- a/baobabpond/gen/peer/LogRelay.py
+++ b/baobabpond/gen/peer/LogRelay.py
@@ -59,6 +59,14 @@
         """
         pass
 
+    def obtain_permit(self, call):
+        """
+        Parameters:
+         - call
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -221,6 +229,40 @@
             raise result.expired
         raise TApplicationException(TApplicationException.MISSING_RESULT, "snapshot failed: unknown result")
 
+    def obtain_permit(self, call):
+        """
+        Parameters:
+         - call
+
+        """
+        self.send_obtain_permit(call)
+        return self.recv_obtain_permit()
+
+    def send_obtain_permit(self, call):
+        self._oprot.writeMessageBegin('obtain_permit', TMessageType.CALL, self._seqid)
+        args = obtain_permit_args()
+        args.call = call
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_obtain_permit(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = obtain_permit_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.not_issuer is not None:
+            raise result.not_issuer
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "obtain_permit failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -230,6 +272,7 @@
         self._processMap["read"] = Processor.process_read
         self._processMap["newest"] = Processor.process_newest
         self._processMap["snapshot"] = Processor.process_snapshot
+        self._processMap["obtain_permit"] = Processor.process_obtain_permit
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -359,6 +402,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_obtain_permit(self, seqid, iprot, oprot):
+        args = obtain_permit_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = obtain_permit_result()
+        try:
+            result.success = self._handler.obtain_permit(args.call)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except NotIssuer as not_issuer:
+            msg_type = TMessageType.REPLY
+            result.not_issuer = not_issuer
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("obtain_permit", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1013,5 +1082,142 @@
     (1, TType.STRUCT, 'unavailable', [LogUnavailable, None], None, ),  # 1
     (2, TType.STRUCT, 'expired', [LogExpired, None], None, ),  # 2
 )
+
+
+class obtain_permit_args(object):
+    """
+    Attributes:
+     - call
+
+    """
+
+
+    def __init__(self, call=None,):
+        self.call = call
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.call = PermitCall()
+                    self.call.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('obtain_permit_args')
+        if self.call is not None:
+            oprot.writeFieldBegin('call', TType.STRUCT, 1)
+            self.call.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(obtain_permit_args)
+obtain_permit_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'call', [PermitCall, None], None, ),  # 1
+)
+
+
+class obtain_permit_result(object):
+    """
+    Attributes:
+     - success
+     - not_issuer
+
+    """
+
+
+    def __init__(self, success=None, not_issuer=None,):
+        self.success = success
+        self.not_issuer = not_issuer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = PermitDecision()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.not_issuer = NotIssuer.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('obtain_permit_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.not_issuer is not None:
+            oprot.writeFieldBegin('not_issuer', TType.STRUCT, 1)
+            self.not_issuer.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(obtain_permit_result)
+obtain_permit_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [PermitDecision, None], None, ),  # 0
+    (1, TType.STRUCT, 'not_issuer', [NotIssuer, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/gen/peer/ttypes.py
+++ b/baobabpond/gen/peer/ttypes.py
@@ -1206,6 +1206,264 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class PermitCall(object):
+    """
+    Attributes:
+     - upstream
+     - born
+     - limit
+     - max_wait_s
+     - spare
+
+    """
+
+
+    def __init__(self, upstream=None, born=None, limit=None, max_wait_s=None, spare=None,):
+        self.upstream = upstream
+        self.born = born
+        self.limit = limit
+        self.max_wait_s = max_wait_s
+        self.spare = spare
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.limit = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.max_wait_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.spare = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitCall')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.DOUBLE, 3)
+            oprot.writeDouble(self.limit)
+            oprot.writeFieldEnd()
+        if self.max_wait_s is not None:
+            oprot.writeFieldBegin('max_wait_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.max_wait_s)
+            oprot.writeFieldEnd()
+        if self.spare is not None:
+            oprot.writeFieldBegin('spare', TType.DOUBLE, 5)
+            oprot.writeDouble(self.spare)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born is None:
+            raise TProtocolException(message='Required field born is unset!')
+        if self.limit is None:
+            raise TProtocolException(message='Required field limit is unset!')
+        if self.max_wait_s is None:
+            raise TProtocolException(message='Required field max_wait_s is unset!')
+        if self.spare is None:
+            raise TProtocolException(message='Required field spare is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PermitDecision(object):
+    """
+    Attributes:
+     - is_granted
+     - delay_s
+
+    """
+
+
+    def __init__(self, is_granted=None, delay_s=None,):
+        self.is_granted = is_granted
+        self.delay_s = delay_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.is_granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.delay_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitDecision')
+        if self.is_granted is not None:
+            oprot.writeFieldBegin('is_granted', TType.BOOL, 1)
+            oprot.writeBool(self.is_granted)
+            oprot.writeFieldEnd()
+        if self.delay_s is not None:
+            oprot.writeFieldBegin('delay_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.delay_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.is_granted is None:
+            raise TProtocolException(message='Required field is_granted is unset!')
+        if self.delay_s is None:
+            raise TProtocolException(message='Required field delay_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class NotIssuer(TException):
+    """
+    Attributes:
+     - reason
+
+    """
+
+
+    def __init__(self, reason=None,):
+        super(NotIssuer, self).__setattr__('reason', reason)
+
+    def __setattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __delattr__(self, *args):
+        raise TypeError("can't modify immutable instance")
+
+    def __hash__(self):
+        return hash(self.__class__) ^ hash((self.reason, ))
+
+    @classmethod
+    def read(cls, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and cls.thrift_spec is not None:
+            return iprot._fast_decode(None, iprot, [cls, cls.thrift_spec])
+        iprot.readStructBegin()
+        reason = None
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+        return cls(
+            reason=reason,
+        )
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('NotIssuer')
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 1)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        return
+
+    def __str__(self):
+        return repr(self)
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1296,5 +1554,25 @@
     None,  # 0
     (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
 )
+all_structs.append(PermitCall)
+PermitCall.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.DOUBLE, 'limit', None, None, ),  # 3
+    (4, TType.DOUBLE, 'max_wait_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'spare', None, None, ),  # 5
+)
+all_structs.append(PermitDecision)
+PermitDecision.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'is_granted', None, None, ),  # 1
+    (2, TType.DOUBLE, 'delay_s', None, None, ),  # 2
+)
+all_structs.append(NotIssuer)
+NotIssuer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -21,6 +21,7 @@
 from .gen import host as host_schema
 from .gen.peer import LogRelay
 from .members import roster as roster_module
+from .peers import handler as peer_handler
 from .peers import thrift_server
 from .pool import fleet
 from .pool import loader
@@ -32,7 +33,7 @@
 from .ports import catalogue
 from .ports import log as log_port
 from .ports import platforms
-from .ratelimits import tracker
+from .ratelimits import components as ratelimit_components
 from .store import first_load as first_load_module
 from .store import follower as follower_module
 from .store import handler
@@ -89,11 +90,14 @@
             self._settings['address'],
             self._settings['peer_port'],
             LogRelay.Processor(
-                handler.RelayHandler(
-                    self._platform.log,
-                    self._log,
-                    self._metrics,
-                    [self._shard_first_load],
+                peer_handler.PeerHandler(
+                    handler.RelayHandler(
+                        self._platform.log,
+                        self._log,
+                        self._metrics,
+                        [self._shard_first_load],
+                    ),
+                    self._limits.permit_handler,
                 )
             ),
         )
@@ -101,6 +105,7 @@
             follower.start()
         self._roster.start()
         self._crashes.start()
+        self._limits.start()
         self._ownership.start()
         for http_server in self._servers:
             http_server.start_thread('http')
@@ -174,10 +179,6 @@
             lambda: self._upstreams_follower.contact_duration_s,
             self._connections.close_idle,
         )
-        self._limits = tracker.LimitTracker(self._metrics)
-        self._gateway = gateway.Gateway(
-            self._platform.upstreams, self._directory, self._limits
-        )
         self._roster = roster_module.Roster(
             roster_module.Member(
                 self._settings['instance'],
@@ -190,6 +191,21 @@
             lambda since: self._members_follower.silence_s(since),
         )
         self._log.set_peer_source(self._roster.peer_addresses)
+        self._shard_state = state_module.ShardState()
+        self._limits = ratelimit_components.LimitComponents(
+            self._settings['instance'],
+            self._log,
+            self._directory,
+            self._roster,
+            self._shard_state,
+            self._metrics,
+        )
+        self._gateway = gateway.Gateway(
+            self._platform.upstreams,
+            self._directory,
+            self._limits.tracker,
+            self._limits.permits,
+        )
         self._crashes = crash_components.CrashComponents(
             self._settings['instance'],
             self._log,
@@ -198,7 +214,6 @@
             self._load_balancer,
             self._metrics,
         )
-        self._shard_state = state_module.ShardState()
         self._configuration_follower = self._make_follower(
             decoder.configuration_topic, 0, self._apply_configuration
         )
@@ -211,7 +226,7 @@
         self._members_follower = self._make_follower(
             roster_module.TOPIC,
             roster_module.PARTITION,
-            self._roster.apply,
+            self._limits.apply_members_topic,
             DIRECTORY_READ_PAUSE_S,
         )
         self._shard_first_load = first_load_module.FirstLoad(
@@ -264,7 +279,7 @@
 
     def _build_scheduler(self) -> None:
         protocol = self._platform.upstreams
-        upstreams = fleet.Fleet(self._directory)
+        upstreams = fleet.Fleet(self._directory, self._limits.permits)
         self._loader = loader.Loader(
             self._settings['instance'],
             self._settings['order_lease_ms'] / MS_PER_S,
@@ -276,6 +291,7 @@
                 self._settings['instance'],
                 protocol,
                 self._gateway,
+                self._limits.permits,
                 self._connections,
                 self._metrics,
             ),
@@ -294,6 +310,7 @@
                 ),
                 self._directory,
                 self._load_balancer,
+                self._limits.permits,
                 self._current,
                 self._metrics,
             ),
@@ -314,6 +331,7 @@
         self._loader.set_ownership_check(
             lambda: self._ownership.has_owner_lease
         )
+        self._limits.set_ownership(self._ownership)
 
     def _build_servers(self) -> None:
         self._caller_watch = server.DisconnectWatcher()
@@ -339,6 +357,7 @@
                 self._load_balancer,
                 self._caller_watch,
                 self._crashes.guard,
+                self._limits.permits,
                 self._metrics,
             ),
             self._metrics,
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -135,6 +135,12 @@
         own = self._own.instance
         return [m for m in self.usable() if m.instance != own]
 
+    def peer_address_of(self, instance: str) -> tuple[str, int] | None:
+        """Return the address of another live instance, None if unknown."""
+        with self._lock:
+            heartbeat = self._heartbeats.get(instance)
+        return heartbeat.member.peer_address if heartbeat else None
+
     def known_peers(self) -> list[Member] | None:
         """Return the peers, None before the first heartbeats are read."""
         return self.peers() if self._is_loaded else None
--- /dev/null
+++ b/baobabpond/peers/handler.py
@@ -0,0 +1,20 @@
+"""Serve all calls of other instances on a platform."""
+
+from ..gen.peer import LogRelay
+from ..ratelimits import peers as permit_peers
+from ..store import handler as relay_handler
+
+
+class PeerHandler(LogRelay.Iface):
+    """Pass each call to the part of the product that serves it."""
+
+    def __init__(
+        self,
+        relay: relay_handler.RelayHandler,
+        permits: permit_peers.PermitHandler,
+    ) -> None:
+        self.append = relay.append
+        self.read = relay.read
+        self.newest = relay.newest
+        self.snapshot = relay.snapshot
+        self.obtain_permit = permits.obtain_permit
--- a/baobabpond/pool/backoff.py
+++ b/baobabpond/pool/backoff.py
@@ -21,13 +21,19 @@
     upstream: state.Upstream,
     outcome: runner.RunOutcome,
     now: float,
+    is_limited: bool = False,
 ) -> None:
-    """Delay the retry of the item, and suspend the upstream for new runs."""
+    """Delay the retry of the item, and suspend the upstream for new runs.
+
+    An upstream that refuses runs and states a limit of requests is sound.
+    """
     task.not_before = now + RETRY_DELAY_S
+    if outcome is runner.RunOutcome.LIMITED:
+        return
     if outcome is runner.RunOutcome.NOT_RUN:
         task.consecutive_refusals += 1
         task.not_before = now + refusal_backoff_s(task.consecutive_refusals)
-        if task.consecutive_refusals > MAX_SUSPENDING_REFUSALS:
+        if is_limited or task.consecutive_refusals > MAX_SUSPENDING_REFUSALS:
             return
     base_s = SUSPEND_S
     if outcome is runner.RunOutcome.UNREACHABLE:
--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -4,16 +4,28 @@
 import typing
 
 from ..catalogue import directory as directory_module
+from ..ratelimits import bucket as bucket_module
+from ..ratelimits import permits as permits_module
 
 from . import placement
 from . import state
 
 
+# What an item waits for.
+WEIGHTS = 'weights'
+REQUEST_LIMITS = 'request limits'
+
+
 class Fleet:
     """Track the directory; the scheduler's lock guards all calls."""
 
-    def __init__(self, directory: directory_module.UpstreamDirectory) -> None:
+    def __init__(
+        self,
+        directory: directory_module.UpstreamDirectory,
+        permits: permits_module.PermitSource,
+    ) -> None:
         self._directory = directory
+        self._permits = permits
         self._upstreams: dict[tuple[str, int], state.Upstream] = {}
 
     def refresh(self) -> list[state.Run]:
@@ -60,11 +72,39 @@
                 _usable_slots(upstream),
                 _has_cached_prefix(upstream, task),
                 _memory_usage(upstream, task, kv_capacity_tokens),
+                self._permits.is_limited(upstream.entry),
             )
             for upstream in self.schedulable(service)
-            if upstream.suspended_until <= now and _can_run(upstream, task)
+            if upstream.suspended_until <= now
+            and _can_run(upstream, task)
+            and self._has_permit(upstream)
         ]
 
+    def take_permit(self, upstream: state.Upstream) -> permits_module.Permit:
+        """Return a permit for a run; raise RateLimited."""
+        return self._permits.take(upstream.entry, bucket_module.BACKGROUND)
+
+    def is_limited(self, upstream: state.Upstream) -> bool:
+        """Return whether an upstream states a limit."""
+        return self._permits.is_limited(upstream.entry)
+
+    def limited_services(self) -> set[str]:
+        """Return the services all of whose upstreams state limits."""
+        limited: dict[str, bool] = {}
+        for upstream in self._upstreams.values():
+            service = upstream.entry.service
+            limited[service] = limited.get(service, True) and self.is_limited(
+                upstream
+            )
+        return {
+            service for service, is_limited in limited.items() if is_limited
+        }
+
+    def _has_permit(self, upstream: state.Upstream) -> bool:
+        return self._permits.has_permit(
+            upstream.entry, bucket_module.BACKGROUND
+        )
+
     def wait_reason(self, service: str, task: state.Task) -> str:
         """Return what an item that cannot start is waiting for."""
         upstreams = self.schedulable(service)
@@ -74,10 +114,12 @@
             upstream for upstream in upstreams if _can_run(upstream, task)
         ]
         if not eligible:
-            return 'weights'
+            return WEIGHTS
         now = time.monotonic()
         if all(upstream.suspended_until > now for upstream in eligible):
             return 'suspension'
+        if not any(map(self._has_permit, eligible)):
+            return REQUEST_LIMITS
         return 'slots'
 
     def find(self, upstream_id: str) -> state.Upstream | None:
--- a/baobabpond/pool/migrator.py
+++ b/baobabpond/pool/migrator.py
@@ -81,7 +81,10 @@
         gaps = [
             candidate.gap_s
             for candidate in self._find_candidates(task)
-            if candidate.has_free_slot and candidate.upstream != current.id
+            if candidate.has_free_slot
+            and candidate.upstream != current.id
+            # Runs that progress must not use up the requests of others.
+            and not candidate.is_limited
         ]
         return min(gaps, default=None)
 
--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -8,6 +8,8 @@
 
 from .. import metrics as metrics_module
 from ..ports import upstreams as upstream_port
+from ..ratelimits import bucket as bucket_module
+from ..ratelimits import permits as permits_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 
@@ -53,12 +55,14 @@
         instance: str,
         protocol: upstream_port.UpstreamProtocol,
         gateway: gateway_module.Gateway,
+        permits: permits_module.PermitSource,
         connections: connections_module.ConnectionPool,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._instance = instance
         self._protocol = protocol
         self._gateway = gateway
+        self._permits = permits
         self._connections = connections
         self._metrics = metrics
 
@@ -77,7 +81,8 @@
         self._update_versions(upstream, before)
         if before.versions.get(planned.model, 0) >= planned.version:
             return OrderOutcome.LOADED
-        if not may_send():
+        permit = self._obtain_permit(upstream)
+        if permit is None or not may_send():
             return OrderOutcome.NOT_SENT
         order = upstream_port.LoadOrder(
             upstream.id,
@@ -88,7 +93,7 @@
             before.orders,
             keeps_runs,
         )
-        status = self._send(upstream, order)
+        status = self._send(upstream, order, permit)
         LOG.info(
             'ordered weights',
             upstream=upstream.id,
@@ -142,8 +147,12 @@
         self, upstream: state.Upstream
     ) -> upstream_port.Report | None:
         self._metrics.count('orders.reports')
+        permit = self._obtain_permit(upstream)
+        if permit is None:
+            return None
         response = self._call(
             upstream,
+            permit,
             'GET',
             self._protocol.report_target,
             [('Host', _host(upstream))],
@@ -163,20 +172,42 @@
         self,
         upstream: state.Upstream,
         order: upstream_port.LoadOrder,
+        permit: permits_module.Permit,
     ) -> int | None:
         headers, body = self._protocol.order(order)
         headers = [('Host', _host(upstream)), *headers]
         self._metrics.count('orders.sent')
         response = self._call(
-            upstream, 'POST', self._protocol.order_target, headers, body
+            upstream,
+            permit,
+            'POST',
+            self._protocol.order_target,
+            headers,
+            body,
         )
         status = response[0] if response else None
         self._metrics.count(f'orders.status.{status}')
         return status
 
+    def _obtain_permit(
+        self, upstream: state.Upstream
+    ) -> permits_module.Permit | None:
+        """Return a permit for a report or an order, None if it must wait."""
+        try:
+            return self._permits.obtain(upstream.entry, bucket_module.ORDER)
+        except permits_module.RateLimited as error:
+            LOG.info(
+                'no permit for a report or an order',
+                upstream=upstream.id,
+                reason=str(error),
+                retry_s=round(error.retry_s, 2),
+            )
+            return None
+
     def _call(
         self,
         upstream: state.Upstream,
+        permit: permits_module.Permit,
         method: str,
         target: str,
         headers: upstream_port.Headers,
@@ -187,6 +218,7 @@
             response, _ = self._gateway.exchange(
                 connection,
                 upstream.entry,
+                permit,
                 gateway_module.Outgoing('', method, target, headers, body),
                 CALL_TIMEOUT_S,
             )
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -19,6 +19,8 @@
     has_cached_prefix: bool
     # Share of the upstream's KV cache needed by its runs and this item.
     memory_usage: float = 0.0
+    # The upstream states a limit of requests.
+    is_limited: bool = False
 
     @property
     def has_free_slot(self) -> bool:
@@ -44,8 +46,13 @@
 
 
 def choose(candidates: list[Candidate]) -> str | None:
-    """Return the upstream with the lowest cost that has a free slot."""
+    """Return the upstream with the lowest cost that has a free slot.
+
+    Those that state a limit of requests come last.
+    """
     free = [candidate for candidate in candidates if candidate.has_free_slot]
     if not free:
         return None
-    return min(free, key=cost).upstream
+    return min(
+        free, key=lambda candidate: (candidate.is_limited, cost(candidate))
+    ).upstream
--- a/baobabpond/pool/priority.py
+++ b/baobabpond/pool/priority.py
@@ -16,6 +16,8 @@
     expected_run_s: float
     # Unfinished items of the group, this one included.
     group_unfinished: int
+    # All upstreams that can run the item state limits of requests.
+    is_limited: bool = False
 
 
 class WaitingReward(typing.NamedTuple):
@@ -37,12 +39,16 @@
     return is_late, waiting.due_in_s, waiting.group_unfinished
 
 
-def rank(waiting: WaitingItem) -> tuple[int, float, int]:
+def rank(waiting: WaitingItem) -> tuple[int, float, float]:
     """Return a key that is lowest for the item to start first.
 
     Least slack first. Items that can no longer meet the due time come after
-    those that can.
+    those that can. If requests are scarce, nearly complete groups come first:
+    long and short items cost one request each, and incomplete groups are
+    worth nothing to the trainer.
     """
     slack_s = waiting.due_in_s - waiting.expected_run_s
     is_late = int(slack_s < MIN_SLACK_S)
+    if waiting.is_limited:
+        return is_late, waiting.group_unfinished, slack_s
     return is_late, slack_s, waiting.group_unfinished
--- a/baobabpond/pool/queue.py
+++ b/baobabpond/pool/queue.py
@@ -16,8 +16,14 @@
     estimator: state.EventEstimator,
     now: float,
     rank: Rank = priority.rank,
+    is_limited: collections.abc.Callable[[state.Task], bool] = (
+        lambda task: False
+    ),
 ) -> list[state.Task]:
-    """Return the items that may start now, the highest priority first."""
+    """Return the items that may start now, the highest priority first.
+
+    The callback returns whether all upstreams of an item state limits.
+    """
     unfinished = [task for task in tasks if task.result is None]
     waiting = [
         task
@@ -37,6 +43,7 @@
                 task.due_at - now,
                 expected * state.INITIAL_GAP_S,
                 unfinished_by_group[task.batch.head.id, task.item.group],
+                is_limited(task),
             )
         )
 
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -58,6 +58,9 @@
         timed_out = False
         try:
             return self._exchange(attempt, connection)
+        except gateway_module.NoPermit:
+            self._connections.release(connection)
+            return RewardResponse(runner.RunOutcome.LIMITED)
         except connections_module.ConnectionFailed as error:
             outcome = runner.RunOutcome.UNREACHABLE
             failure = str(error)
@@ -87,6 +90,7 @@
         response, head = self._gateway.exchange(
             connection,
             attempt.entry,
+            attempt.permit,
             gateway_module.Outgoing(
                 request.id,
                 request.method,
--- a/baobabpond/pool/reward_stage.py
+++ b/baobabpond/pool/reward_stage.py
@@ -17,6 +17,8 @@
 from ..catalogue import directory as directory_module
 from ..ports import callers
 from ..ports import catalogue
+from ..ratelimits import bucket as bucket_module
+from ..ratelimits import permits as permits_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import priority
@@ -35,6 +37,7 @@
 # Outcomes that say nothing about the health of the upstream.
 NEUTRAL_OUTCOMES = (
     runner.RunOutcome.CANCELLED,
+    runner.RunOutcome.LIMITED,
     runner.RunOutcome.NOT_RUN,
     runner.RunOutcome.UNSUPPORTED,
 )
@@ -69,12 +72,14 @@
         client: reward_client.RewardClient,
         directory: directory_module.UpstreamDirectory,
         load_balancer: load_balancer_module.LoadBalancer,
+        permits: permits_module.PermitSource,
         current: current_module.CurrentConfiguration,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._client = client
         self._directory = directory
         self._load_balancer = load_balancer
+        self._permits = permits
         self._current = current
         self._metrics = metrics
         self._lock = threading.Condition()
@@ -161,25 +166,40 @@
         if entry is None:
             full_services.add(service)
             return
-        self._start(task, match.route, entry, now)
+        try:
+            permit = self._permits.take(entry, bucket_module.BACKGROUND)
+        except permits_module.RateLimited:
+            # A caller of this instance has taken it.
+            self._load_balancer.record_outcome(entry, None, None, None)
+            return
+        self._start(task, match.route, entry, permit, now)
 
     def _choose(
         self, task: state.Task, service: str
     ) -> catalogue.UpstreamEntry | None:
         """Choose an upstream, one that has not failed the call if possible.
 
-        A faulty upstream must not use up the attempts of an item.
+        A faulty upstream must not use up the attempts of an item. Upstreams
+        that state a limit of requests come last.
         """
-        entries = self._directory.usable(service)
-        untried = [
+        entries = [
             entry
-            for entry in entries
-            if entry.id not in task.reward_upstreams_tried
+            for entry in self._directory.usable(service)
+            if self._permits.has_permit(entry, bucket_module.BACKGROUND)
+        ]
+        unlimited = [
+            entry for entry in entries if not self._permits.is_limited(entry)
         ]
-        chosen = self._load_balancer.choose_for_background(untried)
-        if chosen is None and len(untried) < len(entries):
-            chosen = self._load_balancer.choose_for_background(entries)
-        return chosen
+        tried = task.reward_upstreams_tried
+        for eligible in (
+            [entry for entry in unlimited if entry.id not in tried],
+            [entry for entry in entries if entry.id not in tried],
+            entries,
+        ):
+            chosen = self._load_balancer.choose_for_background(eligible)
+            if chosen is not None:
+                return chosen
+        return None
 
     def _match(self, task: state.Task) -> current_module.RouteMatch | None:
         call = typing.cast(callers.RewardCall, task.item.reward_call)
@@ -190,13 +210,14 @@
         task: state.Task,
         route: catalogue.Route,
         entry: catalogue.UpstreamEntry,
+        permit: permits_module.Permit,
         now: float,
     ) -> None:
         del self._waiting[task.batch.head.id, task.id]
         timeout_s = attempt_timeout_s(
             route.target_latency_s, task.reward_timeouts, task.give_up_at - now
         )
-        attempt = state.RewardAttempt(task, entry, timeout_s)
+        attempt = state.RewardAttempt(task, entry, permit, timeout_s)
         task.reward_attempt = attempt
         self._attempts.add(attempt)
         threading.Thread(
@@ -300,7 +321,7 @@
         backoff_s = retry_backoff_s(task.reward_retries)
         task.reward_retries += 1
         task.reward_timeouts += response.timed_out
-        if response.outcome is not runner.RunOutcome.NOT_RUN:
+        if response.outcome not in NEUTRAL_OUTCOMES:
             task.reward_upstreams_tried.add(upstream)
         task.reward_not_before = time.monotonic() + max(
             backoff_s, response.retry_after_s
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -12,6 +12,7 @@
 from ..catalogue import current as current_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import permits as permits_module
 
 from . import backoff
 from . import fleet as fleet_module
@@ -76,9 +77,27 @@
         self._cancel_lost_runs()
         self._migrator.check(tasks)
         now = time.monotonic()
-        for task in queue.ordered(tasks, self._estimator, now):
+        for task in self._ordered(tasks, now):
             self._try_start(task, now)
 
+    def _ordered(
+        self, tasks: collections.abc.Collection[state.Task], now: float
+    ) -> list[state.Task]:
+        limited = self._fleet.limited_services()
+
+        def is_limited(task: state.Task) -> bool:
+            if not limited:
+                return False
+            route = self._route(task.batch.head, task.item.target)
+            return (
+                route is not None
+                and self._pick_service(task, route) in limited
+            )
+
+        return queue.ordered(
+            tasks, self._estimator, now, is_limited=is_limited
+        )
+
     def on_event(
         self, run: state.Run, event: upstream_port.StreamEvent
     ) -> bool:
@@ -152,12 +171,12 @@
         if chosen is not None:
             upstream = self._fleet.find(chosen)
             if upstream is not None:
-                self._start(task, upstream, remaining_s)
+                self._start_with_permit(task, upstream, remaining_s)
             return
         task.wait_reason = self._fleet.wait_reason(
             self._pick_service(task, route), task
         )
-        if task.required_version and not candidates:
+        if task.required_version and task.wait_reason == fleet_module.WEIGHTS:
             # No upstream serves the required version any more.
             self._partial_outputs.restart(task)
 
@@ -168,8 +187,23 @@
         if now - since > ROUTE_MISSING_TIMEOUT_S:
             self._listener.fail(task, 'route removed')
 
-    def _start(
+    def _start_with_permit(
         self, task: state.Task, upstream: state.Upstream, remaining_s: float
+    ) -> None:
+        try:
+            permit = self._fleet.take_permit(upstream)
+        except permits_module.RateLimited:
+            # A caller of this instance has taken it.
+            task.wait_reason = fleet_module.REQUEST_LIMITS
+            return
+        self._start(task, upstream, permit, remaining_s)
+
+    def _start(
+        self,
+        task: state.Task,
+        upstream: state.Upstream,
+        permit: permits_module.Permit,
+        remaining_s: float,
     ) -> None:
         run = state.Run(task, upstream)
         task.run = run
@@ -177,6 +211,7 @@
         attempt = runner_module.Attempt(
             run,
             runner_module.build_request(task),
+            permit,
             remaining_s,
             ITEM_PRIORITY,
             task.required_version,
@@ -240,7 +275,8 @@
         elif outcome is runner_module.RunOutcome.FAILED:
             self._handle_failure(task)
         elif outcome is not runner_module.RunOutcome.CANCELLED:
-            backoff.apply(task, upstream, outcome, now)
+            is_limited = self._fleet.is_limited(upstream)
+            backoff.apply(task, upstream, outcome, now, is_limited)
 
     def _complete(self, task: state.Task, upstream: state.Upstream) -> None:
         upstream.record_success()
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -9,6 +9,7 @@
 
 from .. import metrics as metrics_module
 from ..ports import upstreams as upstream_port
+from ..ratelimits import permits as permits_module
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
 from ..upstreams import gateway as gateway_module
@@ -33,6 +34,8 @@
     NOT_RUN = 'not_run'
     # Another upstream listens at the address.
     MISDIRECTED = 'misdirected'
+    # The permit to send to a limited upstream was no longer valid.
+    LIMITED = 'limited'
     # No connection could be made.
     UNREACHABLE = 'unreachable'
     # The upstream answered with a server error.
@@ -51,6 +54,7 @@
 
     run: state.Run
     request: upstream_port.Request
+    permit: permits_module.Permit
     remaining_s: float
     priority: int
     # Weight version that the upstream must serve; 0 for any.
@@ -92,6 +96,9 @@
             return RunOutcome.CANCELLED
         try:
             outcome = self._exchange(attempt, connection, sink)
+        except gateway_module.NoPermit:
+            self._connections.release(connection)
+            outcome = RunOutcome.LIMITED
         except connections_module.ConnectionFailed as error:
             connection.close()
             self._log_failure(attempt, error)
@@ -112,6 +119,7 @@
         response, response_head = self._gateway.exchange(
             connection,
             run.upstream.entry,
+            attempt.permit,
             gateway_module.Outgoing(
                 attempt.request.id,
                 attempt.request.method,
--- a/baobabpond/pool/state.py
+++ b/baobabpond/pool/state.py
@@ -6,6 +6,7 @@
 from ..batches import shard_state as state_module
 from ..ports import callers
 from ..ports import catalogue
+from ..ratelimits import permits as permits_module
 
 # Weight of the newest sample in the moving average of the time between events.
 GAP_EWMA_WEIGHT = 0.08
@@ -135,10 +136,15 @@
     """Track one attempt at the reward call of an item."""
 
     def __init__(
-        self, task: Task, entry: catalogue.UpstreamEntry, timeout_s: float
+        self,
+        task: Task,
+        entry: catalogue.UpstreamEntry,
+        permit: permits_module.Permit,
+        timeout_s: float,
     ) -> None:
         self.task = task
         self.entry = entry
+        self.permit = permit
         self.timeout_s = timeout_s
         self.started_at = time.monotonic()
         self.is_cancelled = False
--- /dev/null
+++ b/baobabpond/ratelimits/sharing.py
@@ -0,0 +1,246 @@
+"""Share the limits that upstreams state between instances, on the log.
+
+The records are on the topic of the members, which all instances read.
+"""
+
+import json
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..ports import log as log_port
+
+from . import tracker as tracker_module
+
+KEY_PREFIX = 'limit/'
+# Random pause before a change is shared: several instances see it at once, and
+# one record is enough.
+MIN_PAUSE_S = 0.05
+MAX_PAUSE_S = 0.3
+# The same statement is not appended again before this time.
+REPEAT_S = 1.0
+MAX_RECORDS_PER_APPEND = 100
+EXPIRY_CHECK_S = 5.0
+# Records of upstreams that are gone, and of limits that have ended, are
+# removed after this time, at one instance before the others.
+EXPIRY_S = 30.0
+MAX_EXPIRY_FACTOR = 2.0
+
+LOG = structlog.get_logger(__name__)
+
+ListIncarnations = typing.Callable[[], set[tracker_module.Incarnation]]
+
+
+class SharedLimit(typing.NamedTuple):
+    """The record of an upstream as it was last read."""
+
+    limit: float | None
+    read_at: float
+
+
+def encode_key(incarnation: tracker_module.Incarnation) -> str:
+    """Return the key of an upstream's record."""
+    upstream, born = incarnation
+    return f'{KEY_PREFIX}{born}/{upstream}'
+
+
+def decode_key(key: str) -> tracker_module.Incarnation:
+    """Return the incarnation of a record's key; raise ValueError."""
+    born, upstream = key.removeprefix(KEY_PREFIX).split('/', 1)
+    return upstream, int(born)
+
+
+class LimitValue(typing.NamedTuple):
+    """The value of an upstream's record."""
+
+    limit: float | None
+    # Age of the statement when the record was appended, in seconds.
+    age_s: float
+    instance: str
+
+
+def decode_value(value: bytes) -> LimitValue:
+    """Decode a record's value; raise ValueError, TypeError or KeyError."""
+    fields = json.loads(value)
+    limit = fields['limit']
+    if limit is not None and not 0 <= float(limit) < float('inf'):
+        raise ValueError(f'{limit} is no limit')
+    return LimitValue(
+        None if limit is None else float(limit),
+        float(fields['age_s']),
+        str(fields['instance']),
+    )
+
+
+def is_limit(record: log_port.Record) -> bool:
+    """Return whether a record of the topic is about a limit."""
+    return record.key.startswith(KEY_PREFIX)
+
+
+class LimitSharing:
+    """Append what this instance has learned; apply the records of others."""
+
+    def __init__(
+        self,
+        instance: str,
+        topic: str,
+        partition: int,
+        log: log_port.Log,
+        limits: tracker_module.LimitTracker,
+        list_incarnations: ListIncarnations,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._instance = instance
+        self._topic = topic
+        self._partition = partition
+        self._log = log
+        self._limits = limits
+        self._list_incarnations = list_incarnations
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._shared: dict[tracker_module.Incarnation, SharedLimit] = {}
+        self._appended: dict[tracker_module.Incarnation, SharedLimit] = {}
+        self._last_present: dict[tracker_module.Incarnation, float] = {}
+        self._expiry_s = EXPIRY_S * random.uniform(1.0, MAX_EXPIRY_FACTOR)
+        self._changed = threading.Event()
+        limits.set_listener(self._changed.set)
+
+    def start(self) -> None:
+        """Append in a background thread."""
+        threading.Thread(target=self._run, name='limits', daemon=True).start()
+
+    def apply(
+        self, new_records: list[log_port.Record], is_snapshot: bool
+    ) -> None:
+        """Apply records of limits in offset order."""
+        if is_snapshot:
+            with self._lock:
+                self._shared.clear()
+        for record in new_records:
+            try:
+                self._apply_one(record, is_snapshot)
+            except (ValueError, TypeError, KeyError) as error:
+                LOG.error(
+                    'ignoring malformed record of a limit',
+                    key=record.key,
+                    error=repr(error),
+                )
+
+    def _apply_one(self, record: log_port.Record, is_snapshot: bool) -> None:
+        incarnation = decode_key(record.key)
+        if not record.value:
+            with self._lock:
+                self._shared.pop(incarnation, None)
+            return
+        value = decode_value(record.value)
+        now = time.monotonic()
+        with self._lock:
+            self._shared[incarnation] = SharedLimit(value.limit, now)
+        if value.instance == self._instance:
+            return
+        # Whatever this instance learns itself is newer than a record of
+        # unknown age.
+        stated_at = float('-inf') if is_snapshot else now - value.age_s
+        self._limits.apply(
+            incarnation,
+            tracker_module.Statement(value.limit, stated_at, value.instance),
+        )
+        # What this instance knows may be newer.
+        self._changed.set()
+
+    def pending(self) -> list[log_port.Record]:
+        """Return the records to append: what others don't know yet."""
+        now = time.monotonic()
+        records = []
+        for incarnation, statement in self._limits.statements().items():
+            if statement.source:
+                continue
+            with self._lock:
+                shared = self._shared.get(incarnation)
+                appended = self._appended.get(incarnation)
+            if (shared.limit if shared else None) == statement.limit:
+                continue
+            if (
+                appended is not None
+                and appended.limit == statement.limit
+                and now - appended.read_at < REPEAT_S
+            ):
+                continue
+            value = LimitValue(
+                statement.limit,
+                round(now - statement.stated_at, 3),
+                self._instance,
+            )
+            records.append(
+                log_port.Record(
+                    encode_key(incarnation),
+                    json.dumps(value._asdict()).encode(),
+                )
+            )
+        return records[:MAX_RECORDS_PER_APPEND]
+
+    def expired(self) -> list[log_port.Record]:
+        """Return the tombstones of records that nobody needs any more."""
+        now = time.monotonic()
+        present = self._list_incarnations()
+        with self._lock:
+            shared = dict(self._shared)
+        for incarnation in present:
+            self._last_present[incarnation] = now
+        expired = []
+        for incarnation, record in shared.items():
+            last_use = record.read_at
+            if record.limit is not None:
+                last_use = max(
+                    last_use, self._last_present.get(incarnation, 0.0)
+                )
+            if now - last_use > self._expiry_s:
+                expired.append(log_port.Record(encode_key(incarnation), b''))
+        self._last_present = {
+            incarnation: last_at
+            for incarnation, last_at in self._last_present.items()
+            if incarnation in shared
+        }
+        return expired[:MAX_RECORDS_PER_APPEND]
+
+    def append(self, records: list[log_port.Record]) -> bool:
+        """Append records in one call; return whether the log has them."""
+        if not records:
+            return True
+        result = self._log.append(self._topic, self._partition, records)
+        self._metrics.count(f'ratelimits.appends.{result.outcome.value}')
+        if result.outcome is not log_port.AppendOutcome.DONE:
+            LOG.warning(
+                'append of limits failed',
+                outcome=result.outcome.value,
+                detail=result.detail,
+                records=len(records),
+            )
+            return False
+        now = time.monotonic()
+        for record in records:
+            if record.value:
+                self._appended[decode_key(record.key)] = SharedLimit(
+                    json.loads(record.value)['limit'], now
+                )
+        return True
+
+    def _run(self) -> None:
+        checked_at = time.monotonic()
+        while True:
+            self._changed.wait(EXPIRY_CHECK_S)
+            self._changed.clear()
+            time.sleep(random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            try:
+                if not self.append(self.pending()):
+                    self._changed.set()
+                if time.monotonic() - checked_at >= EXPIRY_CHECK_S:
+                    checked_at = time.monotonic()
+                    self.append(self.expired())
+            except Exception:
+                # The thread must outlive a failure of one append.
+                LOG.exception('sharing limits failed')
--- a/baobabpond/ratelimits/tracker.py
+++ b/baobabpond/ratelimits/tracker.py
@@ -28,6 +28,17 @@
     # Instance that received the response; empty for this one.
     source: str = ''
 
+    def describe(self) -> str:
+        """Return the limit, its age and its source for a log line."""
+        if self.limit is None:
+            return 'none'
+        age_s = time.monotonic() - self.stated_at
+        source = f' by {self.source}' if self.source else ''
+        return f'{self.limit:g}/s, learned {age_s:.1f} s ago{source}'
+
+
+NO_STATEMENT = Statement(None, float('-inf'))
+
 
 class LimitTracker:
     """Remember the newest statement of each incarnation of an upstream."""
@@ -38,12 +49,21 @@
         # Least recently changed first; upstreams that have never stated a
         # limit are left out.
         self._statements: dict[Incarnation, Statement] = {}
+        self._on_change: typing.Callable[[], None] = lambda: None
+
+    def set_listener(self, on_change: typing.Callable[[], None]) -> None:
+        """Set the callback for changes of limits; it must not block."""
+        self._on_change = on_change
 
     def limit_of(self, incarnation: Incarnation) -> float | None:
         """Return the limit in requests a second, None if there is none."""
         statement = self._statements.get(incarnation)
         return statement.limit if statement else None
 
+    def statement_of(self, incarnation: Incarnation) -> Statement:
+        """Return the newest statement, an empty one if there is none."""
+        return self._statements.get(incarnation, NO_STATEMENT)
+
     def statements(self) -> dict[Incarnation, Statement]:
         """Return the newest statement of each upstream that ever made one."""
         with self._lock:
@@ -98,3 +118,4 @@
             source=statement.source or 'own response',
             age_s=round(time.monotonic() - statement.stated_at, 3),
         )
+        self._on_change()
--- a/baobabpond/schema/peer.thrift
+++ b/baobabpond/schema/peer.thrift
@@ -99,12 +99,36 @@
   1: required string reason
 }
 
-// Relays log calls for an instance that cannot reach the log directly.
+// Asks for a permit to send one request to an upstream that states a limit.
+struct PermitCall {
+  1: required string upstream
+  2: required i64 born
+  // Requests a second, as the asking instance knows it.
+  3: required double limit
+  4: required double max_wait_s
+  // Permits that must be left for more urgent requests.
+  5: required double spare
+}
+
+struct PermitDecision {
+  1: required bool is_granted
+  // Until the request may be sent; if refused, until asking again helps.
+  2: required double delay_s
+}
+
+exception NotIssuer {
+  1: required string reason
+}
+
+// Calls between instances on a platform. Named after the first of them.
 service LogRelay {
+  // Log calls for an instance that cannot reach the log directly.
   LogAppended append(1: LogAppend call)
   LogPage read(1: string topic, 2: i32 partition, 3: i64 offset, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
   LogPage newest(1: string topic, 2: i32 partition, 3: string after) throws (1: LogUnavailable unavailable)
   // Returns a page of the snapshot that the instance itself loads or has loaded lately.
   // LogUnavailable: the page is not loaded yet; LogExpired: the snapshot is not kept.
   LogPage snapshot(1: string topic, 2: i32 partition, 3: string after, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
+  // NotIssuer: the instance does not own the shard.
+  PermitDecision obtain_permit(1: PermitCall call) throws (1: NotIssuer not_issuer)
 }
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -8,11 +8,16 @@
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import permits as permits_module
 from ..ratelimits import tracker as tracker_module
 
 from . import connections as connections_module
 
 
+class NoPermit(connections_module.ConnectionFailed):
+    """Raised when a permit has expired or is missing; nothing was sent."""
+
+
 class Outgoing(typing.NamedTuple):
     """A request as it is sent to an upstream."""
 
@@ -32,28 +37,33 @@
         protocol: upstream_port.UpstreamProtocol,
         directory: directory_module.UpstreamDirectory,
         limits: tracker_module.LimitTracker,
+        permits: permits_module.Permits,
     ) -> None:
         self._protocol = protocol
         self._directory = directory
         self._limits = limits
+        self._permits = permits
 
     def exchange(
         self,
         connection: connections_module.Connection,
         entry: catalogue.UpstreamEntry,
+        permit: permits_module.Permit,
         outgoing: Outgoing,
         timeout_s: float,
     ) -> tuple[urllib3.HTTPResponse, upstream_port.ResponseHead]:
         """Send a request and return the response, its body still unread.
 
-        Connects first if necessary. The time-out applies to sending, and to
-        the head as a whole. Raises ConnectionFailed if nothing was sent, and
-        ResponseFailed.
+        Connects first if necessary. A permit serves for one request. The
+        time-out applies to sending, and to the head as a whole. Raises
+        ConnectionFailed if nothing was sent, and ResponseFailed.
         """
         if connection.is_new:
             connection.connect()
         if not self._directory.accepts_requests(entry):
             raise connections_module.ConnectionFailed('the upstream leaves')
+        if not self._permits.may_send(entry, permit):
+            raise NoPermit('no permit that is still valid')
         sent_at = time.monotonic()
         response = connection.exchange(
             outgoing.method,
--- a/baobabpond/upstreams/load_balancer.py
+++ b/baobabpond/upstreams/load_balancer.py
@@ -121,6 +121,13 @@
                 free, lambda stats, slots: stats.background_score(slots, now)
             )
 
+    def has_free_slot(self, entry: catalogue.UpstreamEntry) -> bool:
+        """Return whether a request would run at once, as far as is known."""
+        now = time.monotonic()
+        with self._lock:
+            stats = self._stats_of(entry)
+            return stats.ejected_until <= now and stats.busy(now) < entry.slots
+
     def _take_best(
         self, entries: list[catalogue.UpstreamEntry], score: Score
     ) -> catalogue.UpstreamEntry | None:
--- a/standins/experiment/simulation.py
+++ b/standins/experiment/simulation.py
@@ -19,6 +19,7 @@
 from baobabpond.pool import state
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
+from baobabpond.ratelimits import permits
 
 from . import clock
 from . import load as load_module
@@ -90,7 +91,7 @@
                     f's{number}', workload, self._scheduler
                 )
             )
-        self._fleet = fleet_module.Fleet(self._directory)
+        self._fleet = fleet_module.Fleet(self._directory, permits.NoLimits())
         self._estimator = state.EventEstimator()
         self._migrator = migrator_module.Migrator(
             self._estimator,
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -19,6 +19,8 @@
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
+from baobabpond.ratelimits import issuer
+from baobabpond.ratelimits import permits as permits_module
 from baobabpond.ratelimits import tracker
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway
@@ -78,18 +80,22 @@
             balancer,
             metrics.Metrics(),
         )
+        limits = tracker.LimitTracker(metrics.Metrics())
+        permits = permits_module.Permits(
+            limits,
+            issuer.PermitIssuer(limits),
+            mock.create_autospec(permits_module.RemoteIssuer, instance=True),
+            metrics.Metrics(),
+        )
         self.forwarder = forwarder_module.Forwarder(
             platform.upstreams,
             directory,
-            gateway.Gateway(
-                platform.upstreams,
-                directory,
-                tracker.LimitTracker(metrics.Metrics()),
-            ),
+            gateway.Gateway(platform.upstreams, directory, limits, permits),
             pool,
             balancer,
             mock.create_autospec(server.DisconnectWatcher, instance=True),
             guard,
+            permits,
             metrics.Metrics(),
         )
 
--- a/test/pool/test_reward_stage.py
+++ b/test/pool/test_reward_stage.py
@@ -15,6 +15,7 @@
 from baobabpond.pool import state
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
+from baobabpond.ratelimits import permits
 from baobabpond.upstreams import load_balancer
 
 WAIT_S = 10.0
@@ -121,6 +122,7 @@
             client,
             FakeDirectory(),
             load_balancer.LoadBalancer(),
+            permits.NoLimits(),
             FakeCurrent(),
             metrics.Metrics(),
         )
