Spend fewer of a limited upstream's requests on weight loads

Now a limited upstream is polled once its load has probably finished, the report before an order is replaced by the one after the last load (an outdated one is refused by the precondition), unlimited upstreams load first, and an answered report or order without a limit ends it.

--- a/baobabpond/pool/load_planner.py
+++ b/baobabpond/pool/load_planner.py
@@ -19,6 +19,8 @@
     may_order: bool
     running: int
     slots: int
+    # Each load takes some of the requests that the upstream is limited to.
+    is_limited: bool = False
 
 
 class Target(typing.NamedTuple):
@@ -129,6 +131,7 @@
     return sorted(
         orderable,
         key=lambda candidate: (
+            candidate.is_limited,
             candidate.versions.get(target.model, 0),
             candidate.running / candidate.slots,
         ),
--- a/baobabpond/pool/loader.py
+++ b/baobabpond/pool/loader.py
@@ -164,6 +164,7 @@
                 self._accepts_order(upstream, tenure, now),
                 len(upstream.runs),
                 upstream.entry.slots,
+                self._fleet.is_limited(upstream),
             )
             for upstream in upstreams
         ]
--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -20,6 +20,10 @@
 # Loads rarely finish earlier.
 FIRST_POLL_DELAY_S = 0.75
 POLL_INTERVAL_S = 0.15
+# An upstream with a limit of requests is polled less, once its load has
+# probably finished.
+LIMITED_FIRST_POLL_DELAY_S = 1.1
+LIMITED_POLL_INTERVAL_S = 1.0
 # A load that takes longer is planned again.
 LOAD_TIMEOUT_S = 6.0
 # An order without a response is planned again if its load has not started
@@ -75,11 +79,10 @@
         may_send: typing.Callable[[], bool],
     ) -> OrderOutcome:
         """Send an order and wait until the upstream reports the load."""
-        before = self._fetch_report(upstream)
-        if before is None or before.is_loading:
+        known_orders = self._known_orders(upstream)
+        if known_orders is None:
             return OrderOutcome.NOT_SENT
-        self._update_versions(upstream, before)
-        if before.versions.get(planned.model, 0) >= planned.version:
+        if upstream.versions.get(planned.model, 0) >= planned.version:
             return OrderOutcome.LOADED
         permit = self._obtain_permit(upstream)
         if permit is None or not may_send():
@@ -90,9 +93,10 @@
             planned.version,
             self._instance,
             fence,
-            before.orders,
+            known_orders,
             keeps_runs,
         )
+        upstream.last_orders = None
         status = self._send(upstream, order, permit)
         LOG.info(
             'ordered weights',
@@ -100,14 +104,31 @@
             model=planned.model,
             version=planned.version,
             fence=fence,
-            expected_orders=before.orders,
+            expected_orders=known_orders,
             status=status,
         )
         if status == FENCED:
             return OrderOutcome.FENCED
         if status is not None and status not in ACCEPTED:
             return OrderOutcome.REFUSED
-        return self._wait_for_load(upstream, planned, before.orders, status)
+        return self._wait_for_load(upstream, planned, known_orders, status)
+
+    def _known_orders(self, upstream: state.Upstream) -> int | None:
+        """Return how many orders an idle upstream has accepted.
+
+        None if it loads or does not say. The last report is good enough for
+        an upstream that states a limit: an order that rests on an outdated
+        one is refused.
+        """
+        if upstream.last_orders is not None and self._permits.is_limited(
+            upstream.entry
+        ):
+            return upstream.last_orders
+        report = self._fetch_report(upstream)
+        if report is None or report.is_loading:
+            return None
+        self._update_versions(upstream, report)
+        return report.orders
 
     def _wait_for_load(
         self,
@@ -117,12 +138,18 @@
         status: int | None,
     ) -> OrderOutcome:
         sent = time.monotonic()
-        time.sleep(FIRST_POLL_DELAY_S)
+        first_poll_delay_s = FIRST_POLL_DELAY_S
+        poll_interval_s = POLL_INTERVAL_S
+        if self._permits.is_limited(upstream.entry):
+            first_poll_delay_s = LIMITED_FIRST_POLL_DELAY_S
+            poll_interval_s = LIMITED_POLL_INTERVAL_S
+        time.sleep(first_poll_delay_s)
         while time.monotonic() - sent < LOAD_TIMEOUT_S:
             report = self._fetch_report(upstream)
             if report is not None:
                 self._update_versions(upstream, report)
                 if report.versions.get(planned.model, 0) >= planned.version:
+                    upstream.last_orders = report.orders
                     return OrderOutcome.LOADED
                 waited_s = time.monotonic() - sent
                 not_started = (
@@ -134,7 +161,7 @@
                     and waited_s > UNANSWERED_ORDER_TIMEOUT_S
                 ):
                     return OrderOutcome.UNKNOWN
-            time.sleep(POLL_INTERVAL_S)
+            time.sleep(poll_interval_s)
         return OrderOutcome.UNKNOWN
 
     def _update_versions(
--- a/baobabpond/pool/state.py
+++ b/baobabpond/pool/state.py
@@ -183,6 +183,9 @@
         # higher one: another instance owns the shard.
         self.refused_fence = 0
         self.orders_not_before = 0.0
+        # Orders accepted as of the report of the last load; None if another
+        # order may have been accepted since.
+        self.last_orders: int | None = None
 
     @property
     def id(self) -> str:
--- a/baobabpond/ratelimits/bucket.py
+++ b/baobabpond/ratelimits/bucket.py
@@ -8,7 +8,7 @@
 
 # Permits of this time are saved up while nobody asks for them.
 BURST_S = 0.25
-MIN_BURST = 2.0
+MIN_BURST = 3.0
 # Requests a second to an upstream that states less, which is the only way to
 # learn that its limit has changed.
 MIN_RATE_PER_S = 0.2
--- a/baobabpond/ratelimits/sharing.py
+++ b/baobabpond/ratelimits/sharing.py
@@ -23,6 +23,9 @@
 MAX_PAUSE_S = 0.3
 # The same statement is not appended again before this time.
 REPEAT_S = 1.0
+# A record may have been on its way for this long when it is read. It must not
+# raise a limit that this instance has learned meanwhile.
+RECORD_DELAY_S = 0.5
 MAX_RECORDS_PER_APPEND = 100
 EXPIRY_CHECK_S = 5.0
 # Records of upstreams that are gone, and of limits that have ended, are
@@ -144,7 +147,11 @@
             return
         # Whatever this instance learns itself is newer than a record of
         # unknown age.
-        stated_at = float('-inf') if is_snapshot else now - value.age_s
+        stated_at = now - value.age_s
+        if is_snapshot:
+            stated_at = float('-inf')
+        elif self._is_laxer(incarnation, value.limit):
+            stated_at -= RECORD_DELAY_S
         self._limits.apply(
             incarnation,
             tracker_module.Statement(value.limit, stated_at, value.instance),
@@ -152,6 +159,12 @@
         # What this instance knows may be newer.
         self._changed.set()
 
+    def _is_laxer(
+        self, incarnation: tracker_module.Incarnation, limit: float | None
+    ) -> bool:
+        known = self._limits.limit_of(incarnation)
+        return known is not None and (limit is None or limit > known)
+
     def pending(self) -> list[log_port.Record]:
         """Return the records to append: what others don't know yet."""
         now = time.monotonic()
--- a/baobabpond/ratelimits/tracker.py
+++ b/baobabpond/ratelimits/tracker.py
@@ -74,11 +74,13 @@
         entry: catalogue.UpstreamEntry,
         head: upstream_port.ResponseHead,
         sent_at: float,
+        is_genuine: bool,
     ) -> None:
         """Apply what the response to a request states about the limit.
 
         The request was sent at a monotonic time. A response to an earlier
-        request than that of the newest statement has no effect.
+        request than that of the newest statement has no effect. Only one that
+        is known to be the upstream's shows that a limit has ended.
         """
         if head.misdirected:
             return
@@ -88,8 +90,7 @@
                 'upstream states an unreadable limit', upstream=entry.id
             )
             return
-        if head.request_limit is None and not head.is_from_upstream:
-            # Only a signed response shows that a limit has ended.
+        if head.request_limit is None and not is_genuine:
             return
         self.apply(entry.incarnation, Statement(head.request_limit, sent_at))
 
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -14,6 +14,10 @@
 from . import connections as connections_module
 
 
+# Reports and orders are answered without a signature.
+SUCCESS = range(200, 300)
+
+
 class NoPermit(connections_module.ConnectionFailed):
     """Raised when a permit has expired or is missing; nothing was sent."""
 
@@ -77,5 +81,8 @@
         )
         self._directory.observe(entry, head)
         if head.request_id in ('', outgoing.id):
-            self._limits.observe(entry, head, sent_at)
+            is_genuine = head.is_from_upstream or (
+                not outgoing.id and response.status in SUCCESS
+            )
+            self._limits.observe(entry, head, sent_at, is_genuine)
         return response, head
--- a/test/pool/test_loader.py
+++ b/test/pool/test_loader.py
@@ -70,7 +70,10 @@
             versions={'m': 2},
         )
         upstream = examples.upstream()
-        fleet = types.SimpleNamespace(schedulable=lambda name: [upstream])
+        fleet = types.SimpleNamespace(
+            schedulable=lambda name: [upstream],
+            is_limited=lambda upstream: False,
+        )
         shard_state = state_module.ShardState()
         order_client = FakeOrderClient()
         loader = loader_module.Loader(
--- a/test/ratelimits/test_tracker.py
+++ b/test/ratelimits/test_tracker.py
@@ -36,10 +36,21 @@
         """Return the limit that is believed."""
         return self.tracker.limit_of(ENTRY.incarnation)
 
+    def observe(
+        self,
+        head: upstreams.ResponseHead,
+        sent_at: float | None = None,
+        is_genuine: bool = True,
+    ) -> None:
+        """Observe a response to a request sent now, or at a time."""
+        if sent_at is None:
+            sent_at = time.monotonic()
+        self.tracker.observe(ENTRY, head, sent_at, is_genuine)
+
     def test_limit_holds_until_a_response_without_one(self) -> None:
         """It changes and ends as the upstream says."""
         for limit in (2.0, 0.5, 0.0, None):
-            self.tracker.observe(ENTRY, make_head(limit), time.monotonic())
+            self.observe(make_head(limit))
             self.assertEqual(limit, self.limit)
 
     def test_late_response_to_an_earlier_request_has_no_effect(self) -> None:
@@ -47,35 +58,32 @@
         with freezegun.freeze_time() as frozen:
             early = time.monotonic()
             frozen.tick(1.0)
-            self.tracker.observe(ENTRY, make_head(1.0), time.monotonic())
-            self.tracker.observe(ENTRY, make_head(9.0), early)
+            self.observe(make_head(1.0))
+            self.observe(make_head(9.0), early)
             self.assertEqual(1.0, self.limit)
-            self.tracker.observe(ENTRY, make_head(None), early)
+            self.observe(make_head(None), early)
             self.assertEqual(1.0, self.limit)
 
     def test_unreadable_limit_changes_nothing(self) -> None:
         """It is counted."""
-        self.tracker.observe(ENTRY, make_head(1.0), time.monotonic())
-        self.tracker.observe(
-            ENTRY, make_head(has_unreadable_limit=True), time.monotonic()
-        )
+        self.observe(make_head(1.0))
+        self.observe(make_head(has_unreadable_limit=True))
         self.assertEqual(1.0, self.limit)
         self.assertEqual(1, self.metrics.counter('ratelimits.unreadable'))
 
-    def test_unsigned_response_does_not_end_a_limit(self) -> None:
+    def test_doubtful_response_does_not_end_a_limit(self) -> None:
         """Nor does one of another upstream at the address."""
-        self.tracker.observe(ENTRY, make_head(1.0), time.monotonic())
-        now = time.monotonic()
-        self.tracker.observe(ENTRY, make_head(signature=''), now)
-        self.tracker.observe(ENTRY, make_head(misdirected=True), now)
+        self.observe(make_head(1.0))
+        self.observe(make_head(), is_genuine=False)
+        self.observe(make_head(misdirected=True))
         self.assertEqual(1.0, self.limit)
 
     def test_limit_ends_with_the_incarnation(self) -> None:
         """The next process under the id has none."""
-        self.tracker.observe(ENTRY, make_head(1.0), time.monotonic())
+        self.observe(make_head(1.0))
         self.assertIsNone(self.tracker.limit_of(('u', 2)))
 
     def test_upstreams_without_limits_are_not_remembered(self) -> None:
         """They cost no memory."""
-        self.tracker.observe(ENTRY, make_head(), time.monotonic())
+        self.observe(make_head())
         self.assertEqual({}, self.tracker.statements())
