Give scarce requests to one group after the other; tests of gateway and placer

If all upstreams of a service state limits, the items of the group that waits for the fewest go first: half of the requests complete half of the groups, none before (test_scarce_requests_complete_some_groups, red with the former rank).

--- a/baobabpond/pool/priority.py
+++ b/baobabpond/pool/priority.py
@@ -16,6 +16,8 @@
     expected_run_s: float
     # Unfinished items of the group, this one included.
     group_unfinished: int
+    # Items of the group that wait for an upstream, this one included.
+    group_waiting: int = 1
     # All upstreams that can run the item state limits of requests.
     is_limited: bool = False
 
@@ -43,12 +45,12 @@
     """Return a key that is lowest for the item to start first.
 
     Least slack first. Items that can no longer meet the due time come after
-    those that can. If requests are scarce, nearly complete groups come first:
-    long and short items cost one request each, and incomplete groups are
-    worth nothing to the trainer.
+    those that can. If requests are scarce, the group that waits for the
+    fewest comes first: long and short items cost one request each, and
+    incomplete groups are worth nothing to the trainer.
     """
     slack_s = waiting.due_in_s - waiting.expected_run_s
     is_late = int(slack_s < MIN_SLACK_S)
     if waiting.is_limited:
-        return is_late, waiting.group_unfinished, slack_s
+        return is_late, waiting.group_waiting, slack_s
     return is_late, slack_s, waiting.group_unfinished
--- a/baobabpond/pool/queue.py
+++ b/baobabpond/pool/queue.py
@@ -36,6 +36,12 @@
         (task.batch.head.id, task.item.group) for task in unfinished
     )
 
+    waiting_by_group = collections.Counter(
+        (task.batch.head.id, task.item.group)
+        for task in unfinished
+        if task.needs_events and task.run is None
+    )
+
     def key(task: state.Task) -> tuple[float, float, float]:
         expected = estimator.remaining_events(task)
         return rank(
@@ -43,6 +49,7 @@
                 task.due_at - now,
                 expected * state.INITIAL_GAP_S,
                 unfinished_by_group[task.batch.head.id, task.item.group],
+                waiting_by_group[task.batch.head.id, task.item.group],
                 is_limited(task),
             )
         )
--- a/test/pool/test_decisions.py
+++ b/test/pool/test_decisions.py
@@ -31,6 +31,43 @@
         self.assertLess(priority.rank(few), priority.rank(many))
 
 
+class ScarceRequestsTest(unittest.TestCase):
+    """Share few requests among the groups of a batch."""
+
+    GROUPS = 4
+    SIZE = 8
+
+    def complete_groups(self, requests: int, is_limited: bool) -> int:
+        """Start items one by one; return how many groups are complete."""
+        waiting = [
+            (group, number)
+            for group in range(self.GROUPS)
+            for number in range(self.SIZE)
+        ]
+
+        def rank(item: tuple[int, int]) -> tuple[float, ...]:
+            group, number = item
+            return priority.rank(
+                priority.WaitingItem(
+                    7.5,
+                    1.0 + number / self.SIZE,
+                    self.SIZE,
+                    sum(other == group for other, _ in waiting),
+                    is_limited,
+                )
+            )
+
+        for _ in range(requests):
+            waiting.remove(min(waiting, key=rank))
+        incomplete = {group for group, _ in waiting}
+        return self.GROUPS - len(incomplete)
+
+    def test_scarce_requests_complete_some_groups(self) -> None:
+        """Half of the requests complete half of the groups."""
+        self.assertEqual(2, self.complete_groups(16, True))
+        self.assertEqual(0, self.complete_groups(16, False))
+
+
 class PlacementTest(unittest.TestCase):
     """Choose upstreams."""
 
@@ -45,6 +82,14 @@
         """No upstream is chosen if none has a free slot."""
         self.assertIsNone(placement.choose([self.candidate('a', running=12)]))
 
+    def test_upstreams_with_a_limit_of_requests_come_last(self) -> None:
+        """They are used once all others are full."""
+        limited = self.candidate('a', is_limited=True)
+        slow = self.candidate('b', gap_s=0.2, running=11)
+        self.assertEqual('b', placement.choose([limited, slow]))
+        full = slow._replace(running=12)
+        self.assertEqual('a', placement.choose([limited, full]))
+
     def test_memory_spreads_the_runs(self) -> None:
         """Runs that would preempt each other for memory go elsewhere.
 
@@ -189,6 +234,16 @@
         planned = load_planner.plan(self.candidates(5, 5, 4), [target], 3)
         self.assertEqual(['u2'], [load.upstream for load in planned])
 
+    def test_upstreams_with_a_limit_of_requests_load_last(self) -> None:
+        """A load takes requests that runs need."""
+        limited, other = self.candidates(1, 1)
+        planned = load_planner.plan(
+            [limited._replace(is_limited=True), other],
+            [load_planner.Target('m', 2, 1, 1)],
+            1,
+        )
+        self.assertEqual([other.upstream], [load.upstream for load in planned])
+
     def test_one_order_per_upstream(self) -> None:
         """An upstream that loads one model gets no order for another."""
         targets = [
