--- a/baobabpond/ratelimits/bucket.py
+++ b/baobabpond/ratelimits/bucket.py
@@ -6,8 +6,9 @@
 
 import typing
 
-# Permits of this time are saved up while nobody asks for them.
-BURST_S = 0.25
+# Permits of this time are saved up while nobody asks for them: batches arrive
+# together, with pauses between them.
+BURST_S = 1.0
 MIN_BURST = 3.0
 # Requests a second to an upstream that states less, which is the only way to
 # learn that its limit has changed.
