--- a/standins/emulator/failures.py
+++ b/standins/emulator/failures.py
@@ -130,6 +130,24 @@
     print_log_lines(deployment, 'lookup-5 was refused', ['lookup-'])
 
 
+def limited_request(deployment: deployment_module.Deployment) -> None:
+    """Send more requests than all upstreams state they take."""
+    for upstream in deployment.plain_services:
+        upstream.request_limit = '0.5'
+    refused = ''
+    for number in range(40):
+        request_id = f'order-{number}'
+        response = send_request(
+            deployment, deployment_module.LOOKUPS, request_id
+        )
+        if response.status == 503 and number > 20:
+            refused = request_id
+        time.sleep(0.05)
+    print_log_lines(
+        deployment, f'{refused} was refused', [f'"{refused}"', 'limit of an']
+    )
+
+
 def main() -> None:
     """Cause each failure on a deployment of its own."""
     for failure in (
@@ -138,6 +156,7 @@
         cut_stream,
         unscored_result,
         crashing_request,
+        limited_request,
     ):
         with deployment_module.Deployment() as deployment:
             deployment.start(instances=2, samplers=3)
