--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -148,6 +148,7 @@
                 'upstream is draining' if entry.draining else 'upstream ready',
                 upstream=entry.id,
                 service=entry.service,
+                software=entry.software,
                 address=f'{entry.host}:{entry.port}',
                 born=entry.born,
             )
--- a/baobabpond/ports/catalogue.py
+++ b/baobabpond/ports/catalogue.py
@@ -86,6 +86,8 @@
     born: int
     # Weight version by model at the time of registration.
     versions: dict[str, int]
+    # Version of the upstream's own software, not of its weights.
+    software: str = ''
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -277,7 +277,7 @@
         if result['state'] != 'completed':
             continue
         item = result['id']
-        if result['output'] != upstream_module.full_output(item):
+        if not upstream_module.is_whole_output(item, result['output']):
             problems.append(f'{item} has an incomplete or wrong output')
         produced_versions = {
             v for run in recorder.runs_of(item) for v in run.versions
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -137,7 +137,9 @@
         self.wait_ready()
 
     def add_sampler(
-        self, checks_fence: bool = True
+        self,
+        checks_fence: bool = True,
+        software: str = upstream_module.FIRST_SOFTWARE,
     ) -> upstream_module.Upstream:
         """Start an upstream that serves the model."""
         sampler = upstream_module.Upstream(
@@ -146,10 +148,27 @@
             MODEL_SERVICE,
             (MODEL,),
             checks_fence=checks_fence,
+            software=software,
         )
         self.samplers.append(sampler)
         return sampler
 
+    def remove_sampler(self, sampler: upstream_module.Upstream) -> None:
+        """Stop an upstream that serves the model."""
+        self.samplers.remove(sampler)
+        sampler.stop()
+
+    def kill_all_instances(self) -> None:
+        """Kill all processes at the same moment, and start them again."""
+        killed = self.live_instances()
+        for instance in killed:
+            instance.process.kill()
+        for instance in killed:
+            instance.kill()
+        for instance in killed:
+            self.start_instance(instance.name)
+        self.wait_ready()
+
     def _add_plain_service(self, port: int | None = None) -> None:
         service = upstream_module.Upstream(
             self.store, self.recorder, PLAIN_SERVICE, port=port
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -17,6 +17,7 @@
 EVENT_INTERVAL_S = 0.01
 WEIGHT_LOAD_S = 0.3
 REPORT_DELAY_S = 0.05
+FIRST_SOFTWARE = 'v1'
 MAX_EVENTS = 24
 MIN_EVENTS = 4
 LATE_COPY_DELAY_S = 0.03
@@ -139,7 +140,9 @@
         slots: int = 8,
         checks_fence: bool = True,
         port: int | None = None,
+        software: str = FIRST_SOFTWARE,
     ) -> None:
+        self.software = software
         self.id = f'i-{uuid.uuid4().hex[:8]}'
         self.service = service
         self.started_at_ms = int(time.time() * 1000)
@@ -241,7 +244,7 @@
             'service': self.service,
             'address': serving.address_of(self.server),
             'zone': 'kl-bengkel',
-            'version': 'v1',
+            'version': self.software,
             'slots': self._slots,
             'state': 'draining' if self._draining else 'ready',
             'born': self.started_at_ms,
@@ -437,6 +440,9 @@
         is_crashing: bool,
     ) -> None:
         after = int(exchange.headers.get('Last-Event-Id', '0'))
+        # The same for all tries at a stream.
+        stream = exchange.headers.get('X-Stream', request_id)
+        last = event_count(stream)
         run = RunRecord(request_id, self.id, after, time.monotonic(), [])
         self._recorder.record_run(run)
         if self.fault == 'error':
@@ -452,7 +458,7 @@
                 ('X-Weight-Versions', str(version)),
             ],
         )
-        for number in range(after + 1, event_count(request_id) + 1):
+        for number in range(after + 1, last + 1):
             time.sleep(EVENT_INTERVAL_S * self.slow_factor)
             if is_crashing and run.versions:
                 self._crash_under(request_id)
@@ -462,13 +468,14 @@
             if self.fault in ('silent', 'reset') or self._is_cut(run):
                 serving.close_without_response(exchange)
                 return
-            block = f'id: {number}\ndata: {event_data(request_id, number)}\n\n'
+            data = event_data(stream, number, self.software)
+            block = f'id: {number}\ndata: {data}\n\n'
             current_version = self.versions[model]
             if current_version != version:
                 version = current_version
                 block = f'x-weight-versions: {version}\n{block}'
             run.versions.append(version)
-            if number == event_count(request_id):
+            if number == last:
                 self._recorder.record_completion(request_id)
             exchange.write(block.encode())
 
@@ -484,15 +491,29 @@
     return MIN_EVENTS + zlib.crc32(request_id.encode()) % spread
 
 
-def event_data(request_id: str, number: int) -> str:
-    """Return the data field of an event."""
-    return f'{request_id}:{number}'
+def event_data(
+    request_id: str, number: int, software: str = FIRST_SOFTWARE
+) -> str:
+    """Return the data field of an event that a software version writes."""
+    return f'{request_id}:{number}:{software}'
 
 
-def full_output(request_id: str) -> str:
+def full_output(request_id: str, software: str = FIRST_SOFTWARE) -> str:
     """Return the data of all events of a request, joined by newlines."""
     numbers = range(1, event_count(request_id) + 1)
-    return '\n'.join(event_data(request_id, number) for number in numbers)
+    return '\n'.join(
+        event_data(request_id, number, software) for number in numbers
+    )
+
+
+def software_of(data: str) -> str:
+    """Return the software version that wrote an event."""
+    return data.rsplit(':', 1)[-1]
+
+
+def is_whole_output(request_id: str, output: str) -> bool:
+    """Return whether an output is complete and of one software version."""
+    return output == full_output(request_id, software_of(output))
 
 
 def plain_response(request_id: str, body: bytes) -> bytes:
