Let a stream go on only at the software version that began it

Cause: no choice depended on the version of an upstream's software, neither when an instance resumed a stream within one response nor when a caller took it up; and what began a stream was known nowhere, so that it would have been lost with the instances.

Now the version is remembered with the first event. Each service with resumable streams has a default version, which the owner of the shard keeps on its fenced partition; a stream that another version begins is recorded on the log before its first event is passed on. A stream without a record was begun by the default version, whichever instances were lost since; the default changes only after its version has been gone for as long as streams may be taken up. A take-up whose version can't be told, or has left, is refused at once as not run.

Ruled out: records for all streams (an append for each, at all times); a choice of version by the id of the stream (a part of the ids is ambiguous after each change); the list of upstreams after a start (it shows only the new version).

--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -22,6 +22,7 @@
 PROGRESS = 'progress'
 FAILURES = 'failures'
 INTENT = 'intent'
+SOFTWARE = 'software'
 OWNER_KEY = 'owner'
 
 
@@ -190,6 +191,16 @@
     return Intent(key.split('/')[1], *_decode(value))
 
 
+def encode_default_software(service: str, software: str) -> log_port.Record:
+    """Encode the software version of a service's unrecorded streams."""
+    return log_port.Record(f'{SOFTWARE}/{service}', _encode(software))
+
+
+def decode_default_software(key: str, value: bytes) -> tuple[str, str]:
+    """Decode a service and the default of its software versions."""
+    return key.partition('/')[2], str(_decode(value))
+
+
 def encode_progress(progress: Progress) -> log_port.Record:
     """Encode events of an unfinished item."""
     return log_port.Record(
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -119,6 +119,8 @@
         self._leftover_keys: set[str] = set()
         self._owner: ObservedOwner | None = None
         self._intents: dict[str, ObservedIntent] = {}
+        # By service.
+        self._default_software: dict[str, str] = {}
         self._revision = 0
 
     @property
@@ -135,6 +137,13 @@
         """Return the latest intent of an order to an upstream."""
         return self._intents.get(upstream)
 
+    def default_software(self, service: str) -> str | None:
+        """Return the software version of a service's unrecorded streams.
+
+        None until the log has one.
+        """
+        return self._default_software.get(service)
+
     def get(self, batch: str) -> Batch | None:
         """Return the batch with an id, None if it is unknown."""
         return self._batches.get(batch)
@@ -251,6 +260,11 @@
             self._intents[intent.upstream] = ObservedIntent(
                 intent, time.monotonic()
             )
+        elif kind == records.SOFTWARE:
+            service, software = records.decode_default_software(
+                record.key, record.value
+            )
+            self._default_software[service] = software
         elif kind == records.OWNER_KEY:
             owner = records.decode_owner(record.value)
             self._owner = ObservedOwner(owner, time.monotonic())
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -9,6 +9,7 @@
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..ratelimits import permits as permits_module
+from ..streams import origins as origins_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
@@ -51,6 +52,8 @@
     deadline: float
     # Whether another upstream is left to retry on after this attempt.
     has_alternatives: bool = False
+    # Id of the request whose stream the caller takes up; empty for a new one.
+    resumed_stream: str = ''
 
     @property
     def remaining_s(self) -> float:
@@ -66,6 +69,7 @@
     connections: connections_module.ConnectionPool
     watcher: server.DisconnectWatcher
     load_balancer: load_balancer_module.LoadBalancer
+    origins: origins_module.StreamOrigins
 
 
 class Attempt:
@@ -84,7 +88,7 @@
     ) -> None:
         self._dependencies = dependencies
         self._context = context
-        self._entry = entry
+        self.entry = entry
         self._permit = permit
         self._started = time.monotonic()
         self._watch_handle = 0
@@ -98,7 +102,7 @@
     def __enter__(self) -> 'Attempt':
         """Acquire a connection and watch for a disconnect of the caller."""
         self.connection = self._dependencies.connections.acquire(
-            (self._entry.host, self._entry.port)
+            (self.entry.host, self.entry.port)
         )
         self._watch_handle = self._dependencies.watcher.add(
             self._context.exchange.socket, self._on_disconnect
@@ -122,7 +126,7 @@
         if kind is gateway_module.NoPermit or self._is_limited_refusal:
             failed = None
         self._dependencies.load_balancer.record_outcome(
-            self._entry, self._latency_s, failed, load
+            self.entry, self._latency_s, failed, load
         )
 
     @property
@@ -150,14 +154,14 @@
         request = self._context.request
         response, self._response_head = self._dependencies.gateway.exchange(
             self.connection,
-            self._entry,
+            self.entry,
             self._permit,
             gateway_module.Outgoing(
                 request.id,
                 request.method,
                 request.target,
                 self._dependencies.protocol.request_headers(
-                    request, self._entry.id, remaining_s, last_event
+                    request, self.entry.id, remaining_s, last_event
                 ),
                 request.body or None,
             ),
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -17,6 +17,7 @@
 from ..ports import upstreams as upstream_port
 from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
+from ..streams import origins as origins_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
@@ -28,6 +29,9 @@
 from . import streams
 
 RETRY_AFTER_S = 0.2
+ORIGIN_RETRY_AFTER_S = 0.3
+# A version that has left comes back rarely.
+VERSION_RETRY_AFTER_S = 2.0
 # Reserved for sending the response to the caller before the deadline.
 RESPONSE_MARGIN_S = 0.02
 MIN_ATTEMPT_S = 0.02
@@ -68,16 +72,18 @@
         watcher: server.DisconnectWatcher,
         guard: guard_module.CrashGuard,
         permits: permits_module.Permits,
+        origins: origins_module.StreamOrigins,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._guard = guard
+        self._origins = origins
         self._placer = placer_module.Placer(
             directory, guard, load_balancer, permits
         )
         self._directory = directory
         self._metrics = metrics
         self._dependencies = attempts_module.AttemptDependencies(
-            protocol, gateway, connections, watcher, load_balancer
+            protocol, gateway, connections, watcher, load_balancer, origins
         )
 
     def forward(
@@ -132,13 +138,16 @@
         last = None
         crashes = 0
         stream = streams.StreamRelay(context, self._dependencies)
+        origin_refusal = self._take_up(context, stream, reasons)
+        if origin_refusal is not None:
+            return origin_refusal
         attempts = context.route.max_attempts
         for number in range(1, attempts + 1):
             if context.remaining_s < MIN_ATTEMPT_S:
                 break
             entries = self._directory.usable(context.service)
             try:
-                placed = self._place(context, tried, number)
+                placed = self._place(context, tried, number, stream.software)
             except permits_module.RateLimited as error:
                 reasons.append(str(error))
                 if verdict is verdicts.Verdict.NOT_RUN:
@@ -177,6 +186,7 @@
         context: attempts_module.RequestContext,
         tried: set[str],
         attempt_number: int,
+        software: str | None,
     ) -> placer_module.Placed | None:
         urgency = bucket_module.RETRY
         if attempt_number == 1:
@@ -188,9 +198,41 @@
                 tried,
                 context.remaining_s - MIN_ATTEMPT_S,
                 urgency,
+                software,
             )
         )
 
+    def _take_up(
+        self,
+        context: attempts_module.RequestContext,
+        stream: streams.StreamRelay,
+        reasons: list[str],
+    ) -> verdicts.Refusal | None:
+        """Find the software version of a stream that the caller takes up.
+
+        Returns the refusal if it can't be told, or is no longer in service.
+        """
+        if not stream.last_event or not context.route.resumable:
+            return None
+        found = self._origins.find(context.service, context.resumed_stream)
+        if found is None:
+            reasons.append('software version of the stream unknown')
+            return verdicts.unavailable(
+                'stream_origin_unknown',
+                'the version that began the stream cannot be told now',
+                ORIGIN_RETRY_AFTER_S,
+            )
+        stream.software = found.software
+        reasons.append(f'begun by {found.software} ({found.source})')
+        entries = self._directory.usable(context.service)
+        if any(entry.software == found.software for entry in entries):
+            return None
+        return verdicts.unavailable(
+            'stream_version_gone',
+            'no upstream has the version that began the stream',
+            VERSION_RETRY_AFTER_S,
+        )
+
     def _attempt(
         self,
         context: attempts_module.RequestContext,
@@ -341,6 +383,7 @@
         route,
         current_module.pick_service(route, call.request_id),
         received_at + limit_s,
+        resumed_stream=call.resumed_stream,
     )
 
 
--- a/baobabpond/edge/placer.py
+++ b/baobabpond/edge/placer.py
@@ -25,6 +25,8 @@
     tried: set[str]
     remaining_s: float
     urgency: bucket_module.Urgency
+    # Software version that the upstream must have; None for any.
+    software: str | None = None
 
 
 class Placed(typing.NamedTuple):
@@ -82,7 +84,7 @@
     ) -> list[catalogue.UpstreamEntry]:
         entries = [
             entry
-            for entry in self._directory.usable(request.service)
+            for entry in self._usable(request)
             if entry.id not in refusals
             and not self._permits.refused_s(entry, request.urgency)
         ]
@@ -95,6 +97,15 @@
         ]
         return roomy or entries
 
+    def _usable(
+        self, request: PlacementRequest
+    ) -> list[catalogue.UpstreamEntry]:
+        return [
+            entry
+            for entry in self._directory.usable(request.service)
+            if request.software in (None, entry.software)
+        ]
+
     def _give_back(self, placement: guard_module.Placement) -> None:
         self._load_balancer.record_outcome(placement.entry, None, None, None)
         self._guard.release(placement)
@@ -106,7 +117,7 @@
     ) -> None:
         """Raise the refusal with the shortest delay, if there is any."""
         known = list(refusals.values())
-        for entry in self._directory.usable(request.service):
+        for entry in self._usable(request):
             retry_s = self._permits.refused_s(entry, request.urgency)
             if retry_s > 0 and entry.id not in request.tried:
                 known.append(self._permits.refusal(entry, retry_s))
--- a/baobabpond/edge/streams.py
+++ b/baobabpond/edge/streams.py
@@ -2,6 +2,7 @@
 
 import urllib3
 
+from ..streams import records
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
 
@@ -26,6 +27,8 @@
         self._context = context
         self._dependencies = dependencies
         self.last_event = _requested_last_event(context)
+        # Software version that began the stream; None before its first event.
+        self.software: str | None = None
         # Whether the upstream broke the last attempt off.
         self.was_cut = False
 
@@ -41,7 +44,7 @@
         self.was_cut = False
         try:
             for event, raw in reader.read_raw(chunks):
-                if not self._is_next(event.id):
+                if not self._is_next(event.id) or not self._may_go_on(attempt):
                     return False
                 if not exchange.response_started:
                     self._begin(response)
@@ -63,6 +66,20 @@
         attempt.reuse_after(response)
         return True
 
+    def _may_go_on(self, attempt: attempts.Attempt) -> bool:
+        """Return whether an event of the attempt's upstream may follow."""
+        software = attempt.entry.software
+        if self.software is None:
+            origin = records.StreamOrigin(
+                self._context.request.id, self._context.service, software
+            )
+            if self._context.route.resumable and not (
+                self._dependencies.origins.begin(origin)
+            ):
+                return False
+            self.software = software
+        return software == self.software
+
     def _is_next(self, event: int) -> bool:
         if self._context.route.resumable:
             return event == self.last_event + 1
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -34,10 +34,15 @@
 from .ports import log as log_port
 from .ports import platforms
 from .ratelimits import components as ratelimit_components
+from .ratelimits import sharing
+from .store import dispatcher
 from .store import first_load as first_load_module
 from .store import follower as follower_module
 from .store import handler
 from .store import relay
+from .streams import components as stream_components
+from .streams import default_version
+from .streams import records as stream_records
 from .upstreams import connections
 from .upstreams import gateway
 from .upstreams import load_balancer
@@ -106,6 +111,7 @@
         self._roster.start()
         self._crashes.start()
         self._limits.start()
+        self._streams.start()
         self._ownership.start()
         for http_server in self._servers:
             http_server.start_thread('http')
@@ -200,6 +206,13 @@
             self._shard_state,
             self._metrics,
         )
+        self._streams = stream_components.StreamComponents(
+            self._log,
+            self._directory,
+            self._shard_state,
+            lambda: self._members_follower.catch_up(),
+            self._metrics,
+        )
         self._gateway = gateway.Gateway(
             self._platform.upstreams,
             self._directory,
@@ -226,7 +239,13 @@
         self._members_follower = self._make_follower(
             roster_module.TOPIC,
             roster_module.PARTITION,
-            self._limits.apply_members_topic,
+            dispatcher.KeyDispatcher(
+                self._roster.apply,
+                {
+                    sharing.KEY_PREFIX: self._limits.sharing.apply,
+                    stream_records.KEY_PREFIX: self._streams.recorder.apply,
+                },
+            ).apply,
             DIRECTORY_READ_PAUSE_S,
         )
         self._shard_first_load = first_load_module.FirstLoad(
@@ -315,6 +334,9 @@
                 self._metrics,
             ),
             self._loader,
+            default_version.DefaultVersions(
+                self._shard_state, self._directory, self._current
+            ),
             self._settings['status_s'],
             self._metrics,
         )
@@ -358,6 +380,7 @@
                 self._caller_watch,
                 self._crashes.guard,
                 self._limits.permits,
+                self._streams.origins,
                 self._metrics,
             ),
             self._metrics,
--- a/baobabpond/pool/scheduler.py
+++ b/baobabpond/pool/scheduler.py
@@ -14,6 +14,7 @@
 from ..catalogue import current as current_module
 from ..ports import callers
 from ..ports import log as log_port
+from ..streams import default_version
 
 from . import fleet as fleet_module
 from . import intake as intake_module
@@ -42,6 +43,7 @@
         runner: runner_module.Runner,
         rewards: reward_stage_module.RewardStage,
         loader: loader_module.Loader,
+        default_versions: default_version.DefaultVersions,
         batch_retention_s: float,
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -49,6 +51,7 @@
         self._next_retention_at = 0.0
         self._shard_state = shard_state
         self._loader = loader
+        self._default_versions = default_versions
         self._changed = threading.Condition()
         self._tenure: ownership.Tenure | None = None
         self._tasks: dict[tuple[str, str], state.Task] = {}
@@ -85,6 +88,7 @@
             self._intake.reset()
             self._outbox.reset(tenure.epoch)
             self._rewards.reset()
+            self._default_versions.reset()
         threading.Thread(
             target=self._run, args=(tenure,), name='pool', daemon=True
         ).start()
@@ -119,6 +123,7 @@
             )
             self._append_requested = False
             new = self._loader.drain_intents()
+            new += self._default_versions.due_records()
             new += self._outbox.drain(self._tasks.values())
             return new + self._expired_tombstones()
 
--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -30,6 +30,9 @@
     position: int = 0
     # Longest wait for further results.
     wait_s: float = 0.0
+    # ID of the request that brought the first event of the stream that is
+    # taken up; empty if none is.
+    resumed_stream: str = ''
 
 
 class RewardCall(typing.NamedTuple):
--- a/baobabpond/ratelimits/components.py
+++ b/baobabpond/ratelimits/components.py
@@ -38,7 +38,7 @@
             metrics,
         )
         self.permit_handler = peers.PermitHandler(self._issuer, metrics)
-        self._sharing = sharing_module.LimitSharing(
+        self.sharing = sharing_module.LimitSharing(
             instance,
             roster_module.TOPIC,
             roster_module.PARTITION,
@@ -50,7 +50,7 @@
 
     def start(self) -> None:
         """Start to share limits."""
-        self._sharing.start()
+        self.sharing.start()
 
     def set_ownership(self, ownership: ownership_module.Ownership) -> None:
         """Issue permits while this instance owns the shard."""
@@ -65,18 +65,6 @@
 
         self._issuer.set_authority(authority)
 
-    def apply_members_topic(
-        self, new_records: list[log_port.Record], is_snapshot: bool
-    ) -> None:
-        """Apply heartbeats and limits, which share a topic."""
-        heartbeats = []
-        limits = []
-        for record in new_records:
-            is_limit = sharing_module.is_limit(record)
-            (limits if is_limit else heartbeats).append(record)
-        self._roster.apply(heartbeats, is_snapshot)
-        self._sharing.apply(limits, is_snapshot)
-
     def _find_owner(self) -> pool_module.Address | None:
         owner = self._shard_state.owner
         if owner is None or owner.record.released:
--- a/baobabpond/ratelimits/sharing.py
+++ b/baobabpond/ratelimits/sharing.py
@@ -79,11 +79,6 @@
     )
 
 
-def is_limit(record: log_port.Record) -> bool:
-    """Return whether a record of the topic is about a limit."""
-    return record.key.startswith(KEY_PREFIX)
-
-
 class LimitSharing:
     """Append what this instance has learned; apply the records of others."""
 
--- /dev/null
+++ b/baobabpond/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Let a broken stream go on only at the software version that began it."""
--- /dev/null
+++ b/baobabpond/streams/origins.py
@@ -0,0 +1,115 @@
+"""Tell which software version began a stream that a client takes up.
+
+Each service has a default version on the log. Only streams that another
+version begins are recorded, before their first event is passed on; a stream
+without a record was begun by the default version. So a quiet service costs no
+append, and any instance knows the origin of a stream even if all instances
+were lost since it began.
+"""
+
+import collections.abc
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..catalogue import directory as directory_module
+from ..ports import log as log_port
+
+from . import recorder as recorder_module
+from . import records as records_module
+
+# Streams whose origin an instance remembers.
+MAX_REMEMBERED = 20_000
+
+LOG = structlog.get_logger(__name__)
+
+# Returns the default version of a service, None while it is unknown.
+DefaultSoftware = collections.abc.Callable[[str], str | None]
+
+
+class FoundOrigin(typing.NamedTuple):
+    """The software version of a stream, and how it is known."""
+
+    software: str
+    # 'memory', 'record' or 'default'.
+    source: str
+
+
+class StreamOrigins:
+    """Remember the streams of this instance, and ask the log for others."""
+
+    def __init__(
+        self,
+        recorder: recorder_module.OriginRecorder,
+        default_software: DefaultSoftware,
+        catch_up: collections.abc.Callable[[], int],
+        directory: directory_module.UpstreamDirectory,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._recorder = recorder
+        self._default_software = default_software
+        self._catch_up = catch_up
+        self._directory = directory
+        self._metrics = metrics
+        # Least recently begun first.
+        self._begun: dict[str, str] = {}
+
+    def begin(self, origin: records_module.StreamOrigin) -> bool:
+        """Note the origin of a stream whose first event has arrived.
+
+        Returns whether the event may be passed on: any instance must be able
+        to tell the origin.
+        """
+        default = self._default_software(origin.service)
+        if origin.software != default and not self._recorder.record(origin):
+            if default is None or self._is_registered(origin.service, default):
+                LOG.warning(
+                    'stream not begun: its origin is not on the log',
+                    request=origin.stream,
+                    software=origin.software,
+                    default=default,
+                )
+                self._metrics.count('streams.not_begun')
+                return False
+        self._begun[origin.stream] = origin.software
+        if len(self._begun) > MAX_REMEMBERED:
+            self._begun.pop(next(iter(self._begun)), None)
+        return True
+
+    def find(self, service: str, stream: str) -> FoundOrigin | None:
+        """Return the origin of a stream, None if it can't be told now."""
+        found = self._find(service, stream)
+        self._metrics.count(
+            f'streams.taken_up.{found.source if found else "unknown"}'
+        )
+        return found
+
+    def _find(self, service: str, stream: str) -> FoundOrigin | None:
+        if stream in self._begun:
+            return FoundOrigin(self._begun[stream], 'memory')
+        origin = self._recorder.find(stream)
+        if origin is None:
+            try:
+                # The record may just have been appended by another instance.
+                self._catch_up()
+            except log_port.LogError as error:
+                LOG.info(
+                    'origin of a stream unknown: the log is away',
+                    stream=stream,
+                    error=str(error),
+                )
+                return None
+            origin = self._recorder.find(stream)
+        if origin is not None:
+            return FoundOrigin(origin.software, 'record')
+        default = self._default_software(service)
+        if default is None:
+            return None
+        return FoundOrigin(default, 'default')
+
+    def _is_registered(self, service: str, software: str) -> bool:
+        return any(
+            entry.service == service and entry.software == software
+            for entry in self._directory.entries()
+        )
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -22,6 +22,7 @@
 from baobabpond.ratelimits import issuer
 from baobabpond.ratelimits import permits as permits_module
 from baobabpond.ratelimits import tracker
+from baobabpond.streams import origins
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
@@ -96,6 +97,7 @@
             mock.create_autospec(server.DisconnectWatcher, instance=True),
             guard,
             permits,
+            mock.create_autospec(origins.StreamOrigins, instance=True),
             metrics.Metrics(),
         )
 
--- a/test/ratelimits/__init__.py
+++ b/test/ratelimits/__init__.py
@@ -1,1 +1,1 @@
-"""Test the rate limits of upstreams."""
+"""Test the package of the same name."""
