Begin the output of an item anew where its software version has left

What trainers got: outputs of items joined from two versions of the upstreams' software. Cause: an item went on at any upstream whose weights fit, whether it was run again after a failure, migrated, resumed by a new owner from the log, or carried over to a later batch.

Now an output keeps the version that began it, on the log too, and only upstreams with that version may resume it.

Three tests of partial outputs built outputs without a version, as only a former build leaves them; they name one now, and two more cover those of before.

--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -90,6 +90,9 @@
     versions: list[int]
     # The output is complete with the last of these events.
     is_last: bool = False
+    # Software version that wrote the events; None in records of builds that
+    # did not note it.
+    software: str | None = None
 
 
 class Failures(typing.NamedTuple):
@@ -205,7 +208,14 @@
     """Encode events of an unfinished item."""
     return log_port.Record(
         progress_key(progress.item, progress.output_id, progress.first_event),
-        _encode([progress.data, progress.versions, progress.is_last]),
+        _encode(
+            [
+                progress.data,
+                progress.versions,
+                progress.is_last,
+                progress.software,
+            ]
+        ),
     )
 
 
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -40,6 +40,8 @@
     events: list[tuple[str, int]]
     # The item needs no further events, but no result was listed yet.
     is_complete: bool = False
+    # Software version that wrote the events; None if unknown.
+    software: str | None = None
 
 
 class CompletedItem(typing.NamedTuple):
@@ -353,11 +355,15 @@
     """Return the events from the first one up to the first gap."""
     events: list[tuple[str, int]] = []
     is_complete = False
-    for segment in sorted(segments, key=lambda segment: segment.first_event):
+    ordered = sorted(segments, key=lambda segment: segment.first_event)
+    software = ordered[0].software if ordered else None
+    for segment in ordered:
         if segment.first_event > len(events) + 1:
             break
+        if segment.software != software:
+            break
         # A new owner may have generated some events again.
         del events[segment.first_event - 1 :]
         events += zip(segment.data, segment.versions, strict=True)
         is_complete = segment.is_last
-    return PartialOutput(output_id, events, is_complete)
+    return PartialOutput(output_id, events, is_complete, software)
--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -13,6 +13,7 @@
 
 # What an item waits for.
 WEIGHTS = 'weights'
+SOFTWARE = 'software version'
 REQUEST_LIMITS = 'request limits'
 
 
@@ -60,9 +61,17 @@
         ]
 
     def candidates(
-        self, service: str, task: state.Task, kv_capacity_tokens: int = 0
+        self,
+        service: str,
+        task: state.Task,
+        kv_capacity_tokens: int = 0,
+        any_software: bool = False,
     ) -> list[placement.Candidate]:
-        """Return the upstreams that can run the item now."""
+        """Return the upstreams that can run the item now.
+
+        Those of other software versions can't resume its output, but begin a
+        new one.
+        """
         now = time.monotonic()
         return [
             placement.Candidate(
@@ -77,6 +86,7 @@
             for upstream in self.schedulable(service)
             if upstream.suspended_until <= now
             and _can_run(upstream, task)
+            and (any_software or _can_resume(upstream, task))
             and self._has_permit(upstream)
         ]
 
@@ -105,6 +115,13 @@
             upstream.entry, bucket_module.BACKGROUND
         )
 
+    def has_software(self, service: str, software: str | None) -> bool:
+        """Return whether an upstream with a software version accepts runs."""
+        return any(
+            upstream.entry.software == software
+            for upstream in self.schedulable(service)
+        )
+
     def wait_reason(self, service: str, task: state.Task) -> str:
         """Return what an item that cannot start is waiting for."""
         upstreams = self.schedulable(service)
@@ -115,6 +132,11 @@
         ]
         if not eligible:
             return WEIGHTS
+        eligible = [
+            upstream for upstream in eligible if _can_resume(upstream, task)
+        ]
+        if not eligible:
+            return SOFTWARE
         now = time.monotonic()
         if all(upstream.suspended_until > now for upstream in eligible):
             return 'suspension'
@@ -140,6 +162,10 @@
     return upstream.serves(task.model, task.min_version)
 
 
+def _can_resume(upstream: state.Upstream, task: state.Task) -> bool:
+    return not task.events or upstream.entry.software == task.software
+
+
 def _usable_slots(upstream: state.Upstream) -> int:
     """Return the usable slots: one from a failure until a run completes."""
     if upstream.consecutive_failures:
--- a/baobabpond/pool/outbox.py
+++ b/baobabpond/pool/outbox.py
@@ -202,6 +202,7 @@
             [data for data, _ in unpersisted],
             [version for _, version in unpersisted],
             is_last,
+            task.software,
         )
     )
     return record, is_last
--- a/baobabpond/pool/partial_outputs.py
+++ b/baobabpond/pool/partial_outputs.py
@@ -31,6 +31,7 @@
         self._last_output_number += 1
         task.output_id = f'{self._epoch}.{self._last_output_number}'
         task.events = []
+        task.software = None
         task.persisted_events = 0
         task.is_output_persisted = False
 
@@ -50,6 +51,7 @@
             return False
         output = max(usable, key=_usefulness)
         task.events = list(output.events)
+        task.software = output.software
         task.output_id = output.output_id
         on_log = persisted.get(output.output_id)
         if on_log is not None:
@@ -68,7 +70,10 @@
         if not task.events:
             return
         self._retained[task.id] = state_module.PartialOutput(
-            task.output_id, list(task.events), task.unscored is not None
+            task.output_id,
+            list(task.events),
+            task.unscored is not None,
+            task.software,
         )
         while len(self._retained) > MAX_RETAINED:
             self._retained.pop(next(iter(self._retained)))
@@ -79,7 +84,12 @@
 
 
 def is_resumable(output: state_module.PartialOutput, task: state.Task) -> bool:
-    """Return whether an item can resume from an output."""
+    """Return whether an item can resume from an output.
+
+    An incomplete one needs a known software version to go on at.
+    """
+    if output.software is None and not output.is_complete:
+        return False
     versions = {version for _, version in output.events}
     if not versions or min(versions) < task.min_version:
         return False
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -22,6 +22,7 @@
 from . import queue
 from . import runner as runner_module
 from . import state
+from . import version_policy
 
 # A batch whose route is missing for longer than this fails.
 ROUTE_MISSING_TIMEOUT_S = 3.0
@@ -118,7 +119,9 @@
             run.events += 1
             run.last_event_at = now
             task.consecutive_refusals = 0
-            task.events.append((event.data, event.weight_version))
+            task.add_event(
+                event.data, event.weight_version, run.upstream.entry.software
+            )
             return True
 
     def _route(
@@ -166,6 +169,7 @@
         if remaining_s <= 0:
             self._listener.fail(task, 'deadline exceeded')
             return
+        self._begin_anew_if_needed(task, route, now)
         candidates = self._candidates(task)
         chosen = placement.choose(candidates)
         if chosen is not None:
@@ -187,6 +191,42 @@
         if now - since > ROUTE_MISSING_TIMEOUT_S:
             self._listener.fail(task, 'route removed')
 
+    def _begin_anew_if_needed(
+        self, task: state.Task, route: catalogue.Route, now: float
+    ) -> None:
+        """Drop the events of an output whose software version is short."""
+        if not task.events:
+            return
+        service = self._pick_service(task, route)
+        tokens = self._kv_capacity_tokens(service)
+
+        def has_room(any_software: bool) -> bool:
+            found = self._fleet.candidates(service, task, tokens, any_software)
+            return any(candidate.has_free_slot for candidate in found)
+
+        if has_room(any_software=False):
+            return
+        reason = version_policy.reason_to_begin_anew(
+            version_policy.WaitingOutput(
+                now - task.idle_since,
+                self._fleet.has_software(service, task.software),
+                has_room(any_software=True),
+            )
+        )
+        if not reason:
+            return
+        self._metrics.count(f'pool.begun_anew.{reason.replace(" ", "_")}')
+        LOG.info(
+            'output begins anew',
+            request=task.id,
+            batch=task.batch.head.id,
+            reason=reason,
+            software=task.software,
+            events=len(task.events),
+            waited_s=round(now - task.idle_since, 3),
+        )
+        self._partial_outputs.restart(task)
+
     def _start_with_permit(
         self, task: state.Task, upstream: state.Upstream, remaining_s: float
     ) -> None:
@@ -221,6 +261,7 @@
             request=task.id,
             batch=task.batch.head.id,
             upstream=upstream.id,
+            software=upstream.entry.software,
             running=len(upstream.runs),
             from_event=len(task.events) + 1,
             waited_for=task.wait_reason,
@@ -256,6 +297,7 @@
             return
         task.run = None
         now = time.monotonic()
+        task.idle_since = now
         LOG.info(
             'run ends',
             request=task.id,
--- a/baobabpond/pool/state.py
+++ b/baobabpond/pool/state.py
@@ -61,6 +61,8 @@
         self.due_at = due_at
         # Data and weight version of each event, in order.
         self.events: list[tuple[str, int]] = []
+        # Software version that wrote them; None while there are none.
+        self.software: str | None = None
         # Identifies the partial output that the events belong to.
         self.output_id = ''
         # Number of leading events that are persisted in the log.
@@ -71,6 +73,8 @@
         self.migrations = 0
         self.run: Run | None = None
         self.not_before = 0.0
+        # Monotonic time at which the item last ran, or was taken up.
+        self.idle_since = time.monotonic()
         # Why the item could not start on the last attempt; empty once started.
         self.wait_reason = ''
         # Time of the result, which is not persisted yet.
@@ -101,6 +105,14 @@
         """Return the item's id."""
         return self.item.id
 
+    def add_event(self, data: str, version: int, software: str) -> None:
+        """Add an event with its weight and software versions.
+
+        All events of an output have the same software version.
+        """
+        self.software = software
+        self.events.append((data, version))
+
     @property
     def needs_events(self) -> bool:
         """Return whether the output is incomplete."""
--- a/standins/experiment/samplers.py
+++ b/standins/experiment/samplers.py
@@ -141,7 +141,7 @@
             run.upstream.observe_gap(now - run.last_event_at)
         run.events += 1
         run.last_event_at = now
-        run.task.events.append(('', version))
+        run.task.add_event('', version, run.upstream.entry.software)
 
     def _is_preempted(self, run: state.Run) -> bool:
         """Return whether a run is the newest and the memory is full."""
--- a/test/pool/test_partial_outputs.py
+++ b/test/pool/test_partial_outputs.py
@@ -7,6 +7,13 @@
 from test.pool import examples
 
 
+def output(
+    output_id: str, *events: tuple[str, int]
+) -> state_module.PartialOutput:
+    """Return a partial output of one software version."""
+    return state_module.PartialOutput(output_id, list(events), software='v1')
+
+
 class FakeShardState:
     """Return the partial outputs that the log contains."""
 
@@ -37,9 +44,9 @@
     def test_longest_usable_output_is_resumed(self) -> None:
         """Outputs with versions that the batch does not allow are ignored."""
         self.shard_state.outputs = [
-            state_module.PartialOutput('1.1', [('a', 1), ('b', 1), ('c', 2)]),
-            state_module.PartialOutput('1.2', [('a', 2)]),
-            state_module.PartialOutput('1.3', [('a', 2), ('b', 3)]),
+            output('1.1', ('a', 1), ('b', 1), ('c', 2)),
+            output('1.2', ('a', 2)),
+            output('1.3', ('a', 2), ('b', 3)),
         ]
         self.partial_outputs.resume(self.task)
         self.assertEqual([2, 3], self.versions())
@@ -49,8 +56,8 @@
     def test_complete_output_is_preferred(self) -> None:
         """An item whose output is complete is not run again."""
         self.shard_state.outputs = [
-            state_module.PartialOutput('1.1', [('a', 2)], True),
-            state_module.PartialOutput('1.2', [('a', 2), ('b', 2)]),
+            output('1.1', ('a', 2))._replace(is_complete=True),
+            output('1.2', ('a', 2), ('b', 2)),
         ]
         self.assertTrue(self.partial_outputs.resume(self.task))
         self.assertEqual('1.1', self.task.output_id)
@@ -59,11 +66,30 @@
     def test_complete_output_of_old_weights_is_generated_again(self) -> None:
         """The batch's bound on staleness comes first."""
         self.shard_state.outputs = [
-            state_module.PartialOutput('1.1', [('a', 1)], True)
+            output('1.1', ('a', 1))._replace(is_complete=True)
         ]
         self.assertFalse(self.partial_outputs.resume(self.task))
         self.assertEqual([], self.task.events)
 
+    def test_output_of_an_unknown_software_version_begins_anew(self) -> None:
+        """It was written by a build that did not note the version."""
+        unknown = output('1.1', ('a', 2), ('b', 2))._replace(software=None)
+        self.shard_state.outputs = [unknown, output('1.2', ('a', 2))]
+        self.partial_outputs.resume(self.task)
+        self.assertEqual('1.2', self.task.output_id)
+        self.assertEqual('v1', self.task.software)
+        self.shard_state.outputs = [unknown]
+        self.partial_outputs.resume(self.task)
+        self.assertEqual([], self.task.events)
+        self.assertIsNone(self.task.software)
+
+    def test_complete_output_needs_no_software_version(self) -> None:
+        """No further events are asked for."""
+        self.shard_state.outputs = [
+            output('1.1', ('a', 2))._replace(is_complete=True, software=None)
+        ]
+        self.assertTrue(self.partial_outputs.resume(self.task))
+
     def test_without_an_output_a_new_one_starts(self) -> None:
         """New outputs have ids that no earlier tenure used."""
         self.partial_outputs.resume(self.task)
@@ -75,10 +101,12 @@
     def test_events_of_an_ended_batch_are_reused_by_the_next(self) -> None:
         """An item that is submitted again resumes from its events."""
         self.task.events = [('a', 2), ('b', 2)]
+        self.task.software = 'v1'
         self.partial_outputs.retain(self.task)
         again = examples.task(min_version=2)
         self.partial_outputs.resume(again)
         self.assertEqual(2, len(again.events))
+        self.assertEqual('v1', again.software)
         self.assertEqual(0, again.persisted_events)
 
     def test_route_that_becomes_single_version_drops_mixed_events(
