Make sure that streams and runs reach the incarnation that is registered

What the emulator showed: an upstream that is restarted under its id with another software version is registered with the old one for a while. What it writes then was taken for the old version's, and went on at other upstreams with that version, in one stream text (RestartedSamplerTest, red before this change).

Now a connection that carries a resumable stream or a run asks the process at its other end for its start first, once in the life of the connection; another start than the registered one counts as unreachable. A report is asked for, which needs no slot. The alternatives were to wait for the next heartbeat before the first event, which delays every stream by seconds, or to leave it open.

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -164,6 +164,10 @@
                     request, self.entry.id, remaining_s, last_event
                 ),
                 request.body or None,
+                is_for_incarnation=(
+                    self._context.route.kind is catalogue.RouteKind.STREAMING
+                    and self._context.route.resumable
+                ),
             ),
             remaining_s if timeout_s is None else timeout_s,
         )
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -133,6 +133,7 @@
                     attempt.expected_version,
                 ),
                 attempt.request.body,
+                is_for_incarnation=True,
             ),
             READ_TIMEOUT_S,
         )
--- a/baobabpond/ports/upstreams.py
+++ b/baobabpond/ports/upstreams.py
@@ -63,6 +63,8 @@
     orders: int
     running: int
     queued: int
+    # Start of the process, as in its registration; 0 if not stated.
+    born: int = 0
 
 
 class LoadOrder(typing.NamedTuple):
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -58,6 +58,9 @@
         self.idle_since = 0.0
         self.idle_limit_s = IDLE_LIMIT_S
         self.is_new = True
+        # Start of the process at the other end, 0 if it does not state it;
+        # None while nobody has asked.
+        self.born: int | None = None
         self._aborted = False
         self._http = bounded.BoundedConnection(
             address[0],
@@ -66,6 +69,11 @@
             socket_options=sockets.KEEPALIVE_OPTIONS,
         )
 
+    @property
+    def is_connected(self) -> bool:
+        """Return whether the connection is open, as far as is known."""
+        return self._http.sock is not None
+
     @property
     def is_stale(self) -> bool:
         """Return whether the connection must not be reused."""
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -3,21 +3,27 @@
 import time
 import typing
 
+import structlog
 import urllib3
 
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
 from ..ratelimits import tracker as tracker_module
 
 from . import connections as connections_module
 
 
+REPORT_TIMEOUT_S = 0.5
 # Reports and orders are answered without a signature.
 SUCCESS = range(200, 300)
 
 
+LOG = structlog.get_logger(__name__)
+
+
 class NoPermit(connections_module.ConnectionFailed):
     """Raised when a permit has expired or is missing; nothing was sent."""
 
@@ -31,6 +37,9 @@
     target: str
     headers: upstream_port.Headers
     body: bytes | None
+    # The response must come from the registered incarnation, since its
+    # software version counts.
+    is_for_incarnation: bool = False
 
 
 class Gateway:
@@ -62,8 +71,10 @@
         time-out applies to sending, and to the head as a whole. Raises
         ConnectionFailed if nothing was sent, and ResponseFailed.
         """
-        if connection.is_new:
+        if connection.is_new and not connection.is_connected:
             connection.connect()
+        if outgoing.is_for_incarnation:
+            self._check_incarnation(connection, entry)
         if not self._directory.accepts_requests(entry):
             raise connections_module.ConnectionFailed('the upstream leaves')
         if not self._permits.may_send(entry, permit):
@@ -86,3 +97,57 @@
             )
             self._limits.observe(entry, head, sent_at, is_genuine)
         return response, head
+
+    def _check_incarnation(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+    ) -> None:
+        """Make sure that the connection leads to the registered process.
+
+        A process that has been restarted under its id may have another
+        software version than its registration still says. Raises
+        ConnectionFailed.
+        """
+        if connection.born is None:
+            connection.born = self._read_born(connection, entry)
+        if connection.born not in (0, entry.born):
+            LOG.info(
+                'upstream has been restarted since it registered',
+                upstream=entry.id,
+                registered=entry.born,
+                born=connection.born,
+            )
+            raise connections_module.ConnectionFailed('it was restarted')
+
+    def _read_born(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+    ) -> int:
+        try:
+            permit = self._permits.obtain(entry, bucket_module.RETRY)
+            response, _ = self.exchange(
+                connection,
+                entry,
+                permit,
+                Outgoing(
+                    '',
+                    'GET',
+                    self._protocol.report_target,
+                    [('Host', f'{entry.host}:{entry.port}')],
+                    None,
+                ),
+                REPORT_TIMEOUT_S,
+            )
+            body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+            if not connection.is_reusable_after(response):
+                raise connections_module.ConnectionFailed('closed after it')
+            return self._protocol.report(body).born
+        except permits_module.RateLimited as error:
+            raise NoPermit(str(error)) from error
+        except (connections_module.ResponseFailed, ValueError) as error:
+            # The request itself has not been sent.
+            raise connections_module.ConnectionFailed(
+                f'no report: {error}'
+            ) from error
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -158,6 +158,30 @@
         self.samplers.remove(sampler)
         sampler.stop()
 
+    def restart_sampler(
+        self, crashed: upstream_module.Upstream, software: str
+    ) -> upstream_module.Upstream:
+        """Restart a sampler under its id with another software version.
+
+        Its registration is that of the former process until it is told to
+        register.
+        """
+        self.samplers.remove(crashed)
+        crashed.crash()
+        restarted = upstream_module.Upstream(
+            self.store,
+            self.recorder,
+            MODEL_SERVICE,
+            (MODEL,),
+            checks_fence=self._checks_fence,
+            port=crashed.port,
+            software=software,
+            name=crashed.id,
+            is_registration_delayed=True,
+        )
+        self.samplers.append(restarted)
+        return restarted
+
     def kill_all_instances(self) -> None:
         """Kill all processes at the same moment, and start them again."""
         killed = self.live_instances()
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -141,9 +141,13 @@
         checks_fence: bool = True,
         port: int | None = None,
         software: str = FIRST_SOFTWARE,
+        name: str = '',
+        is_registration_delayed: bool = False,
     ) -> None:
+        # While set, the registration of the former process stays.
+        self.is_registration_delayed = is_registration_delayed
         self.software = software
-        self.id = f'i-{uuid.uuid4().hex[:8]}'
+        self.id = name or f'i-{uuid.uuid4().hex[:8]}'
         self.service = service
         self.started_at_ms = int(time.time() * 1000)
         self.versions = dict.fromkeys(models, 1)
@@ -236,7 +240,8 @@
 
     def _send_heartbeats(self) -> None:
         while not self._stopped.is_set():
-            self._register()
+            if not self.is_registration_delayed:
+                self._register()
             self._stopped.wait(HEARTBEAT_INTERVAL_S)
 
     def _register(self) -> None:
@@ -287,6 +292,7 @@
         with self._lock:
             report = {
                 'stage': 'both',
+                'born': self.started_at_ms,
                 'models': self._models(),
                 'busy': self._loading_model is not None,
                 'sequence': self._order_sequence,
--- a/test/emulator/test_software_versions.py
+++ b/test/emulator/test_software_versions.py
@@ -117,6 +117,30 @@
         self.assert_not_joined(clients)
 
 
+class RestartedSamplerTest(SoftwareVersionTestCase):
+    """Restart a sampler with another version under its id."""
+
+    def test_stream_of_a_sampler_with_an_old_registration(self) -> None:
+        """What it writes counts, not what is registered."""
+        first = self.deployment.samplers[0]
+        restarted = self.deployment.restart_sampler(first, NEW)
+        restarted_at = time.monotonic()
+        self.slow_down(SLOW_FACTOR)
+        restarted.cut_after_events = 2
+        with concurrent.futures.ThreadPoolExecutor(STREAMS) as executor:
+            clients = self.begin_streams(executor, 'restarted')
+            deployment_module.wait_for(
+                lambda: all(client.statuses for client in clients)
+            )
+            restarted.is_registration_delayed = False
+            self.finish(executor, clients)
+        arrivals = self.deployment.recorder.arrivals_at(
+            restarted.id, restarted_at
+        )
+        self.assertGreater(len(arrivals), 0)
+        self.assert_not_joined(clients)
+
+
 class TakeUpTest(SoftwareVersionTestCase):
     """Let clients take broken streams up at any instance."""
 
