Ask limited upstreams for no report; small mends found by reading

A failed report now suspends a sampler as an interrupted run does. Locks around two shared maps, a floor for Retry-After, no leftover of shared limits.

--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -30,6 +30,7 @@
 
 RETRY_AFTER_S = 0.2
 ORIGIN_RETRY_AFTER_S = 0.3
+MIN_RETRY_AFTER_S = 0.05
 # A version that has left comes back rarely.
 VERSION_RETRY_AFTER_S = 2.0
 # Reserved for sending the response to the caller before the deadline.
@@ -427,7 +428,7 @@
     return verdicts.unavailable(
         'upstreams_limited',
         'the upstreams take no more requests now',
-        round(error.retry_s, 2),
+        round(max(MIN_RETRY_AFTER_S, error.retry_s), 2),
     )
 
 
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -96,6 +96,10 @@
             return RunOutcome.CANCELLED
         try:
             outcome = self._exchange(attempt, connection, sink)
+        except gateway_module.NotVerified as error:
+            connection.close()
+            self._log_failure(attempt, error)
+            outcome = RunOutcome.INTERRUPTED
         except gateway_module.NoPermit:
             self._connections.release(connection)
             outcome = RunOutcome.LIMITED
--- a/baobabpond/ratelimits/permits.py
+++ b/baobabpond/ratelimits/permits.py
@@ -1,6 +1,7 @@
 """Obtain permits for requests to upstreams that state a limit."""
 
 import random
+import threading
 import time
 import typing
 
@@ -133,6 +134,7 @@
         self._issuer = issuer
         self._remote = remote
         self._metrics = metrics
+        self._lock = threading.Lock()
         # Until when the issuer need not be asked again, oldest first.
         self._refused_until: dict[
             tuple[tracker_module.Incarnation, bucket_module.Urgency], float
@@ -251,7 +253,8 @@
         retry_s: float,
     ) -> None:
         key = entry.incarnation, urgency
-        self._refused_until.pop(key, None)
-        self._refused_until[key] = time.monotonic() + retry_s
-        if len(self._refused_until) > MAX_REMEMBERED_REFUSALS:
-            self._refused_until.pop(next(iter(self._refused_until)), None)
+        with self._lock:
+            self._refused_until.pop(key, None)
+            self._refused_until[key] = time.monotonic() + retry_s
+            if len(self._refused_until) > MAX_REMEMBERED_REFUSALS:
+                del self._refused_until[next(iter(self._refused_until))]
--- a/baobabpond/ratelimits/sharing.py
+++ b/baobabpond/ratelimits/sharing.py
@@ -213,6 +213,11 @@
             for incarnation, last_at in self._last_present.items()
             if incarnation in shared
         }
+        self._appended = {
+            incarnation: appended
+            for incarnation, appended in self._appended.items()
+            if incarnation in shared
+        }
         return expired[:MAX_RECORDS_PER_APPEND]
 
     def append(self, records: list[log_port.Record]) -> bool:
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import threading
 import typing
 
 import structlog
@@ -52,6 +53,7 @@
         self._catch_up = catch_up
         self._directory = directory
         self._metrics = metrics
+        self._lock = threading.Lock()
         # Least recently begun first.
         self._begun: dict[str, str] = {}
 
@@ -72,9 +74,10 @@
                 )
                 self._metrics.count('streams.not_begun')
                 return False
-        self._begun[origin.stream] = origin.software
-        if len(self._begun) > MAX_REMEMBERED:
-            self._begun.pop(next(iter(self._begun)), None)
+        with self._lock:
+            self._begun[origin.stream] = origin.software
+            if len(self._begun) > MAX_REMEMBERED:
+                del self._begun[next(iter(self._begun))]
         return True
 
     def find(self, service: str, stream: str) -> FoundOrigin | None:
@@ -86,8 +89,9 @@
         return found
 
     def _find(self, service: str, stream: str) -> FoundOrigin | None:
-        if stream in self._begun:
-            return FoundOrigin(self._begun[stream], 'memory')
+        begun_by = self._begun.get(stream)
+        if begun_by is not None:
+            return FoundOrigin(begun_by, 'memory')
         origin = self._recorder.find(stream)
         if origin is None:
             try:
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -9,7 +9,6 @@
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
-from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
 from ..ratelimits import tracker as tracker_module
 
@@ -28,6 +27,13 @@
     """Raised when a permit has expired or is missing; nothing was sent."""
 
 
+class NotVerified(connections_module.ConnectionFailed):
+    """Raised when an upstream does not say when it started.
+
+    The request itself was not sent.
+    """
+
+
 class Outgoing(typing.NamedTuple):
     """A request as it is sent to an upstream."""
 
@@ -110,6 +116,9 @@
         ConnectionFailed.
         """
         if connection.born is None:
+            if self._permits.is_limited(entry):
+                # The report would take the permit of another request.
+                return
             connection.born = self._read_born(connection, entry)
         if connection.born not in (0, entry.born):
             LOG.info(
@@ -125,29 +134,24 @@
         connection: connections_module.Connection,
         entry: catalogue.UpstreamEntry,
     ) -> int:
+        report = Outgoing(
+            '',
+            'GET',
+            self._protocol.report_target,
+            [('Host', f'{entry.host}:{entry.port}')],
+            None,
+        )
         try:
-            permit = self._permits.obtain(entry, bucket_module.RETRY)
             response, _ = self.exchange(
                 connection,
                 entry,
-                permit,
-                Outgoing(
-                    '',
-                    'GET',
-                    self._protocol.report_target,
-                    [('Host', f'{entry.host}:{entry.port}')],
-                    None,
-                ),
+                permits_module.unlimited(entry),
+                report,
                 REPORT_TIMEOUT_S,
             )
             body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
             if not connection.is_reusable_after(response):
-                raise connections_module.ConnectionFailed('closed after it')
+                raise NotVerified('closed after its report')
             return self._protocol.report(body).born
-        except permits_module.RateLimited as error:
-            raise NoPermit(str(error)) from error
         except (connections_module.ResponseFailed, ValueError) as error:
-            # The request itself has not been sent.
-            raise connections_module.ConnectionFailed(
-                f'no report: {error}'
-            ) from error
+            raise NotVerified(f'no report: {error}') from error
--- a/test/upstreams/test_gateway.py
+++ b/test/upstreams/test_gateway.py
@@ -20,7 +20,7 @@
 REPORT = gateway_module.Outgoing('', 'GET', '/report', [], None)
 
 
-class GatewayTest(unittest.TestCase):
+class GatewayTestCase(unittest.TestCase):
     """Send to one upstream whose response is given."""
 
     def setUp(self) -> None:
@@ -31,6 +31,8 @@
         protocol = mock.create_autospec(
             upstream_port.UpstreamProtocol, instance=True
         )
+        protocol.report_target = '/report'
+        self.protocol = protocol
         protocol.parse_response_head.side_effect = lambda status, headers: (
             self.head
         )
@@ -65,6 +67,10 @@
         """Return the limit that is known."""
         return self.instance.tracker.limit_of(self.entry.incarnation)
 
+
+class GatewayTest(GatewayTestCase):
+    """Learn from responses, and send only what may be sent."""
+
     def test_limit_is_learned_from_any_response(self) -> None:
         """It ends with a signed one, or a report, that states none."""
         for ending in (REQUEST, REPORT):
@@ -109,3 +115,49 @@
             )
         ]
         self.assertEqual(['gateway.py'], senders)
+
+
+class IncarnationTest(GatewayTestCase):
+    """Send requests whose response must come from the registered process."""
+
+    def setUp(self) -> None:
+        """Let the upstream report when it started."""
+        super().setUp()
+        self.born = self.entry.born
+        self.connection.born = None
+        self.connection.is_reusable_after.return_value = True
+        self.connection.iter_body.return_value = [b'']
+        self.protocol.report.side_effect = lambda body: upstream_port.Report(
+            {}, False, 0, 0, 0, self.born
+        )
+        self.outgoing = REQUEST._replace(is_for_incarnation=True)
+
+    def sent(self) -> list[str]:
+        """Return the methods of the requests that were sent."""
+        return [call.args[0] for call in self.connection.exchange.mock_calls]
+
+    def test_report_is_asked_for_once_for_a_connection(self) -> None:
+        """A connection can't lead to another process later."""
+        self.send(self.outgoing)
+        self.send(self.outgoing)
+        self.assertEqual(['GET', 'POST', 'POST'], self.sent())
+
+    def test_nothing_is_sent_to_another_incarnation(self) -> None:
+        """It may have another software version."""
+        self.born += 1
+        with self.assertRaises(connections.ConnectionFailed):
+            self.send(self.outgoing)
+        self.assertEqual(['GET'], self.sent())
+
+    def test_nothing_is_sent_without_a_report(self) -> None:
+        """The request has not run then."""
+        self.protocol.report.side_effect = ValueError('garbled')
+        with self.assertRaises(gateway_module.NotVerified):
+            self.send(self.outgoing)
+        self.assertEqual(['GET'], self.sent())
+
+    def test_limited_upstream_is_not_asked(self) -> None:
+        """The permit is for one request."""
+        self.instance.state_limit(100.0, stated_at=time.monotonic())
+        self.send(self.outgoing)
+        self.assertEqual(['POST'], self.sent())
