--- a/baobabpond/ratelimits/permits.py
+++ b/baobabpond/ratelimits/permits.py
@@ -197,22 +197,32 @@
         asked_at = clock.since_boot_s()
         if self._issuer.may_issue:
             decision = self._issuer.issue(entry.incarnation, limit, urgency)
-        else:
-            remaining_s = self.refused_s(entry, urgency)
-            if remaining_s > 0:
-                raise self.refusal(entry, remaining_s)
-            self._metrics.count('ratelimits.asked')
-            decision = self._remote.ask(entry.incarnation, limit, urgency)
-        try:
             permit = self._evaluate(entry, decision, asked_at)
-        except RateLimited as error:
-            self._remember_refusal(entry, urgency, error.retry_s)
-            raise
+        else:
+            decision = self._ask(entry, limit, urgency)
+            try:
+                permit = self._evaluate(entry, decision, asked_at)
+            except RateLimited as error:
+                self._remember_refusal(entry, urgency, error.retry_s)
+                raise
         if decision is not None and decision.delay_s > 0:
             self._metrics.record('ratelimits.wait', decision.delay_s)
             time.sleep(decision.delay_s)
         return permit
 
+    def _ask(
+        self,
+        entry: catalogue.UpstreamEntry,
+        limit: float,
+        urgency: bucket_module.Urgency,
+    ) -> bucket_module.Decision | None:
+        """Ask the issuer, unless it has refused lately."""
+        remaining_s = self.refused_s(entry, urgency)
+        if remaining_s > 0:
+            raise self.refusal(entry, remaining_s)
+        self._metrics.count('ratelimits.asked')
+        return self._remote.ask(entry.incarnation, limit, urgency)
+
     def may_send(self, entry: catalogue.UpstreamEntry, permit: Permit) -> bool:
         """Return whether a permit allows a request to be sent now."""
         if permit.incarnation != entry.incarnation:
--- a/baobabpond/ratelimits/sharing.py
+++ b/baobabpond/ratelimits/sharing.py
@@ -38,11 +38,12 @@
 ListIncarnations = typing.Callable[[], set[tracker_module.Incarnation]]
 
 
-class SharedLimit(typing.NamedTuple):
-    """The record of an upstream as it was last read."""
+class TimedLimit(typing.NamedTuple):
+    """A limit that was read from the log, or appended to it."""
 
     limit: float | None
-    read_at: float
+    # Monotonic time.
+    at: float
 
 
 def encode_key(incarnation: tracker_module.Incarnation) -> str:
@@ -100,8 +101,8 @@
         self._list_incarnations = list_incarnations
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._shared: dict[tracker_module.Incarnation, SharedLimit] = {}
-        self._appended: dict[tracker_module.Incarnation, SharedLimit] = {}
+        self._shared: dict[tracker_module.Incarnation, TimedLimit] = {}
+        self._appended: dict[tracker_module.Incarnation, TimedLimit] = {}
         self._last_present: dict[tracker_module.Incarnation, float] = {}
         self._expiry_s = EXPIRY_S * random.uniform(1.0, MAX_EXPIRY_FACTOR)
         self._changed = threading.Event()
@@ -137,7 +138,7 @@
         value = decode_value(record.value)
         now = time.monotonic()
         with self._lock:
-            self._shared[incarnation] = SharedLimit(value.limit, now)
+            self._shared[incarnation] = TimedLimit(value.limit, now)
         if value.instance == self._instance:
             return
         # Whatever this instance learns itself is newer than a record of
@@ -165,17 +166,8 @@
         now = time.monotonic()
         records = []
         for incarnation, statement in self._limits.statements().items():
-            if statement.source:
-                continue
-            with self._lock:
-                shared = self._shared.get(incarnation)
-                appended = self._appended.get(incarnation)
-            if (shared.limit if shared else None) == statement.limit:
-                continue
-            if (
-                appended is not None
-                and appended.limit == statement.limit
-                and now - appended.read_at < REPEAT_S
+            if statement.source or not self._is_news(
+                incarnation, statement.limit, now
             ):
                 continue
             value = LimitValue(
@@ -191,6 +183,24 @@
             )
         return records[:MAX_RECORDS_PER_APPEND]
 
+    def _is_news(
+        self,
+        incarnation: tracker_module.Incarnation,
+        limit: float | None,
+        now: float,
+    ) -> bool:
+        """Return whether the log lacks a limit, and none is on its way."""
+        with self._lock:
+            shared = self._shared.get(incarnation)
+        if (shared.limit if shared else None) == limit:
+            return False
+        appended = self._appended.get(incarnation)
+        return (
+            appended is None
+            or appended.limit != limit
+            or now - appended.at >= REPEAT_S
+        )
+
     def expired(self) -> list[log_port.Record]:
         """Return the tombstones of records that nobody needs any more."""
         now = time.monotonic()
@@ -201,7 +211,7 @@
             self._last_present[incarnation] = now
         expired = []
         for incarnation, record in shared.items():
-            last_use = record.read_at
+            last_use = record.at
             if record.limit is not None:
                 last_use = max(
                     last_use, self._last_present.get(incarnation, 0.0)
@@ -237,7 +247,7 @@
         now = time.monotonic()
         for record in records:
             if record.value:
-                self._appended[decode_key(record.key)] = SharedLimit(
+                self._appended[decode_key(record.key)] = TimedLimit(
                     json.loads(record.value)['limit'], now
                 )
         return True
