Keep a take-up with the service that began its stream; refusals on their own

Found by reading: on a route that several services share, the service of a take-up was chosen by its own id, so that a stream could go on at another service. It is chosen by the id of the stream now (test_it_stays_with_the_service_that_began_it). The refusals of ordinary requests are a module of their own.

--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -24,15 +24,11 @@
 
 from . import attempts as attempts_module
 from . import placer as placer_module
+from . import refusals
 from . import responses
 from . import server
 from . import streams
 
-RETRY_AFTER_S = 0.2
-ORIGIN_RETRY_AFTER_S = 0.3
-MIN_RETRY_AFTER_S = 0.05
-# A version that has left comes back rarely.
-VERSION_RETRY_AFTER_S = 2.0
 # Reserved for sending the response to the caller before the deadline.
 RESPONSE_MARGIN_S = 0.02
 MIN_ATTEMPT_S = 0.02
@@ -152,7 +148,7 @@
             except permits_module.RateLimited as error:
                 reasons.append(str(error))
                 if verdict is verdicts.Verdict.NOT_RUN:
-                    return _rate_limited(error)
+                    return refusals.rate_limited(error)
                 break
             if placed is None:
                 crash_refusal = self._guard.refusal(context.digest)
@@ -180,7 +176,8 @@
         if last is not None and last.response is not None:
             self._send_response(context, last.response, last.body)
             return None
-        return _make_refusal(context, verdict, bool(tried))
+        is_late = context.remaining_s < MIN_ATTEMPT_S
+        return refusals.after_attempts(verdict, bool(tried), is_late)
 
     def _place(
         self,
@@ -218,21 +215,13 @@
         found = self._origins.find(context.service, context.resumed_stream)
         if found is None:
             reasons.append('software version of the stream unknown')
-            return verdicts.unavailable(
-                'stream_origin_unknown',
-                'the version that began the stream cannot be told now',
-                ORIGIN_RETRY_AFTER_S,
-            )
+            return refusals.stream_origin_unknown()
         stream.software = found.software
         reasons.append(f'begun by {found.software} ({found.source})')
         entries = self._directory.usable(context.service)
         if any(entry.software == found.software for entry in entries):
             return None
-        return verdicts.unavailable(
-            'stream_version_gone',
-            'no upstream has the version that began the stream',
-            VERSION_RETRY_AFTER_S,
-        )
+        return refusals.stream_version_gone()
 
     def _attempt(
         self,
@@ -382,7 +371,9 @@
         request,
         identity.digest_request(request),
         route,
-        current_module.pick_service(route, call.request_id),
+        current_module.pick_service(
+            route, call.resumed_stream or call.request_id
+        ),
         received_at + limit_s,
         resumed_stream=call.resumed_stream,
     )
@@ -407,31 +398,6 @@
     return route.kind is catalogue.RouteKind.IDEMPOTENT
 
 
-def _make_refusal(
-    context: attempts_module.RequestContext,
-    verdict: verdicts.Verdict,
-    was_attempted: bool,
-) -> verdicts.Refusal:
-    if verdict is not verdicts.Verdict.NOT_RUN:
-        if context.remaining_s < MIN_ATTEMPT_S:
-            return verdicts.deadline_passed(verdict)
-        return verdicts.uncertain(
-            'upstream_failed', 'no upstream gave a whole answer'
-        )
-    code = 'upstreams_busy' if was_attempted else 'no_upstream'
-    return verdicts.unavailable(
-        code, 'no upstream can run the request now', RETRY_AFTER_S
-    )
-
-
-def _rate_limited(error: permits_module.RateLimited) -> verdicts.Refusal:
-    return verdicts.unavailable(
-        'upstreams_limited',
-        'the upstreams take no more requests now',
-        round(max(MIN_RETRY_AFTER_S, error.retry_s), 2),
-    )
-
-
 def _check_response(
     context: attempts_module.RequestContext,
     response: urllib3.HTTPResponse,
