--- a/test/edge/test_take_up.py
+++ b/test/edge/test_take_up.py
@@ -1,5 +1,6 @@
 """Test requests that take a broken stream up."""
 
+import hashlib
 import json
 import unittest
 from unittest import mock
@@ -76,7 +77,7 @@
         exchange.read_body.return_value = b'x'
         call = callers.Call(
             callers.CallKind.REQUEST,
-            f'another-{stream}',
+            hashlib.sha256(stream.encode()).hexdigest(),
             'host',
             '/drafts/a',
             2.0,
