--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -9,6 +9,8 @@
 
 import urllib3
 
+from . import outputs
+from . import recorder as recorder_module
 from . import store as store_module
 from . import upstream as upstream_module
 
@@ -135,7 +137,7 @@
                 'headers': {
                     'X-Model': self.model,
                     'X-Token-Count': '16,100',
-                    'X-Length-Hint': str(upstream_module.event_count(item)),
+                    'X-Length-Hint': str(outputs.event_count(item)),
                 },
                 'body': base64.b64encode(item.encode()).decode(),
                 'tokens': 116,
@@ -262,7 +264,7 @@
 
 
 def find_wrong_results(
-    batch: Batch, recorder: upstream_module.Recorder
+    batch: Batch, recorder: recorder_module.Recorder
 ) -> list[str]:
     """Return how a batch's results differ from the recorded runs."""
     problems = [
@@ -277,7 +279,7 @@
         if result['state'] != 'completed':
             continue
         item = result['id']
-        if not upstream_module.is_whole_output(item, result['output']):
+        if not outputs.is_whole_output(item, result['output']):
             problems.append(f'{item} has an incomplete or wrong output')
         produced_versions = {
             v for run in recorder.runs_of(item) for v in run.versions
@@ -297,7 +299,7 @@
 def _find_wrong_score(
     batch: Batch,
     result: dict[str, typing.Any],
-    recorder: upstream_module.Recorder,
+    recorder: recorder_module.Recorder,
 ) -> list[str]:
     """Return how a score differs from what the service signed."""
     if not batch.reward_path:
--- a/standins/emulator/demo.py
+++ b/standins/emulator/demo.py
@@ -8,7 +8,7 @@
 
 from . import clients
 from . import deployment as deployment_module
-from . import upstream as upstream_module
+from . import outputs
 
 STEPS = 5
 GROUPS = 6
@@ -53,7 +53,7 @@
                 b'order',
             )
             self.sent += 1
-            expected = upstream_module.plain_response(request_id, b'order')
+            expected = outputs.plain_response(request_id, b'order')
             if response.status == 200 and response.body != expected:
                 self.problems.append(f'{request_id}: wrong response body')
 
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -16,6 +16,8 @@
 from standins import relay
 
 from . import clients
+from . import outputs
+from . import recorder as recorder_module
 from . import serving
 from . import store as store_module
 from . import upstream as upstream_module
@@ -83,7 +85,7 @@
 
     def __init__(self, seed: int = 1) -> None:
         self.store = store_module.Store(seed)
-        self.recorder = upstream_module.Recorder()
+        self.recorder = recorder_module.Recorder()
         self.operator = clients.Operator(self.store)
         self.samplers: list[upstream_module.Upstream] = []
         self.plain_services: list[upstream_module.Upstream] = []
@@ -139,7 +141,7 @@
     def add_sampler(
         self,
         checks_fence: bool = True,
-        software: str = upstream_module.FIRST_SOFTWARE,
+        software: str = outputs.FIRST_SOFTWARE,
     ) -> upstream_module.Upstream:
         """Start an upstream that serves the model."""
         sampler = upstream_module.Upstream(
--- a/standins/emulator/request_limits.py
+++ b/standins/emulator/request_limits.py
@@ -3,7 +3,7 @@
 import bisect
 import typing
 
-from . import upstream as upstream_module
+from . import recorder as recorder_module
 
 WINDOW_S = 4.0
 # Tolerated beyond the stated limit within a window.
@@ -21,7 +21,7 @@
 
 
 def find_excess(
-    recorder: upstream_module.Recorder,
+    recorder: recorder_module.Recorder,
     upstream: str,
     limit: float,
     since: float,
--- a/standins/emulator/streams.py
+++ b/standins/emulator/streams.py
@@ -5,7 +5,7 @@
 
 import urllib3
 
-from . import upstream as upstream_module
+from . import outputs
 
 TIMEOUT_S = 10.0
 READ_BYTES = 65536
@@ -39,12 +39,12 @@
     @property
     def is_complete(self) -> bool:
         """Return whether all events have arrived."""
-        return len(self.events) == upstream_module.event_count(self.request_id)
+        return len(self.events) == outputs.event_count(self.request_id)
 
     @property
     def software(self) -> list[str]:
         """Return the software versions that wrote the events, in order."""
-        found = [upstream_module.software_of(e.data) for e in self.events]
+        found = [outputs.software_of(e.data) for e in self.events]
         return list(dict.fromkeys(found))
 
     @property
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -1,15 +1,15 @@
 """Emulate the upstreams: model engines (samplers) and plain services."""
 
-import collections
 import json
 import threading
 import time
 import typing
 import uuid
-import zlib
 
 from baobabpond.edge import server
 
+from . import outputs
+from . import recorder as recorder_module
 from . import serving
 from . import store as store_module
 
@@ -17,9 +17,6 @@
 EVENT_INTERVAL_S = 0.01
 WEIGHT_LOAD_S = 0.3
 REPORT_DELAY_S = 0.05
-FIRST_SOFTWARE = 'v1'
-MAX_EVENTS = 24
-MIN_EVENTS = 4
 LATE_COPY_DELAY_S = 0.03
 DRIP_INTERVAL_S = 0.1
 # A plain request with this body always fails.
@@ -28,119 +25,19 @@
 CRASHING_BODY = b'crashes'
 
 
-class RunRecord(typing.NamedTuple):
-    """One execution of a request at an upstream, as it really happened."""
-
-    request_id: str
-    upstream: str
-    # Last-Event-Id of the request; 0 if the run starts at the first event.
-    after_event: int
-    started_at: float
-    # Weight version of each event.
-    versions: list[int]
-
-
-class OrderRecord(typing.NamedTuple):
-    """A weight order as an upstream received it."""
-
-    received_at: float
-    upstream: str
-    holder: str
-    fencing_token: int
-    # Holder in the intent record of this upstream in the log when the
-    # order arrived; empty if there was none.
-    intent_holder: str
-
-
-class Arrival(typing.NamedTuple):
-    """A request of any kind as it reached an upstream."""
-
-    upstream: str
-    arrived_at: float
-    path: str
-    request_id: str
-
-
-class CrashRecord(typing.NamedTuple):
-    """The end of an upstream under a request."""
-
-    request_id: str
-    upstream: str
-    crashed_at: float
-
-
-class Recorder:
-    """Record the runs and weight orders of all upstreams."""
-
-    def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self.runs: list[RunRecord] = []
-        self.orders: list[OrderRecord] = []
-        self.arrivals: list[Arrival] = []
-        self.crashes: list[CrashRecord] = []
-        # By request id, the signatures of successful responses.
-        self.signatures: dict[str, set[str]] = collections.defaultdict(set)
-        # By request id, when the last event of its stream was first sent.
-        self.completed_at: dict[str, float] = {}
-
-    def record_run(self, run: RunRecord) -> None:
-        """Add a run."""
-        with self._lock:
-            self.runs.append(run)
-
-    def record_arrival(self, arrival: Arrival) -> None:
-        """Add a request that has reached an upstream."""
-        with self._lock:
-            self.arrivals.append(arrival)
-
-    def arrivals_at(self, upstream: str, since: float) -> list[float]:
-        """Return when requests reached an upstream from a moment on."""
-        with self._lock:
-            return sorted(
-                arrival.arrived_at
-                for arrival in self.arrivals
-                if arrival.upstream == upstream and arrival.arrived_at >= since
-            )
-
-    def record_crash(self, crash: CrashRecord) -> None:
-        """Add the crash of an upstream."""
-        with self._lock:
-            self.crashes.append(crash)
-
-    def record_signature(self, request_id: str, signature: str) -> None:
-        """Add the signature of a successful response."""
-        with self._lock:
-            self.signatures[request_id].add(signature)
-
-    def record_completion(self, request_id: str) -> None:
-        """Record that the last event of a stream is sent."""
-        with self._lock:
-            self.completed_at.setdefault(request_id, time.monotonic())
-
-    def record_order(self, order: OrderRecord) -> None:
-        """Add an order that an upstream received."""
-        with self._lock:
-            self.orders.append(order)
-
-    def runs_of(self, request_id: str) -> list[RunRecord]:
-        """Return the runs with a request id, in the order of their start."""
-        with self._lock:
-            return [run for run in self.runs if run.request_id == request_id]
-
-
 class Upstream:
     """Serve requests, load reports and weight orders as one upstream."""
 
     def __init__(
         self,
         store: store_module.Store,
-        recorder: Recorder,
+        recorder: recorder_module.Recorder,
         service: str,
         models: tuple[str, ...] = (),
         slots: int = 8,
         checks_fence: bool = True,
         port: int | None = None,
-        software: str = FIRST_SOFTWARE,
+        software: str = outputs.FIRST_SOFTWARE,
         name: str = '',
         is_registration_delayed: bool = False,
     ) -> None:
@@ -222,7 +119,7 @@
         self.fault = 'reset'
         serving.stop_listening(self.server)
         self._recorder.record_crash(
-            CrashRecord(request_id, self.id, time.monotonic())
+            recorder_module.CrashRecord(request_id, self.id, time.monotonic())
         )
         for exchange in exchanges:
             serving.close_without_response(exchange)
@@ -269,7 +166,7 @@
         body = exchange.read_body()
         path = serving.query(exchange).path
         self._recorder.record_arrival(
-            Arrival(
+            recorder_module.Arrival(
                 self.id,
                 time.monotonic(),
                 path,
@@ -306,7 +203,7 @@
         self, exchange: server.Exchange, order: dict[str, typing.Any]
     ) -> None:
         self._recorder.record_order(
-            OrderRecord(
+            recorder_module.OrderRecord(
                 time.monotonic(),
                 self.id,
                 order['holder'],
@@ -411,7 +308,9 @@
         common_headers: server.Headers,
     ) -> None:
         self._recorder.record_run(
-            RunRecord(request_id, self.id, 0, time.monotonic(), [])
+            recorder_module.RunRecord(
+                request_id, self.id, 0, time.monotonic(), []
+            )
         )
         if body == CRASHING_BODY:
             time.sleep(EVENT_INTERVAL_S)
@@ -431,7 +330,7 @@
             common_headers.remove(('X-Server-Seal', signature))
         else:
             self._recorder.record_signature(request_id, signature)
-        content = plain_response(request_id, body)
+        content = outputs.plain_response(request_id, body)
         exchange.send_response(200, 'OK', common_headers, content)
         if self.fault == 'late_copy':
             time.sleep(LATE_COPY_DELAY_S)
@@ -448,8 +347,10 @@
         after = int(exchange.headers.get('Last-Event-Id', '0'))
         # The same for all tries at a stream.
         stream = exchange.headers.get('X-Stream', request_id)
-        last = event_count(stream)
-        run = RunRecord(request_id, self.id, after, time.monotonic(), [])
+        last = outputs.event_count(stream)
+        run = recorder_module.RunRecord(
+            request_id, self.id, after, time.monotonic(), []
+        )
         self._recorder.record_run(run)
         if self.fault == 'error':
             exchange.send_response(500, 'Failed', common_headers, b'failed')
@@ -474,7 +375,7 @@
             if self.fault in ('silent', 'reset') or self._is_cut(run):
                 serving.close_without_response(exchange)
                 return
-            data = event_data(stream, number, self.software)
+            data = outputs.event_data(stream, number, self.software)
             block = f'id: {number}\ndata: {data}\n\n'
             current_version = self.versions[model]
             if current_version != version:
@@ -485,43 +386,7 @@
                 self._recorder.record_completion(request_id)
             exchange.write(block.encode())
 
-    def _is_cut(self, run: RunRecord) -> bool:
+    def _is_cut(self, run: recorder_module.RunRecord) -> bool:
         return self.cut_after_events is not None and (
             len(run.versions) >= self.cut_after_events
         )
-
-
-def event_count(request_id: str) -> int:
-    """Return how many events the stream of a request id has."""
-    spread = MAX_EVENTS - MIN_EVENTS
-    return MIN_EVENTS + zlib.crc32(request_id.encode()) % spread
-
-
-def event_data(
-    request_id: str, number: int, software: str = FIRST_SOFTWARE
-) -> str:
-    """Return the data field of an event that a software version writes."""
-    return f'{request_id}:{number}:{software}'
-
-
-def full_output(request_id: str, software: str = FIRST_SOFTWARE) -> str:
-    """Return the data of all events of a request, joined by newlines."""
-    numbers = range(1, event_count(request_id) + 1)
-    return '\n'.join(
-        event_data(request_id, number, software) for number in numbers
-    )
-
-
-def software_of(data: str) -> str:
-    """Return the software version that wrote an event."""
-    return data.rsplit(':', 1)[-1]
-
-
-def is_whole_output(request_id: str, output: str) -> bool:
-    """Return whether an output is complete and of one software version."""
-    return output == full_output(request_id, software_of(output))
-
-
-def plain_response(request_id: str, body: bytes) -> bytes:
-    """Return the response body of a plain service."""
-    return f'{request_id}/{len(body)}/{zlib.crc32(body)}'.encode()
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -27,6 +27,7 @@
 from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
 from standins.emulator import deployment
+from standins.emulator import recorder as recorder_module
 from standins.emulator import serving
 from standins.emulator import store as store_module
 from standins.emulator import upstream as upstream_module
@@ -61,7 +62,7 @@
         platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
         self.store = store_module.Store()
         self.addCleanup(self.store.stop)
-        self.recorder = upstream_module.Recorder()
+        self.recorder = recorder_module.Recorder()
         self.upstreams = [self.start_upstream() for _ in range(3)]
         directory = mock.create_autospec(
             directory_module.UpstreamDirectory, instance=True
--- a/test/emulator/test_reported_failures.py
+++ b/test/emulator/test_reported_failures.py
@@ -6,7 +6,7 @@
 import time
 
 from standins.emulator import deployment as deployment_module
-from standins.emulator import upstream as upstream_module
+from standins.emulator import outputs
 from test.emulator import base
 
 # Callers use a list of instances for this long after its withdrawal began.
@@ -27,9 +27,7 @@
             response = self.send_request(
                 deployment_module.LOOKUPS, request_id, b'x' * number
             )
-            expected = upstream_module.plain_response(
-                request_id, b'x' * number
-            )
+            expected = outputs.plain_response(request_id, b'x' * number)
             if response.status == 200:
                 self.assertEqual(expected, response.body)
             else:
@@ -115,7 +113,7 @@
             X_Model=deployment_module.MODEL,
             X_Deadline_Ms='8000',
         )
-        last_event = upstream_module.event_count('slow')
+        last_event = outputs.event_count('slow')
         self.assertIn(f'id: {last_event}\n'.encode(), response.body)
         self.assertEqual(1, len(self.deployment.recorder.runs_of('slow')))
 
@@ -129,7 +127,7 @@
             runs = self.deployment.recorder.runs_of(item)
             generated = sum(len(run.versions) for run in runs)
             # A sampler notices a closed connection at its second write.
-            limit = upstream_module.event_count(item) + 2 * (len(runs) - 1)
+            limit = outputs.event_count(item) + 2 * (len(runs) - 1)
             self.assertLessEqual(generated, limit)
 
     def test_stalled_run_is_moved_although_bytes_arrive(self) -> None:
@@ -154,7 +152,7 @@
                 X_Deadline_Ms='8000',
             )
             self.assertEqual(200, response.status)
-            last_event = upstream_module.event_count(request_id)
+            last_event = outputs.event_count(request_id)
             self.assertIn(f'id: {last_event}\n'.encode(), response.body)
             self.assertLess(time.monotonic() - started, 5.0)
 
--- a/test/emulator/test_requests.py
+++ b/test/emulator/test_requests.py
@@ -6,7 +6,7 @@
 
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
-from standins.emulator import upstream as upstream_module
+from standins.emulator import outputs
 
 from . import base
 
@@ -29,9 +29,7 @@
             response = self.send_request(
                 deployment_module.LOOKUPS + 'a', f'q{number}', body
             )
-            if response.body != upstream_module.plain_response(
-                f'q{number}', body
-            ):
+            if response.body != outputs.plain_response(f'q{number}', body):
                 problems.append(f'{number}: {response}')
 
         threads = [
@@ -204,7 +202,7 @@
             lines = response.body.decode().splitlines()
             data = [line[6:] for line in lines if line.startswith('data: ')]
             self.assertEqual(
-                upstream_module.full_output(f's{number}'), '\n'.join(data)
+                outputs.full_output(f's{number}'), '\n'.join(data)
             )
 
     def test_cut_stream_is_not_terminated_normally(self) -> None:
--- a/test/emulator/test_rewards.py
+++ b/test/emulator/test_rewards.py
@@ -5,7 +5,7 @@
 
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
-from standins.emulator import upstream as upstream_module
+from standins.emulator import outputs
 from test.emulator import base
 
 # The larger of the attempts of the batch's route and the reward call's.
@@ -238,7 +238,7 @@
             response = self.send_request(
                 f'{deployment_module.LOOKUPS}{request_id}', request_id
             )
-            expected = upstream_module.plain_response(request_id, b'x')
+            expected = outputs.plain_response(request_id, b'x')
             failed += response.status != 200 or response.body != expected
         self.assertEqual(0, failed)
         self.assertLess(time.monotonic() - started, 40 * 1.0)
--- a/test/emulator/test_software_versions.py
+++ b/test/emulator/test_software_versions.py
@@ -4,12 +4,12 @@
 import time
 
 from standins.emulator import deployment as deployment_module
+from standins.emulator import outputs
 from standins.emulator import streams
-from standins.emulator import upstream as upstream_module
 
 from . import base
 
-OLD = upstream_module.FIRST_SOFTWARE
+OLD = outputs.FIRST_SOFTWARE
 NEW = 'v2'
 TARGET = f'{deployment_module.STREAMS}a'
 # Time per event, times the usual one: streams last for seconds.
