--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -201,6 +201,51 @@
         unit_test='test.edge.test_forwarder.CrashTest'
         '.test_innocents_of_one_crash_are_answered',
     ),
+    Mutant(
+        7,
+        'one instance issues the permits of limited upstreams',
+        'baobabpond/ratelimits/issuer.py',
+        'self._get_authority = get_authority',
+        'self._get_authority = lambda: Authority(1, True)',
+        unit_test='test.emulator.test_request_limits.LimitedPlainServiceTest'
+        '.test_limit_is_kept_by_all_instances_together',
+    ),
+    Mutant(
+        7,
+        'a permit expires while its process is paused',
+        'baobabpond/ratelimits/permits.py',
+        'return clock.since_boot_s() < permit.expires_at_boot_s',
+        'return True',
+        unit_test='test.ratelimits.test_permits.OwnerTest'
+        '.test_expired_permit_is_void',
+    ),
+    Mutant(
+        4,
+        'streams of a version other than the default are recorded',
+        'baobabpond/streams/origins.py',
+        'if origin.software != default and not self._recorder.record(origin):',
+        'if False:',
+        unit_test='test.emulator.test_software_versions.TakeUpTest'
+        '.test_take_up_after_the_loss_of_all_instances',
+    ),
+    Mutant(
+        4,
+        'an output resumes only at its software version',
+        'baobabpond/pool/fleet.py',
+        'return not task.events or upstream.entry.software == task.software',
+        'return True',
+        unit_test='test.emulator.test_software_versions.ItemTest'
+        '.test_items_are_not_joined_from_two_versions',
+    ),
+    Mutant(
+        4,
+        'a connection for streams is checked against the registration',
+        'baobabpond/upstreams/gateway.py',
+        'if connection.born not in (0, entry.born):',
+        'if False:',
+        unit_test='test.emulator.test_software_versions.RestartedSamplerTest'
+        '.test_stream_of_a_sampler_with_an_old_registration',
+    ),
 )
 
 
