Tell the default version of a service before the shard is loaded

Found by reading: after the loss of all instances take-ups were refused until the batches were loaded, which takes seconds on large deployments, though callers are served before. The defaults are a page of their own on the same partition and are read from there once (test_default_is_known_before_the_shard_is_loaded).

--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -210,6 +210,8 @@
             self._log,
             self._directory,
             self._shard_state,
+            batch_handlers.TOPIC,
+            SHARD,
             lambda: self._members_follower.catch_up(),
             self._metrics,
         )
--- a/baobabpond/streams/components.py
+++ b/baobabpond/streams/components.py
@@ -8,6 +8,7 @@
 from ..members import roster as roster_module
 from ..ports import log as log_port
 
+from . import default_version
 from . import origins as origins_module
 from . import recorder as recorder_module
 
@@ -15,7 +16,8 @@
 class StreamComponents:
     """The origins of streams, as one instance knows them.
 
-    Their records are on the topic of the members, which all instances read.
+    Their records are on the topic of the members, which all instances read;
+    the defaults of services are on the given partition of the shard.
     """
 
     def __init__(
@@ -23,6 +25,8 @@
         log: log_port.Log,
         directory: directory_module.UpstreamDirectory,
         shard_state: state_module.ShardState,
+        topic: str,
+        partition: int,
         catch_up: collections.abc.Callable[[], int],
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -31,7 +35,7 @@
         )
         self.origins = origins_module.StreamOrigins(
             self.recorder,
-            shard_state.default_software,
+            default_version.DefaultReader(log, topic, partition, shard_state),
             catch_up,
             directory,
             metrics,
--- a/baobabpond/streams/default_version.py
+++ b/baobabpond/streams/default_version.py
@@ -25,6 +25,61 @@
 LOG = structlog.get_logger(__name__)
 
 
+class DefaultReader:
+    """Tell the defaults, also before the shard is loaded.
+
+    Loading the batches of a shard may take seconds; its defaults are a page
+    of their own.
+    """
+
+    def __init__(
+        self,
+        log: log_port.Log,
+        topic: str,
+        partition: int,
+        shard_state: state_module.ShardState,
+    ) -> None:
+        self._log = log
+        self._topic = topic
+        self._partition = partition
+        self._shard_state = shard_state
+        self._loaded: dict[str, str] = {}
+
+    def known(self, service: str) -> str | None:
+        """Return the default of a service, None if it is not known yet."""
+        default = self._shard_state.default_software(service)
+        return default or self._loaded.get(service)
+
+    def load(self, service: str) -> str | None:
+        """Return the default of a service, from the log if necessary.
+
+        Raises LogError.
+        """
+        if self.known(service) is None:
+            page = self._log.newest(
+                self._topic, self._partition, records.SOFTWARE
+            )
+            for record in page.records:
+                self._add(record)
+        return self.known(service)
+
+    def _add(self, record: log_port.Record) -> None:
+        if not record.key.startswith(f'{records.SOFTWARE}/'):
+            return
+        try:
+            service, software = records.decode_default_software(
+                record.key, record.value
+            )
+        except ValueError as error:
+            LOG.error(
+                'ignoring malformed default of a service',
+                key=record.key,
+                error=repr(error),
+            )
+            return
+        self._loaded[service] = software
+
+
 class DefaultVersions:
     """Track during a tenure which versions are in service."""
 
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -17,6 +17,7 @@
 from ..catalogue import directory as directory_module
 from ..ports import log as log_port
 
+from . import default_version
 from . import recorder as recorder_module
 from . import records as records_module
 
@@ -25,9 +26,6 @@
 
 LOG = structlog.get_logger(__name__)
 
-# Returns the default version of a service, None while it is unknown.
-DefaultSoftware = collections.abc.Callable[[str], str | None]
-
 
 class FoundOrigin(typing.NamedTuple):
     """The software version of a stream, and how it is known."""
@@ -43,13 +41,13 @@
     def __init__(
         self,
         recorder: recorder_module.OriginRecorder,
-        default_software: DefaultSoftware,
+        defaults: default_version.DefaultReader,
         catch_up: collections.abc.Callable[[], int],
         directory: directory_module.UpstreamDirectory,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._recorder = recorder
-        self._default_software = default_software
+        self._defaults = defaults
         self._catch_up = catch_up
         self._directory = directory
         self._metrics = metrics
@@ -63,7 +61,7 @@
         Returns whether the event may be passed on: any instance must be able
         to tell the origin.
         """
-        default = self._default_software(origin.service)
+        default = self._defaults.known(origin.service)
         if origin.software != default and not self._recorder.record(origin):
             if default is None or self._is_registered(origin.service, default):
                 LOG.warning(
@@ -92,25 +90,27 @@
         begun_by = self._begun.get(stream)
         if begun_by is not None:
             return FoundOrigin(begun_by, 'memory')
+        try:
+            return self._find_on_log(service, stream)
+        except log_port.LogError as error:
+            LOG.info(
+                'origin of a stream unknown: the log is away',
+                stream=stream,
+                error=str(error),
+            )
+            return None
+
+    def _find_on_log(self, service: str, stream: str) -> FoundOrigin | None:
+        """Find the record of a stream, or that it has none."""
         origin = self._recorder.find(stream)
         if origin is None:
-            try:
-                # The record may just have been appended by another instance.
-                self._catch_up()
-            except log_port.LogError as error:
-                LOG.info(
-                    'origin of a stream unknown: the log is away',
-                    stream=stream,
-                    error=str(error),
-                )
-                return None
+            # The record may just have been appended by another instance.
+            self._catch_up()
             origin = self._recorder.find(stream)
         if origin is not None:
             return FoundOrigin(origin.software, 'record')
-        default = self._default_software(service)
-        if default is None:
-            return None
-        return FoundOrigin(default, 'default')
+        default = self._defaults.load(service)
+        return FoundOrigin(default, 'default') if default else None
 
     def _is_registered(self, service: str, software: str) -> bool:
         return any(
--- a/test/streams/test_default_version.py
+++ b/test/streams/test_default_version.py
@@ -6,6 +6,7 @@
 
 import freezegun
 
+from baobabpond.batches import records
 from baobabpond.batches import shard_state as state_module
 from baobabpond.catalogue import current as current_module
 from baobabpond.catalogue import directory as directory_module
@@ -13,11 +14,46 @@
 from baobabpond.streams import default_version
 from baobabpond.streams import recorder
 from test.ratelimits import examples
+from test.store import fakes
 
 SERVICE = 'models'
 STEP_S = 5.0
 
 
+class DefaultReaderTest(unittest.TestCase):
+    """Read defaults before and after the shard is loaded."""
+
+    def setUp(self) -> None:
+        """Create a log with a batch and a default, and an empty shard."""
+        self.log = fakes.FakeLog()
+        self.log.add('batch/b/0')
+        record = records.encode_default_software(SERVICE, 'v1')
+        self.log.add(record.key, record.value)
+        self.state = state_module.ShardState()
+        self.reader = default_version.DefaultReader(
+            self.log, 't', 0, self.state
+        )
+
+    def test_default_is_known_before_the_shard_is_loaded(self) -> None:
+        """One small page is read, once."""
+        self.assertIsNone(self.reader.known(SERVICE))
+        for _ in range(3):
+            self.assertEqual('v1', self.reader.load(SERVICE))
+        self.assertEqual('v1', self.reader.known(SERVICE))
+        self.assertEqual([records.SOFTWARE], self.log.loads)
+
+    def test_loaded_shard_comes_first(self) -> None:
+        """It has later changes."""
+        self.reader.load(SERVICE)
+        newer = records.encode_default_software(SERVICE, 'v2')
+        self.state.apply([newer], False)
+        self.assertEqual('v2', self.reader.known(SERVICE))
+
+    def test_service_without_a_default(self) -> None:
+        """All its streams are recorded."""
+        self.assertIsNone(self.reader.load('other'))
+
+
 class DefaultVersionTest(unittest.TestCase):
     """Replace the upstreams of a service in paused time."""
 
--- a/test/streams/test_origins.py
+++ b/test/streams/test_origins.py
@@ -8,6 +8,7 @@
 from baobabpond.catalogue import directory as directory_module
 from baobabpond import metrics
 from baobabpond.ports import log as log_port
+from baobabpond.streams import default_version
 from baobabpond.streams import origins as origins_module
 from baobabpond.streams import recorder as recorder_module
 from baobabpond.streams import records
@@ -55,9 +56,14 @@
             examples.entry()._replace(service=SERVICE, software=software)
             for software in self.registered
         ]
+        defaults = mock.create_autospec(
+            default_version.DefaultReader, instance=True
+        )
+        defaults.known.side_effect = lambda service: self.default
+        defaults.load.side_effect = lambda service: self.default
         self.origins = origins_module.StreamOrigins(
             self.recorder,
-            lambda service: self.default,
+            defaults,
             self.read,
             directory,
             metrics.Metrics(),
