--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -52,7 +52,7 @@
     deadline: float
     # Whether another upstream is left to retry on after this attempt.
     has_alternatives: bool = False
-    # Id of the request whose stream the caller takes up; empty for a new one.
+    # Id of the request whose stream the caller resumes; empty for a new one.
     resumed_stream: str = ''
 
     @property
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -135,7 +135,7 @@
         last = None
         crashes = 0
         stream = streams.StreamRelay(context, self._dependencies)
-        origin_refusal = self._take_up(context, stream, reasons)
+        origin_refusal = self._resume_stream(context, stream, reasons)
         if origin_refusal is not None:
             return origin_refusal
         attempts = context.route.max_attempts
@@ -200,13 +200,13 @@
             )
         )
 
-    def _take_up(
+    def _resume_stream(
         self,
         context: attempts_module.RequestContext,
         stream: streams.StreamRelay,
         reasons: list[str],
     ) -> verdicts.Refusal | None:
-        """Find the software version of a stream that the caller takes up.
+        """Find the software version of a stream that the caller resumes.
 
         Returns the refusal if it can't be told, or is no longer in service.
         """
--- a/baobabpond/edge/refusals.py
+++ b/baobabpond/edge/refusals.py
@@ -38,7 +38,7 @@
 
 
 def stream_origin_unknown() -> verdicts.Refusal:
-    """Return the refusal of a take-up whose software version is unknown."""
+    """Return the refusal of a resumption whose software version is unknown."""
     return verdicts.unavailable(
         'stream_origin_unknown',
         'the version that began the stream cannot be told now',
@@ -47,7 +47,7 @@
 
 
 def stream_version_gone() -> verdicts.Refusal:
-    """Return the refusal of a take-up whose software version has left."""
+    """Return the refusal of a resumption whose software version has left."""
     return verdicts.unavailable(
         'stream_version_gone',
         'no upstream has the version that began the stream',
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -169,7 +169,7 @@
         if remaining_s <= 0:
             self._listener.fail(task, 'deadline exceeded')
             return
-        self._begin_anew_if_needed(task, route, now)
+        self._restart_if_needed(task, route, now)
         candidates = self._candidates(task)
         chosen = placement.choose(candidates)
         if chosen is not None:
@@ -191,7 +191,7 @@
         if now - since > ROUTE_MISSING_TIMEOUT_S:
             self._listener.fail(task, 'route removed')
 
-    def _begin_anew_if_needed(
+    def _restart_if_needed(
         self, task: state.Task, route: catalogue.Route, now: float
     ) -> None:
         """Drop the events of an output whose software version is short."""
@@ -206,7 +206,7 @@
 
         if has_room(any_software=False):
             return
-        reason = version_policy.reason_to_begin_anew(
+        reason = version_policy.restart_reason(
             version_policy.WaitingOutput(
                 now - task.idle_since,
                 self._fleet.has_software(service, task.software),
@@ -215,9 +215,11 @@
         )
         if not reason:
             return
-        self._metrics.count(f'pool.begun_anew.{reason.replace(" ", "_")}')
+        self._metrics.count(
+            f'pool.outputs_restarted.{reason.replace(" ", "_")}'
+        )
         LOG.info(
-            'output begins anew',
+            'output is restarted',
             request=task.id,
             batch=task.batch.head.id,
             reason=reason,
--- a/baobabpond/pool/version_policy.py
+++ b/baobabpond/pool/version_policy.py
@@ -1,4 +1,4 @@
-"""Decide when an output begins anew since its software version is short.
+"""Decide when an output is restarted since its software version is short.
 
 An output may only go on at the software version that began it. While upstreams
 are replaced, ever fewer have that version.
@@ -24,8 +24,8 @@
     has_other_room: bool
 
 
-def reason_to_begin_anew(waiting: WaitingOutput) -> str:
-    """Return why the output begins anew, '' if it waits."""
+def restart_reason(waiting: WaitingOutput) -> str:
+    """Return why the output is restarted, '' if it waits."""
     if not waiting.is_version_in_service:
         return VERSION_GONE
     if waiting.has_other_room and waiting.waited_s > MAX_WAIT_S:
--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -31,7 +31,7 @@
     # Longest wait for further results.
     wait_s: float = 0.0
     # ID of the request that brought the first event of the stream that is
-    # taken up; empty if none is.
+    # resumed; empty if none is.
     resumed_stream: str = ''
 
 
--- a/baobabpond/streams/default_version.py
+++ b/baobabpond/streams/default_version.py
@@ -157,6 +157,6 @@
         }
 
     def _is_gone(self, service: str, software: str) -> bool:
-        """Return whether no stream of a version can be taken up any more."""
+        """Return whether no stream of a version can be resumed any more."""
         last_seen = self._last_seen.get((service, software), self._started_at)
-        return time.monotonic() - last_seen > recorder_module.MAX_TAKE_UP_S
+        return time.monotonic() - last_seen > recorder_module.RESUME_WINDOW_S
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -1,4 +1,4 @@
-"""Tell which software version began a stream that a client takes up.
+"""Tell which software version began a stream that a client resumes.
 
 Each service has a default version on the log. Only streams that another
 version begins are recorded, before their first event is passed on; a stream
@@ -82,7 +82,7 @@
         """Return the origin of a stream, None if it can't be told now."""
         found = self._find(service, stream)
         self._metrics.count(
-            f'streams.taken_up.{found.source if found else "unknown"}'
+            f'streams.resumed.{found.source if found else "unknown"}'
         )
         return found
 
--- a/baobabpond/streams/recorder.py
+++ b/baobabpond/streams/recorder.py
@@ -13,8 +13,8 @@
 
 from . import records as records_module
 
-# A client takes up no stream that broke off longer ago.
-MAX_TAKE_UP_S = 60.0
+# A client resumes no stream that broke off longer ago.
+RESUME_WINDOW_S = 60.0
 # The first event of a stream waits for its record.
 RECORD_TIMEOUT_S = 0.5
 APPEND_TIMEOUT_S = 0.4
@@ -61,7 +61,7 @@
         self._pending: collections.deque[PendingRecord] = collections.deque()
         # Oldest first.
         self._origins: dict[str, ReadOrigin] = {}
-        self._lifetime_s = MAX_TAKE_UP_S * random.uniform(
+        self._lifetime_s = RESUME_WINDOW_S * random.uniform(
             1.0, MAX_EXPIRY_FACTOR
         )
 
--- a/test/edge/test_take_up.py
+++ b/test/edge/test_stream_resumption.py
@@ -1,4 +1,4 @@
-"""Test requests that take a broken stream up."""
+"""Test requests that resume a broken stream."""
 
 import hashlib
 import json
@@ -26,7 +26,7 @@
 IDS = 20
 
 
-class TakeUpTest(unittest.TestCase):
+class StreamResumptionTest(unittest.TestCase):
     """Forward to a route that two services share."""
 
     def setUp(self) -> None:
@@ -67,8 +67,8 @@
         )
         self.route = catalogue.Route(**fields)
 
-    def take_up(self, stream: str) -> tuple[int, str]:
-        """Take a stream up; return the status and the code of the refusal."""
+    def resume(self, stream: str) -> tuple[int, str]:
+        """Resume a stream; return the status and the code of the refusal."""
         exchange = mock.create_autospec(server.Exchange, instance=True)
         exchange.method = 'POST'
         exchange.target = '/drafts/a'
@@ -95,7 +95,7 @@
     def test_refused_if_its_version_is_unknown(self) -> None:
         """Nothing is sent."""
         self.origins.find.return_value = None
-        self.assertEqual((503, 'stream_origin_unknown'), self.take_up('s'))
+        self.assertEqual((503, 'stream_origin_unknown'), self.resume('s'))
         self.gateway.exchange.assert_not_called()
 
     def test_refused_if_its_version_has_left(self) -> None:
@@ -103,7 +103,7 @@
         self.origins.find.return_value = origins_module.FoundOrigin(
             'v1', 'default'
         )
-        self.assertEqual((503, 'stream_version_gone'), self.take_up('s'))
+        self.assertEqual((503, 'stream_version_gone'), self.resume('s'))
         self.gateway.exchange.assert_not_called()
 
     def test_it_stays_with_the_service_that_began_it(self) -> None:
@@ -111,7 +111,7 @@
         self.origins.find.return_value = None
         streams = [f's{number}' for number in range(IDS)]
         for stream in streams:
-            self.take_up(stream)
+            self.resume(stream)
         expected = [
             mock.call(current_module.pick_service(self.route, stream), stream)
             for stream in streams
--- a/test/emulator/test_software_versions.py
+++ b/test/emulator/test_software_versions.py
@@ -17,8 +17,8 @@
 STREAMS = 16
 # Instances learn of upstreams within this time.
 DISCOVERY_S = 1.0
-TAKE_UP_S = 8.0
-# Of the streams that are taken up, at least this share must go on.
+RESUME_S = 8.0
+# Of the streams that are resumed, at least this share must go on.
 MIN_RESUMED_SHARE = 0.5
 
 
@@ -69,7 +69,7 @@
         executor: concurrent.futures.Executor,
         clients: list[streams.StreamClient],
     ) -> list[streams.StreamClient]:
-        """Take the broken streams up; return those that had events."""
+        """Resume the broken streams; return those that had events."""
         deployment_module.wait_for(lambda: all(c.statuses for c in clients))
         begun = [
             client
@@ -78,7 +78,7 @@
         ]
         addresses = self.deployment.addresses()
         tasks = [
-            executor.submit(client.finish, addresses, TARGET, TAKE_UP_S)
+            executor.submit(client.finish, addresses, TARGET, RESUME_S)
             for client in begun
         ]
         concurrent.futures.wait(tasks)
@@ -94,7 +94,7 @@
     def assert_most_complete(
         self, clients: list[streams.StreamClient]
     ) -> None:
-        """Most of the streams that were taken up went on to their end."""
+        """Most of the streams that were resumed went on to their end."""
         self.assertGreater(len(clients), 0)
         complete = sum(client.is_complete for client in clients)
         self.assertGreaterEqual(complete / len(clients), MIN_RESUMED_SHARE)
@@ -141,10 +141,12 @@
         self.assert_not_joined(clients)
 
 
-class TakeUpTest(SoftwareVersionTestCase):
-    """Let clients take broken streams up at any instance."""
+class StreamResumptionTest(SoftwareVersionTestCase):
+    """Let clients resume broken streams at any instance."""
 
-    def test_take_up_at_another_instance_goes_on_at_its_version(self) -> None:
+    def test_resumption_at_another_instance_goes_on_at_its_version(
+        self,
+    ) -> None:
         """Also if that instance has never seen the stream."""
         self.add_new_samplers()
         with concurrent.futures.ThreadPoolExecutor(STREAMS) as executor:
@@ -155,7 +157,7 @@
         self.assert_not_joined(clients)
         self.assert_most_complete(begun)
 
-    def test_take_up_after_the_loss_of_all_instances(self) -> None:
+    def test_resumption_after_the_loss_of_all_instances(self) -> None:
         """What they knew of streams is lost with them."""
         self.add_new_samplers()
         with concurrent.futures.ThreadPoolExecutor(STREAMS) as executor:
@@ -165,7 +167,7 @@
         self.assert_not_joined(clients)
         self.assert_most_complete(begun)
 
-    def test_take_up_is_refused_once_the_old_version_is_gone(self) -> None:
+    def test_resumption_is_refused_once_the_old_version_is_gone(self) -> None:
         """All instances are lost while it leaves; only the new one is seen."""
         self.slow_down(SLOW_FACTOR)
         with concurrent.futures.ThreadPoolExecutor(STREAMS) as executor:
@@ -181,7 +183,7 @@
         for client in begun:
             self.assertEqual({503}, set(client.statuses[1:]))
 
-    def test_take_up_of_a_take_up(self) -> None:
+    def test_stream_that_is_resumed_twice(self) -> None:
         """The first try is named again."""
         self.add_new_samplers()
         with concurrent.futures.ThreadPoolExecutor(STREAMS) as executor:
--- a/test/pool/test_decisions.py
+++ b/test/pool/test_decisions.py
@@ -134,16 +134,16 @@
     """Decide on outputs whose software version is short."""
 
     def reason(self, **changes: object) -> str:
-        """Return why an output that has just stopped begins anew."""
+        """Return why an output that has just stopped is restarted."""
         usual = version_policy.WaitingOutput(0.0, True, True)
-        return version_policy.reason_to_begin_anew(usual._replace(**changes))
+        return version_policy.restart_reason(usual._replace(**changes))
 
-    def test_output_whose_version_is_gone_begins_anew_at_once(self) -> None:
+    def test_output_whose_version_is_gone_is_restarted_at_once(self) -> None:
         """A complete output is owed."""
         self.assertTrue(self.reason(is_version_in_service=False))
 
     def test_output_waits_a_moment_for_its_version(self) -> None:
-        """Then it begins anew if another version has room."""
+        """Then it is restarted if another version has room."""
         self.assertEqual('', self.reason())
         self.assertTrue(self.reason(waited_s=1.0))
         self.assertEqual('', self.reason(waited_s=1.0, has_other_room=False))
--- a/test/streams/test_default_version.py
+++ b/test/streams/test_default_version.py
@@ -101,20 +101,20 @@
         self.assertEqual([], self.versions.due_records())
 
     def test_default_changes_long_after_its_version_has_gone(self) -> None:
-        """Until then its streams may be taken up."""
+        """Until then its streams may be resumed."""
         self.run_for(STEP_S)
         self.registered = ['v2', 'v2']
-        self.assertEqual('v1', self.run_for(recorder.MAX_TAKE_UP_S))
+        self.assertEqual('v1', self.run_for(recorder.RESUME_WINDOW_S))
         self.assertEqual('v2', self.run_for(2 * STEP_S))
 
     def test_version_that_comes_back_stays_the_default(self) -> None:
-        """The time begins anew, also with each tenure."""
+        """The time begins again, also with each tenure."""
         self.run_for(STEP_S)
         for _ in range(3):
             self.registered = ['v2']
-            self.run_for(recorder.MAX_TAKE_UP_S - STEP_S)
+            self.run_for(recorder.RESUME_WINDOW_S - STEP_S)
             self.versions.reset()
-            self.run_for(recorder.MAX_TAKE_UP_S - STEP_S)
+            self.run_for(recorder.RESUME_WINDOW_S - STEP_S)
             self.registered = ['v1', 'v2']
             self.assertEqual('v1', self.run_for(STEP_S))
 
--- a/test/streams/test_origins.py
+++ b/test/streams/test_origins.py
@@ -89,7 +89,7 @@
 
 
 class OriginsTest(unittest.TestCase):
-    """Begin streams at one instance, take them up at another."""
+    """Begin streams at one instance, resume them at another."""
 
     def setUp(self) -> None:
         """Create two instances of a service whose default is the old one."""
@@ -143,11 +143,11 @@
             frozen.tick(100.0)
             self.first.begin(NEW)
             self.first.read()
-            frozen.tick(recorder_module.MAX_TAKE_UP_S - 1.0)
+            frozen.tick(recorder_module.RESUME_WINDOW_S - 1.0)
             self.first.recorder.append_pending()
             self.assertEqual(1, len(self.log.records))
             frozen.tick(
-                recorder_module.MAX_TAKE_UP_S
+                recorder_module.RESUME_WINDOW_S
                 * recorder_module.MAX_EXPIRY_FACTOR
             )
             self.first.recorder.append_pending()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -225,8 +225,8 @@
         'baobabpond/streams/origins.py',
         'if origin.software != default and not self._recorder.record(origin):',
         'if False:',
-        unit_test='test.emulator.test_software_versions.TakeUpTest'
-        '.test_take_up_after_the_loss_of_all_instances',
+        unit_test='test.emulator.test_software_versions.StreamResumptionTest'
+        '.test_resumption_after_the_loss_of_all_instances',
     ),
     Mutant(
         4,
