--- a/baobabpond/streams/recorder.py
+++ b/baobabpond/streams/recorder.py
@@ -92,23 +92,15 @@
         """Apply records of streams in offset order."""
         now = time.monotonic()
         with self._changed:
-            if is_snapshot:
-                self._origins.clear()
+            # Others search the former origins while a snapshot is applied.
+            origins = {} if is_snapshot else self._origins
             for record in new_records:
                 stream = records_module.stream_of(record)
-                self._origins.pop(stream, None)
-                if not record.value:
-                    continue
-                try:
-                    origin = records_module.decode(record)
-                except (ValueError, TypeError, KeyError) as error:
-                    LOG.error(
-                        'ignoring malformed record of a stream',
-                        key=record.key,
-                        error=repr(error),
-                    )
-                    continue
-                self._origins[stream] = ReadOrigin(origin, now)
+                origins.pop(stream, None)
+                origin = _decode(record)
+                if origin is not None:
+                    origins[stream] = ReadOrigin(origin, now)
+            self._origins = origins
 
     def append_pending(self) -> None:
         """Append what waits, and tombstones of old streams, in one call."""
@@ -160,3 +152,18 @@
             except Exception:
                 # The thread must outlive a failure of one append.
                 LOG.exception('recording streams failed')
+
+
+def _decode(record: log_port.Record) -> records_module.StreamOrigin | None:
+    """Return the origin of a record, None for a tombstone or a bad one."""
+    if not record.value:
+        return None
+    try:
+        return records_module.decode(record)
+    except (ValueError, TypeError, KeyError) as error:
+        LOG.error(
+            'ignoring malformed record of a stream',
+            key=record.key,
+            error=repr(error),
+        )
+        return None
--- a/test/streams/test_origins.py
+++ b/test/streams/test_origins.py
@@ -155,6 +155,25 @@
             self.first.recorder.apply(self.log.records[-1:], False)
             self.assertIsNone(self.first.recorder.find('s2'))
 
+    def test_origin_is_found_while_a_snapshot_is_applied(self) -> None:
+        """It would be taken for the default version."""
+        self.first.begin(NEW)
+        self.first.read()
+        found = []
+
+        def decode(record: log_port.Record) -> records.StreamOrigin:
+            found.append(self.first.recorder.find('s2'))
+            return NEW
+
+        with mock.patch.object(
+            recorder_module.records_module,
+            'decode',
+            autospec=True,
+            side_effect=decode,
+        ):
+            self.first.read()
+        self.assertEqual([NEW], found)
+
     def test_malformed_record_is_ignored(self) -> None:
         """The others are applied."""
         self.log.records = [
