Report the waits for requests and for software versions

The report on the time of batches ended with an error on logs with the two new reasons of a wait; found by reading (test_every_wait_of_the_scheduler_has_a_phase, red before).

--- a/baobabpond/reports/steps.py
+++ b/baobabpond/reports/steps.py
@@ -18,6 +18,10 @@
     UPSTREAMS = 'upstreams'
     # Waiting for an upstream with a permitted weight version.
     WEIGHTS = 'weights'
+    # Waiting for an upstream with the software version that began the output.
+    SOFTWARE = 'software version'
+    # Waiting for a request that the limits of upstreams allow.
+    REQUEST_LIMITS = 'request limits'
     # Waiting for the suspension of an upstream after a failure to end.
     SUSPENSION = 'suspension'
     # Waiting for a free slot of an upstream.
--- a/test/reports/test_steps.py
+++ b/test/reports/test_steps.py
@@ -7,6 +7,7 @@
 import unittest
 
 from baobabpond import errors
+from baobabpond.pool import fleet
 from baobabpond.reports import log_lines
 from baobabpond.reports import plots
 from baobabpond.reports import steps
@@ -128,6 +129,19 @@
         # The other item was never read.
         self.assertEqual(1, batch.late_count)
 
+    def test_every_wait_of_the_scheduler_has_a_phase(self) -> None:
+        """Also those for requests and for software versions."""
+        for reason in (fleet.WEIGHTS, fleet.SOFTWARE, fleet.REQUEST_LIMITS):
+            with self.subTest(reason=reason):
+                (timeline,) = parse_timelines(
+                    submitted(),
+                    log_line(1.5, 'batch taken up', batch='b'),
+                    run_starts(2.0, 'i', reason),
+                    run_ends(3.0, 'i'),
+                )
+                seconds = timeline.seconds_by_phase()
+                self.assertEqual(0.5, seconds[Phase(reason)])
+
     def test_reward_call_is_a_phase_of_its_own(self) -> None:
         """Results are persisted in the order of their scores."""
         (batch,) = parse_timelines(
