Resume streams of upstreams that state no software version

What callers would get: every resumption refused with stream_origin_unknown, for ever, and an append for each stream, where upstreams register no version. Found by reading the change once more. Cause: the empty version, which is the default there, was taken for an unknown one. Both tests were red before.

--- a/baobabpond/streams/default_version.py
+++ b/baobabpond/streams/default_version.py
@@ -48,7 +48,7 @@
     def known(self, service: str) -> str | None:
         """Return the default of a service, None if it is not known yet."""
         default = self._shard_state.default_software(service)
-        return default or self._loaded.get(service)
+        return self._loaded.get(service) if default is None else default
 
     def load(self, service: str) -> str | None:
         """Return the default of a service, from the log if necessary.
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -110,7 +110,7 @@
         if origin is not None:
             return FoundOrigin(origin.software, 'record')
         default = self._defaults.load(service)
-        return FoundOrigin(default, 'default') if default else None
+        return None if default is None else FoundOrigin(default, 'default')
 
     def _is_registered(self, service: str, software: str) -> bool:
         return any(
--- a/test/streams/test_default_version.py
+++ b/test/streams/test_default_version.py
@@ -49,6 +49,11 @@
         self.state.apply([newer], False)
         self.assertEqual('v2', self.reader.known(SERVICE))
 
+    def test_upstreams_that_state_no_version_have_a_default(self) -> None:
+        """Their streams can be resumed at each other."""
+        self.state.apply([records.encode_default_software('s', '')], False)
+        self.assertEqual('', self.reader.known('s'))
+
     def test_service_without_a_default(self) -> None:
         """All its streams are recorded."""
         self.assertIsNone(self.reader.load('other'))
--- a/test/streams/test_origins.py
+++ b/test/streams/test_origins.py
@@ -103,6 +103,13 @@
         self.assertEqual([], self.log.records)
         self.assertEqual('v1', self.second.find('s1'))
 
+    def test_stream_without_a_version_is_resumed_at_another(self) -> None:
+        """The empty version is the default where none is stated."""
+        self.first.default = self.second.default = ''
+        self.assertTrue(self.first.begin(OLD._replace(software='')))
+        self.assertEqual([], self.log.records)
+        self.assertEqual('', self.second.find('s1'))
+
     def test_other_version_is_recorded_before_the_first_event(self) -> None:
         """All instances may be lost at once."""
         self.assertTrue(self.first.begin(NEW))
