Choose the upstream of a waiting item once

An item with events had its candidates listed twice, and its route looked up again, in each pass of the scheduler although its own version had room: once for the decision to restart its output, once to place it. The decision now follows a choice that found nothing; only then are the other versions looked at. The queue tells idle from waiting items in one go. No decision changes.

Checks: test_batches, test_weights, ItemTest, LimitedSamplersTest (real programs), test_gains, test_decisions and test_partial_outputs pass.

--- a/baobabpond/pool/queue.py
+++ b/baobabpond/pool/queue.py
@@ -25,21 +25,17 @@
     The callback returns whether all upstreams of an item state limits.
     """
     unfinished = [task for task in tasks if task.result is None]
-    waiting = [
-        task
-        for task in unfinished
-        if task.needs_events and task.run is None and task.not_before <= now
+    idle = [
+        task for task in unfinished if task.needs_events and task.run is None
     ]
+    waiting = [task for task in idle if task.not_before <= now]
     if not waiting:
         return []
     unfinished_by_group = collections.Counter(
         (task.batch.head.id, task.item.group) for task in unfinished
     )
-
     waiting_by_group = collections.Counter(
-        (task.batch.head.id, task.item.group)
-        for task in unfinished
-        if task.needs_events and task.run is None
+        (task.batch.head.id, task.item.group) for task in idle
     )
 
     def key(task: state.Task) -> tuple[float, float, float]:
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -169,17 +169,19 @@
         if remaining_s <= 0:
             self._listener.fail(task, 'deadline exceeded')
             return
-        self._restart_if_needed(task, route, now)
-        candidates = self._candidates(task)
-        chosen = placement.choose(candidates)
+        service = self._pick_service(task, route)
+        tokens = self._kv_capacity_tokens(service)
+        chosen = placement.choose(
+            self._fleet.candidates(service, task, tokens)
+        )
+        if chosen is None and task.events:
+            chosen = self._choose_after_restart(task, service, tokens, now)
         if chosen is not None:
             upstream = self._fleet.find(chosen)
             if upstream is not None:
                 self._start_with_permit(task, upstream, remaining_s)
             return
-        task.wait_reason = self._fleet.wait_reason(
-            self._pick_service(task, route), task
-        )
+        task.wait_reason = self._fleet.wait_reason(service, task)
         if task.required_version and task.wait_reason == fleet_module.WEIGHTS:
             # No upstream serves the required version any more.
             self._partial_outputs.restart(task)
@@ -191,30 +193,25 @@
         if now - since > ROUTE_MISSING_TIMEOUT_S:
             self._listener.fail(task, 'route removed')
 
-    def _restart_if_needed(
-        self, task: state.Task, route: catalogue.Route, now: float
-    ) -> None:
-        """Drop the events of an output whose software version is short."""
-        if not task.events:
-            return
-        service = self._pick_service(task, route)
-        tokens = self._kv_capacity_tokens(service)
-
-        def has_room(any_software: bool) -> bool:
-            found = self._fleet.candidates(service, task, tokens, any_software)
-            return any(candidate.has_free_slot for candidate in found)
+    def _choose_after_restart(
+        self, task: state.Task, service: str, tokens: int, now: float
+    ) -> str | None:
+        """Drop the events if their software version is short, then choose.
 
-        if has_room(any_software=False):
-            return
+        Returns None if the output should rather wait, or if none is free.
+        """
+        other = placement.choose(
+            self._fleet.candidates(service, task, tokens, any_software=True)
+        )
         reason = version_policy.restart_reason(
             version_policy.WaitingOutput(
                 now - task.idle_since,
                 self._fleet.has_software(service, task.software),
-                has_room(any_software=True),
+                other is not None,
             )
         )
         if not reason:
-            return
+            return None
         self._metrics.count(
             f'pool.outputs_restarted.{reason.replace(" ", "_")}'
         )
@@ -228,6 +225,7 @@
             waited_s=round(now - task.idle_since, 3),
         )
         self._partial_outputs.restart(task)
+        return placement.choose(self._fleet.candidates(service, task, tokens))
 
     def _start_with_permit(
         self, task: state.Task, upstream: state.Upstream, remaining_s: float
