--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -13,9 +13,11 @@
 
 import urllib3
 
+from baobabpond.edge import server as server_module
 from standins import relay
 
 from . import clients
+from . import links as links_module
 from . import outputs
 from . import recorder as recorder_module
 from . import serving
@@ -48,6 +50,8 @@
         self.process = process
         self.address = address
         self.store_relay: relay.Relay | None = None
+        # None unless the deployment has links that can be cut.
+        self.links: links_module.Links | None = None
         self.log_path = pathlib.Path()
         self.ready_address = ''
         self.entries_address = ''
@@ -91,6 +95,8 @@
         self.plain_services: list[upstream_module.Upstream] = []
         self.instances: list[Instance] = []
         self._checks_fence = True
+        self._has_links = False
+        self._views: list[server_module.Server] = []
         self._restart_lock = threading.Lock()
         self._is_stopped = False
         self._folder = tempfile.TemporaryDirectory(prefix='baobabpond-')
@@ -109,9 +115,15 @@
                 instance.kill()
             if instance.store_relay is not None:
                 instance.store_relay.close()
+            if instance.links is not None:
+                instance.links.close()
         stop_threads = [
-            threading.Thread(target=upstream.stop)
-            for upstream in (*self.samplers, *self.plain_services)
+            threading.Thread(target=stoppable.stop)
+            for stoppable in (
+                *self.samplers,
+                *self.plain_services,
+                *self._views,
+            )
         ]
         for thread in stop_threads:
             thread.start()
@@ -126,9 +138,14 @@
         samplers: int = 3,
         checks_fence: bool = True,
         plain_services: int = 2,
+        has_links: bool = False,
     ) -> None:
-        """Start upstreams and instances; wait until all are ready."""
+        """Start upstreams and instances; wait until all are ready.
+
+        With links, instances can be cut off from the upstreams.
+        """
         self._checks_fence = checks_fence
+        self._has_links = has_links
         for _ in range(samplers):
             self.add_sampler(checks_fence)
         for _ in range(plain_services):
@@ -217,10 +234,8 @@
 
     def start_instance(self, name: str) -> Instance:
         """Start an instance whose connection to the store can be cut."""
-        host, port = self.store.address.rsplit(':', 1)
-        store_relay = relay.Relay(
-            serving.ADDRESS, serving.free_port(), (host, int(port))
-        )
+        links = links_module.Links() if self._has_links else None
+        store_relay = self._relay_to_store(links)
         listen_addresses = [
             f'{serving.ADDRESS}:{serving.free_port()}' for _ in 'abc'
         ]
@@ -264,10 +279,19 @@
         instance.entries_address = listen_addresses[2]
         instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
         instance.store_relay = store_relay
+        instance.links = links
         instance.log_path = log_path
         self.instances.append(instance)
         return instance
 
+    def _relay_to_store(self, links: links_module.Links | None) -> relay.Relay:
+        store = self.store.server
+        if links is not None:
+            store = self.store.serve_view(links.rewrite)
+            self._views.append(store)
+        host, port = store.bind_addr
+        return relay.Relay(serving.ADDRESS, serving.free_port(), (host, port))
+
     def wait_ready(self) -> None:
         """Wait until all live instances are ready, or raise TimeoutError."""
         for instance in self.live_instances():
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import collections
+import functools
 import random
 import struct
 import threading
@@ -21,7 +22,11 @@
 # Each long-polling read occupies a thread.
 THREADS = 96
 # Instances only read these; their appends get 403.
-OPERATOR_TOPICS = ('keyed.op', 'keyed.servers')
+UPSTREAMS_TOPIC = 'keyed.servers'
+OPERATOR_TOPICS = ('keyed.op', UPSTREAMS_TOPIC)
+
+# Rewrites the registration of an upstream for one instance.
+Rewrite = typing.Callable[[bytes], bytes]
 
 
 class Faults:
@@ -96,13 +101,17 @@
             collections.defaultdict(Partition)
         )
         self._rng = random.Random(seed)
-        self.server = serving.serve(self._handle, THREADS)
+        self.server = self.serve_view(lambda value: value)
 
     @property
     def address(self) -> str:
         """Return the host and port on which the store listens."""
         return serving.address_of(self.server)
 
+    def serve_view(self, rewrite: Rewrite) -> server.Server:
+        """Serve the store with registrations of upstreams rewritten."""
+        return serving.serve(functools.partial(self._handle, rewrite), THREADS)
+
     def produce(self, topic: str, key: str, value: bytes) -> None:
         """Append a record to partition 0, as operator and upstreams do."""
         encoded_key = key.encode()
@@ -129,7 +138,7 @@
         """Stop the server."""
         self.server.stop()
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, rewrite: Rewrite, exchange: server.Exchange) -> None:
         query = serving.query(exchange)
         body = exchange.read_body()
         name = query.path.rpartition('/')[2]
@@ -146,9 +155,9 @@
         elif name == 'log-append':
             self._append(exchange, query.parameters, body)
         elif name == 'log-read':
-            self._read(exchange, query.parameters)
+            self._read(exchange, query.parameters, rewrite)
         elif name == 'log-newest':
-            self._newest(exchange, query.parameters)
+            self._newest(exchange, query.parameters, rewrite)
         else:
             serving.reply(exchange, 404)
 
@@ -240,7 +249,12 @@
         while len(producer.recent_responses) > MAX_REMEMBERED_APPENDS:
             producer.recent_responses.popitem(last=False)
 
-    def _read(self, exchange: server.Exchange, query: dict[str, str]) -> None:
+    def _read(
+        self,
+        exchange: server.Exchange,
+        query: dict[str, str],
+        rewrite: Rewrite,
+    ) -> None:
         key = query['topic'], int(query['part'])
         offset = int(query['from'])
         wait_s = int(query.get('wait-ms', 0)) / 1000
@@ -262,12 +276,19 @@
         if self._outage_of(query['topic']) is not None:
             serving.close_without_response(exchange)
             return
+        if query['topic'] == UPSTREAMS_TOPIC:
+            records = [_rewrite_record(record, rewrite) for record in records]
         data = b''.join(LENGTH_PREFIX.pack(len(r)) + r for r in records)
         exchange.send_response(200, 'OK', [], head + data)
 
     def _newest(
-        self, exchange: server.Exchange, query: dict[str, str]
+        self,
+        exchange: server.Exchange,
+        query: dict[str, str],
+        rewrite: Rewrite,
     ) -> None:
+        if query['topic'] != UPSTREAMS_TOPIC:
+            rewrite = bytes
         after = query.get('after', '')
         with self._changed:
             partition = self._partitions[query['topic'], int(query['part'])]
@@ -276,9 +297,9 @@
             items = [
                 {
                     'key': key,
-                    'value': base64.b64encode(partition.newest[key][1]).decode(
-                        'ascii'
-                    ),
+                    'value': base64.b64encode(
+                        rewrite(partition.newest[key][1])
+                    ).decode('ascii'),
                     'offset': partition.newest[key][0],
                 }
                 for key in page
@@ -291,6 +312,12 @@
         )
 
 
+def _rewrite_record(record: bytes, rewrite: Rewrite) -> bytes:
+    key_end = 1 + record[0]
+    value = record[key_end:]
+    return record[:key_end] + (rewrite(value) if value else b'')
+
+
 def _split_records(body: bytes) -> list[bytes]:
     records = []
     position = 0
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -30,7 +30,7 @@
             self._is_cut = True
             connections = list(self._connections)
         for connection in connections:
-            _close(connection)
+            close(connection)
 
     def hold(self) -> None:
         """Keep connections open and accept new ones, but forward nothing."""
@@ -46,7 +46,7 @@
         """Close all connections and the listener."""
         self.cut()
         self._flows.set()
-        _close(self._listener)
+        close(self._listener)
 
     def _accept(self) -> None:
         while True:
@@ -59,7 +59,7 @@
                     raise ConnectionRefusedError
                 server = socket.create_connection(self._target)
             except OSError:
-                _close(client)
+                close(client)
                 continue
             with self._lock:
                 self._connections |= {client, server}
@@ -76,11 +76,12 @@
                 sink.sendall(chunk)
         with self._lock:
             self._connections -= {source, sink}
-        _close(source)
-        _close(sink)
+        close(source)
+        close(sink)
 
 
-def _close(connection: socket.socket) -> None:
+def close(connection: socket.socket) -> None:
+    """Close a connection in order, also while a thread reads from it."""
     with contextlib.suppress(OSError):
         connection.shutdown(socket.SHUT_RDWR)
     connection.close()
--- a/test/emulator/base.py
+++ b/test/emulator/base.py
@@ -16,6 +16,8 @@
     SAMPLERS = 3
     CHECKS_FENCE = True
     PLAIN_SERVICES = 2
+    # Whether instances can be cut off from the upstreams.
+    HAS_LINKS = False
 
     def setUp(self) -> None:
         """Start the deployment."""
@@ -26,6 +28,7 @@
             self.SAMPLERS,
             self.CHECKS_FENCE,
             self.PLAIN_SERVICES,
+            self.HAS_LINKS,
         )
         self.trainer = self.deployment.trainer()
         self.client = clients.Client()
