Send requests of an instance that is cut off from a service by way of others

Where it owned the shard, items and weight orders waited for the end of the cut.

Cause: upstreams were ejected one by one, but no instance concluded that it was itself cut off; there was one path to an upstream; and the ownership of the shard rested on the log alone.

Change. reachability: after a failed connection, or silence where nothing else was heard, an instance connects to two more upstreams of the service and, if these fail too, asks others; a service that others reach is cut off from here (recorded under reach/ on the members' topic), until new connections succeed. relaying: requests and reward calls then go through an instance that has testified, one hop, over its gateway, with a permit of its own, 24 at a time. Cut instances are listed for callers only if all are; the owner of the shard gives it up to an instance that reaches the samplers, and claims it again only if none does.

Ruled out: a tunnel of bytes (the helping instance could not hold back requests to leaving upstreams); relayed orders (orders of one holder must come from one instance).

--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -93,7 +93,10 @@
         follower: follower_module.Follower,
         worker: ShardWorker,
         metrics: metrics_module.Metrics,
+        may_own: typing.Callable[[], bool] = lambda: True,
     ) -> None:
+        # Whether the worker can do its work here.
+        self._may_own = may_own
         self._instance = instance
         self._log = log
         self._topic = topic
@@ -144,7 +147,7 @@
         while not self._releasing.is_set():
             if not self._claims_allowed.wait(POLL_INTERVAL_S):
                 continue
-            if self._is_vacant():
+            if self._is_vacant() and self._may_own():
                 self._claim()
             if self._tenure is not None:
                 self._run_tenure_safely()
@@ -289,13 +292,14 @@
         """
         pending: list[log_port.Record] = []
         is_last = False
+        releasing = False
         while True:
-            releasing = self._releasing.is_set()
+            releasing = releasing or self._must_release()
             if releasing:
                 self._worker.stop()
             if not pending:
                 is_last = releasing and not self._worker.has_pending_results
-                pending = self._next_records(is_last)
+                pending = self._next_records(is_last, releasing)
             outcome = self._append(pending)
             if outcome is log_port.AppendOutcome.DONE:
                 pending = []
@@ -314,8 +318,22 @@
         )
         self._tenure = None
 
-    def _next_records(self, is_last: bool) -> list[log_port.Record]:
-        wait_s = 0.0 if self._releasing.is_set() else HEARTBEAT_INTERVAL_S
+    def _must_release(self) -> bool:
+        """Return whether the shard has to be given up."""
+        if self._releasing.is_set():
+            return True
+        if self._may_own():
+            return False
+        LOG.warning(
+            'the shard is given up to an instance that reaches the upstreams',
+            partition=self._partition,
+        )
+        return True
+
+    def _next_records(
+        self, is_last: bool, releasing: bool
+    ) -> list[log_port.Record]:
+        wait_s = 0.0 if releasing else HEARTBEAT_INTERVAL_S
         new = self._worker.next_records(wait_s)
         tenure = typing.cast(Tenure, self._tenure)
         owner = records.OwnerRecord(
--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -157,13 +157,13 @@
     def __init__(
         self,
         protocol: callers.CallerProtocol,
-        roster: roster_module.Roster,
+        list_members: typing.Callable[[], list[roster_module.Member]],
         is_ready: typing.Callable[[], bool],
         metrics: metrics_module.Metrics,
         ttl_s: float,
     ) -> None:
         self._protocol = protocol
-        self._roster = roster
+        self._list_members = list_members
         self._is_ready = is_ready
         self._metrics = metrics
         self._ttl_s = ttl_s
@@ -183,9 +183,9 @@
             responses.send_json(exchange, 404, b'{}')
 
     def _send_addresses(self, exchange: server.Exchange) -> None:
-        addresses = [
-            member.callers_listen for member in self._roster.usable()
-        ][:MAX_ADDRESSES]
+        addresses = [member.callers_listen for member in self._list_members()][
+            :MAX_ADDRESSES
+        ]
         if not addresses:
             responses.send_json(exchange, 503, b'{}')
             return
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -9,8 +9,8 @@
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..ratelimits import permits as permits_module
+from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
-from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
@@ -66,7 +66,7 @@
 
     protocol: upstream_port.UpstreamProtocol
     gateway: gateway_module.Gateway
-    connections: connections_module.ConnectionPool
+    paths: paths_module.Paths
     watcher: server.DisconnectWatcher
     load_balancer: load_balancer_module.LoadBalancer
     origins: origins_module.StreamOrigins
@@ -101,9 +101,7 @@
 
     def __enter__(self) -> 'Attempt':
         """Acquire a connection and watch for a disconnect of the caller."""
-        self.connection = self._dependencies.connections.acquire(
-            (self.entry.host, self.entry.port)
-        )
+        self.connection = self._dependencies.paths.acquire(self.entry)
         self._watch_handle = self._dependencies.watcher.add(
             self._context.exchange.socket, self._on_disconnect
         )
@@ -118,7 +116,7 @@
         """Release or close the connection, and record the outcome."""
         self._dependencies.watcher.remove(self._watch_handle)
         if self._reusable and kind is None and not self.caller_disconnected:
-            self._dependencies.connections.release(self.connection)
+            self._dependencies.paths.release(self.connection)
         else:
             self.connection.close()
         load = self._response_head.load if self._response_head else None
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -17,6 +17,7 @@
 from ..ports import upstreams as upstream_port
 from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
+from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
@@ -64,7 +65,7 @@
         protocol: upstream_port.UpstreamProtocol,
         directory: directory_module.UpstreamDirectory,
         gateway: gateway_module.Gateway,
-        connections: connections_module.ConnectionPool,
+        paths: paths_module.Paths,
         load_balancer: load_balancer_module.LoadBalancer,
         watcher: server.DisconnectWatcher,
         guard: guard_module.CrashGuard,
@@ -80,7 +81,7 @@
         self._directory = directory
         self._metrics = metrics
         self._dependencies = attempts_module.AttemptDependencies(
-            protocol, gateway, connections, watcher, load_balancer, origins
+            protocol, gateway, paths, watcher, load_balancer, origins
         )
 
     def forward(
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -20,6 +20,7 @@
     entries_listen: str
     metrics_port: int
     peer_port: int
+    relay_port: int
     plugin_folder: str
     plugin: str
     store_address: str
--- a/baobabpond/gen/peer/LogRelay.py
+++ b/baobabpond/gen/peer/LogRelay.py
@@ -67,6 +67,14 @@
         """
         pass
 
+    def find_reached(self, upstreams):
+        """
+        Parameters:
+         - upstreams
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -263,6 +271,38 @@
             raise result.not_issuer
         raise TApplicationException(TApplicationException.MISSING_RESULT, "obtain_permit failed: unknown result")
 
+    def find_reached(self, upstreams):
+        """
+        Parameters:
+         - upstreams
+
+        """
+        self.send_find_reached(upstreams)
+        return self.recv_find_reached()
+
+    def send_find_reached(self, upstreams):
+        self._oprot.writeMessageBegin('find_reached', TMessageType.CALL, self._seqid)
+        args = find_reached_args()
+        args.upstreams = upstreams
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_find_reached(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = find_reached_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "find_reached failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -273,6 +313,7 @@
         self._processMap["newest"] = Processor.process_newest
         self._processMap["snapshot"] = Processor.process_snapshot
         self._processMap["obtain_permit"] = Processor.process_obtain_permit
+        self._processMap["find_reached"] = Processor.process_find_reached
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -428,6 +469,29 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_find_reached(self, seqid, iprot, oprot):
+        args = find_reached_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = find_reached_result()
+        try:
+            result.success = self._handler.find_reached(args.upstreams)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("find_reached", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1219,5 +1283,138 @@
     (0, TType.STRUCT, 'success', [PermitDecision, None], None, ),  # 0
     (1, TType.STRUCT, 'not_issuer', [NotIssuer, None], None, ),  # 1
 )
+
+
+class find_reached_args(object):
+    """
+    Attributes:
+     - upstreams
+
+    """
+
+
+    def __init__(self, upstreams=None,):
+        self.upstreams = upstreams
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = UpstreamKey()
+                        _elem47.read(iprot)
+                        self.upstreams.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_reached_args')
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter48 in self.upstreams:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_reached_args)
+find_reached_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'upstreams', (TType.STRUCT, [UpstreamKey, None], False), None, ),  # 1
+)
+
+
+class find_reached_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = ReachedUpstreams()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('find_reached_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(find_reached_result)
+find_reached_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [ReachedUpstreams, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/gen/peer/ttypes.py
+++ b/baobabpond/gen/peer/ttypes.py
@@ -1464,6 +1464,158 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class UpstreamKey(object):
+    """
+    Attributes:
+     - upstream
+     - born
+
+    """
+
+
+    def __init__(self, upstream=None, born=None,):
+        self.upstream = upstream
+        self.born = born
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('UpstreamKey')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.upstream is None:
+            raise TProtocolException(message='Required field upstream is unset!')
+        if self.born is None:
+            raise TProtocolException(message='Required field born is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ReachedUpstreams(object):
+    """
+    Attributes:
+     - reached
+     - relay_port
+
+    """
+
+
+    def __init__(self, reached=None, relay_port=None,):
+        self.reached = reached
+        self.relay_port = relay_port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.reached = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.reached.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.relay_port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ReachedUpstreams')
+        if self.reached is not None:
+            oprot.writeFieldBegin('reached', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.reached))
+            for iter27 in self.reached:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.relay_port is not None:
+            oprot.writeFieldBegin('relay_port', TType.I32, 2)
+            oprot.writeI32(self.relay_port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.reached is None:
+            raise TProtocolException(message='Required field reached is unset!')
+        if self.relay_port is None:
+            raise TProtocolException(message='Required field relay_port is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(Member)
 Member.thrift_spec = (
     None,  # 0
@@ -1574,5 +1726,17 @@
     None,  # 0
     (1, TType.STRING, 'reason', 'UTF8', None, ),  # 1
 )
+all_structs.append(UpstreamKey)
+UpstreamKey.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+)
+all_structs.append(ReachedUpstreams)
+ReachedUpstreams.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'reached', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.I32, 'relay_port', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -17,6 +17,7 @@
 from .edge import app as app_module
 from .edge import batch_handlers
 from .edge import forwarder
+from .edge import relay_handler
 from .edge import server
 from .gen import host as host_schema
 from .gen.peer import LogRelay
@@ -35,6 +36,9 @@
 from .ports import platforms
 from .ratelimits import components as ratelimit_components
 from .ratelimits import sharing
+from .reachability import components as reach_components
+from .reachability import sharing as reach_sharing
+from .relaying import paths
 from .store import dispatcher
 from .store import first_load as first_load_module
 from .store import follower as follower_module
@@ -103,6 +107,7 @@
                         [self._shard_first_load],
                     ),
                     self._limits.permit_handler,
+                    self._reach.witness_handler,
                 )
             ),
         )
@@ -112,6 +117,7 @@
         self._crashes.start()
         self._limits.start()
         self._streams.start()
+        self._reach.start()
         self._ownership.start()
         for http_server in self._servers:
             http_server.start_thread('http')
@@ -158,9 +164,9 @@
                 max(0.0, deadline - time.monotonic()),
             )
         )
-        callers_server = self._servers[0]
-        drained = callers_server.wait_idle(
-            max(0.0, deadline - time.monotonic())
+        drained = all(
+            request_server.wait_idle(max(0.0, deadline - time.monotonic()))
+            for request_server in self._request_servers
         )
         for http_server in self._servers:
             http_server.stop()
@@ -173,7 +179,8 @@
         self._current.apply(records, is_snapshot)
         configuration = self._current.configuration
         if configuration is not None:
-            self._servers[0].set_limits(configuration.limits)
+            for request_server in self._request_servers:
+                request_server.set_limits(configuration.limits)
 
     def _build_catalogue(self) -> None:
         decoder = self._platform.catalogue_decoder
@@ -215,11 +222,28 @@
             lambda: self._members_follower.catch_up(),
             self._metrics,
         )
+        self._reach = reach_components.ReachComponents(
+            self._settings['instance'],
+            self._log,
+            self._directory,
+            self._roster,
+            self._connections,
+            self._settings['relay_port'],
+            self._metrics,
+        )
+        self._paths = paths.Paths(
+            self._connections,
+            self._reach.monitor,
+            self._reach.tracker,
+            self._settings['data_centre'],
+            self._metrics,
+        )
         self._gateway = gateway.Gateway(
             self._platform.upstreams,
             self._directory,
             self._limits.tracker,
             self._limits.permits,
+            self._reach.tracker,
         )
         self._crashes = crash_components.CrashComponents(
             self._settings['instance'],
@@ -246,6 +270,7 @@
                 {
                     sharing.KEY_PREFIX: self._limits.sharing.apply,
                     stream_records.KEY_PREFIX: self._streams.recorder.apply,
+                    reach_sharing.KEY_PREFIX: self._reach.records.apply,
                 },
             ).apply,
             DIRECTORY_READ_PAUSE_S,
@@ -327,7 +352,7 @@
             ),
             reward_stage.RewardStage(
                 reward_client.RewardClient(
-                    protocol, self._gateway, self._connections
+                    protocol, self._gateway, self._paths
                 ),
                 self._directory,
                 self._load_balancer,
@@ -351,6 +376,7 @@
             self._shard_follower,
             self._scheduler,
             self._metrics,
+            self._reach.may_own_shard,
         )
         self._loader.set_ownership_check(
             lambda: self._ownership.has_owner_lease
@@ -377,7 +403,7 @@
                 self._platform.upstreams,
                 self._directory,
                 self._gateway,
-                self._connections,
+                self._paths,
                 self._load_balancer,
                 self._caller_watch,
                 self._crashes.guard,
@@ -389,7 +415,7 @@
         )
         operator_app = app_module.OperatorApp(
             self._platform.callers,
-            self._roster,
+            self._reach.members_for_callers,
             lambda: not self._leaving and self._readiness.is_ready,
             self._metrics,
             self._validity_s,
@@ -400,11 +426,26 @@
             settings['entries_listen'],
             f'{settings["address"]}:{settings["metrics_port"]}',
         }
-        self._servers = [
+        relays = relay_handler.RelayHandler(
+            self._directory,
+            self._gateway,
+            self._connections,
+            self._limits.permits,
+            self._caller_watch,
+            self._metrics,
+        )
+        # These have requests in flight when the instance stops.
+        self._request_servers = [
             self._make_server(
                 settings['callers_listen'], self._caller_app.handle
-            )
+            ),
+            self._make_server(
+                f'{settings["address"]}:{settings["relay_port"]}',
+                relays.handle,
+                relay_handler.THREADS,
+            ),
         ]
+        self._servers = list(self._request_servers)
         self._servers += [
             self._make_server(listen, operator_app.handle, OPERATOR_THREADS)
             for listen in sorted(addresses)
--- a/baobabpond/peers/handler.py
+++ b/baobabpond/peers/handler.py
@@ -2,6 +2,7 @@
 
 from ..gen.peer import LogRelay
 from ..ratelimits import peers as permit_peers
+from ..reachability import peers as reach_peers
 from ..store import handler as relay_handler
 
 
@@ -12,9 +13,11 @@
         self,
         relay: relay_handler.RelayHandler,
         permits: permit_peers.PermitHandler,
+        witness: reach_peers.WitnessHandler,
     ) -> None:
         self.append = relay.append
         self.read = relay.read
         self.newest = relay.newest
         self.snapshot = relay.snapshot
         self.obtain_permit = permits.obtain_permit
+        self.find_reached = witness.find_reached
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -9,6 +9,7 @@
 
 from ..ports import callers
 from ..ports import upstreams as upstream_port
+from ..relaying import paths as paths_module
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 
@@ -41,16 +42,15 @@
         self,
         protocol: upstream_port.UpstreamProtocol,
         gateway: gateway_module.Gateway,
-        connections: connections_module.ConnectionPool,
+        paths: paths_module.Paths,
     ) -> None:
         self._protocol = protocol
         self._gateway = gateway
-        self._connections = connections
+        self._paths = paths
 
     def call(self, attempt: state.RewardAttempt) -> RewardResponse:
         """Execute an attempt until it ends."""
-        address = (attempt.entry.host, attempt.entry.port)
-        connection = self._connections.acquire(address)
+        connection = self._paths.acquire(attempt.entry)
         attempt.abort = connection.abort
         if attempt.is_cancelled:
             connection.close()
@@ -59,7 +59,7 @@
         try:
             return self._exchange(attempt, connection)
         except gateway_module.NoPermit:
-            self._connections.release(connection)
+            self._paths.release(connection)
             return RewardResponse(runner.RunOutcome.LIMITED)
         except connections_module.ConnectionFailed as error:
             outcome = runner.RunOutcome.UNREACHABLE
@@ -107,7 +107,7 @@
         if head.request_id not in ('', call.id):
             connection.close()
             return RewardResponse(runner.RunOutcome.INTERRUPTED)
-        self._connections.release_or_close(connection, response)
+        self._paths.release_or_close(connection, response)
         return _evaluate(response, head)
 
 
--- /dev/null
+++ b/baobabpond/reachability/__init__.py
@@ -0,0 +1,1 @@
+"""Find out which upstreams this instance reaches, and which others do."""
--- /dev/null
+++ b/baobabpond/reachability/monitor.py
@@ -0,0 +1,203 @@
+"""Conclude that this instance is cut off from a service, and for how long."""
+
+import random
+import threading
+import time
+import typing
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..catalogue import directory as directory_module
+from ..ports import catalogue
+
+from . import judgement
+from . import peers as peers_module
+from . import prober as prober_module
+from . import sharing as sharing_module
+from . import tracker as tracker_module
+
+# Between the checks of a service that is reached or down.
+MIN_CHECK_INTERVAL_S = 1.0
+# Between the attempts to reach a service from which the instance is cut off.
+RECHECK_INTERVAL_S = 0.5
+# Testimonies are renewed after this time.
+TESTIMONY_TTL_S = 2.0
+
+LOG = structlog.get_logger(__name__)
+
+
+class Cut(typing.NamedTuple):
+    """The belief that this instance does not reach a service."""
+
+    since: float
+    testified_at: float
+    # Of the instances that reach upstreams of the service.
+    testimonies: tuple[peers_module.Testimony, ...]
+
+
+class ReachMonitor:
+    """Check services after failures, one thread for each that is in doubt."""
+
+    def __init__(
+        self,
+        directory: directory_module.UpstreamDirectory,
+        tracker: tracker_module.PathTracker,
+        prober: prober_module.Prober,
+        witnesses: peers_module.PeerWitnesses,
+        records: sharing_module.CutRecords,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._directory = directory
+        self._tracker = tracker
+        self._prober = prober
+        self._witnesses = witnesses
+        self._records = records
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self._cuts: dict[str, Cut] = {}
+        self._in_doubt: set[str] = set()
+        self._checked_at: dict[str, float] = {}
+        tracker.set_listener(self.suspect)
+
+    @property
+    def cut_off_services(self) -> frozenset[str]:
+        """Return the services from which this instance is cut off."""
+        return frozenset(self._cuts)
+
+    def cut_from(self, service: str) -> Cut | None:
+        """Return the cut from a service, None if there is none."""
+        return self._cuts.get(service)
+
+    def suspect(self, suspicion: tracker_module.Suspicion) -> None:
+        """Check a service in the background after a failure."""
+        service = suspicion.entry.service
+        now = time.monotonic()
+        with self._lock:
+            checked_at = self._checked_at.get(service, tracker_module.NEVER)
+            if service in self._in_doubt:
+                return
+            if now - checked_at < MIN_CHECK_INTERVAL_S:
+                return
+            self._in_doubt.add(service)
+        threading.Thread(
+            target=self._watch,
+            args=(suspicion,),
+            name=f'reach-{service}',
+            daemon=True,
+        ).start()
+
+    def check(self, suspicion: tracker_module.Suspicion) -> bool:
+        """Judge a service after a failure; return whether it is cut off."""
+        entry = suspicion.entry
+        others = [
+            other
+            for other in self._directory.usable(entry.service)
+            if other.id != entry.id
+        ]
+        paths = (self._tracker.path_to(other) for other in others)
+        if judgement.is_explained(suspicion, paths):
+            return False
+        self._metrics.count('reachability.checks')
+        sample = random.sample(
+            others, min(judgement.MIN_OTHERS_FAILING, len(others))
+        )
+        probed = self._prober.probe([entry, *sample])
+        reached = [each for each in probed.reached if each in sample]
+        if entry in probed.reached and suspicion.is_silence:
+            # It is slow, not out of reach.
+            reached.append(entry)
+        testimonies: list[peers_module.Testimony] = []
+        if not reached:
+            testimonies = self._ask(probed.failing)
+        standing = judgement.judge(
+            probed.failing,
+            reached,
+            {upstream for each in testimonies for upstream in each.reached},
+        )
+        LOG.info(
+            'path to a service checked',
+            service=entry.service,
+            after=entry.id,
+            is_silence=suspicion.is_silence,
+            failing=[each.id for each in probed.failing],
+            reached=[each.id for each in probed.reached],
+            reached_by=[each.instance for each in testimonies],
+            outcome=standing.value,
+        )
+        if standing is not judgement.Standing.CUT_OFF:
+            return False
+        self._enter(entry.service, testimonies)
+        return True
+
+    def recheck(self, service: str) -> bool:
+        """Try to reach a service again; return whether it is cut off still."""
+        cut = self._cuts[service]
+        entries = self._directory.usable(service)
+        count = min(judgement.MIN_OTHERS_FAILING, len(entries))
+        probed = self._prober.probe(random.sample(entries, count))
+        if probed.reached and not probed.failing:
+            self._leave(service, probed.reached)
+            return False
+        if time.monotonic() - cut.testified_at > TESTIMONY_TTL_S:
+            testimonies = self._ask(probed.failing)
+            with self._lock:
+                self._cuts[service] = cut._replace(
+                    testified_at=time.monotonic(),
+                    testimonies=tuple(testimonies),
+                )
+        return True
+
+    def _watch(self, suspicion: tracker_module.Suspicion) -> None:
+        service = suspicion.entry.service
+        try:
+            is_cut_off = self.check(suspicion)
+            while is_cut_off:
+                time.sleep(RECHECK_INTERVAL_S * random.uniform(0.8, 1.2))
+                is_cut_off = self.recheck(service)
+        except Exception:
+            LOG.exception('checking the path to a service failed')
+            self._leave(service, [])
+        finally:
+            with self._lock:
+                self._in_doubt.discard(service)
+                self._checked_at[service] = time.monotonic()
+
+    def _ask(
+        self, failing: list[catalogue.UpstreamEntry]
+    ) -> list[peers_module.Testimony]:
+        """Return the testimonies of instances that reach what fails here."""
+        return [
+            testimony
+            for testimony in self._witnesses.ask(failing)
+            if testimony.reached
+        ]
+
+    def _enter(
+        self, service: str, testimonies: list[peers_module.Testimony]
+    ) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._cuts[service] = Cut(now, now, tuple(testimonies))
+        self._metrics.count('reachability.cuts')
+        LOG.warning(
+            'cut off from a service that others reach',
+            service=service,
+            reached_by=[each.instance for each in testimonies],
+        )
+        self._records.set_own(self.cut_off_services)
+
+    def _leave(
+        self, service: str, reached: list[catalogue.UpstreamEntry]
+    ) -> None:
+        with self._lock:
+            cut = self._cuts.pop(service, None)
+        if cut is None:
+            return
+        LOG.info(
+            'service reached again',
+            service=service,
+            reached=[entry.id for entry in reached],
+            cut_for_s=round(time.monotonic() - cut.since, 3),
+        )
+        self._records.set_own(self.cut_off_services)
--- /dev/null
+++ b/baobabpond/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Send requests to upstreams by way of instances that reach them."""
--- /dev/null
+++ b/baobabpond/relaying/wire.py
@@ -0,0 +1,122 @@
+"""Define the headers that relayed requests and their responses add."""
+
+import enum
+import typing
+
+from ..ports import catalogue
+from ..ports import upstreams as upstream_port
+
+UPSTREAM_HEADER = 'Relay-Upstream'
+BORN_HEADER = 'Relay-Born'
+TIMEOUT_HEADER = 'Relay-Timeout-Ms'
+INCARNATION_HEADER = 'Relay-Check-Incarnation'
+REQUEST_HEADER = 'Relay-Request'
+OUTCOME_HEADER = 'Relay-Outcome'
+PREFIX = 'relay-'
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+    )
+)
+MS_PER_S = 1000
+# Status of the responses that the relaying instance makes up itself.
+FAILURE_STATUS = 502
+
+
+class Outcome(enum.Enum):
+    """Describe how a relayed request ended; the header holds the value."""
+
+    # The response is that of the upstream.
+    RESPONSE = 'response'
+    # The relaying instance has passed on as many requests as it may.
+    BUSY = 'busy'
+    # Nothing was sent to the upstream.
+    NOT_SENT = 'not_sent'
+    # The upstream states a limit, and there is no permit.
+    NO_PERMIT = 'no_permit'
+    # The upstream does not say that it is the registered process.
+    NOT_VERIFIED = 'not_verified'
+    # The request may have run.
+    CUT = 'cut'
+    TIMED_OUT = 'timed_out'
+
+
+class Destination(typing.NamedTuple):
+    """Where the relaying instance sends a request, and how."""
+
+    request_id: str
+    upstream: str
+    born: int
+    # For the head of the response as a whole.
+    timeout_s: float
+    checks_incarnation: bool
+
+
+class MalformedRequest(ValueError):
+    """Raised when a request lacks a header that relayed requests have."""
+
+
+def encode_destination(destination: Destination) -> upstream_port.Headers:
+    """Return the headers that name a destination."""
+    headers = [
+        (REQUEST_HEADER, destination.request_id),
+        (UPSTREAM_HEADER, destination.upstream),
+        (BORN_HEADER, str(destination.born)),
+        (TIMEOUT_HEADER, str(max(1, int(destination.timeout_s * MS_PER_S)))),
+    ]
+    if destination.checks_incarnation:
+        headers.append((INCARNATION_HEADER, '1'))
+    return headers
+
+
+def decode_destination(headers: typing.Mapping[str, str]) -> Destination:
+    """Return the destination that headers name; raise MalformedRequest."""
+    try:
+        return Destination(
+            headers[REQUEST_HEADER],
+            headers[UPSTREAM_HEADER],
+            int(headers[BORN_HEADER]),
+            int(headers[TIMEOUT_HEADER]) / MS_PER_S,
+            INCARNATION_HEADER in headers,
+        )
+    except (KeyError, ValueError) as error:
+        raise MalformedRequest(f'not a relayed request: {error!r}') from error
+
+
+def end_to_end_headers(
+    headers: upstream_port.Headers,
+) -> upstream_port.Headers:
+    """Return the headers that are not for one connection or relay only."""
+    options = {
+        option.strip().lower()
+        for name, value in headers
+        if name.lower() == 'connection'
+        for option in value.split(',')
+    }
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in HOP_BY_HOP
+        and name.lower() not in options
+        and not name.lower().startswith(PREFIX)
+    ]
+
+
+def is_for(
+    destination: Destination, entry: catalogue.UpstreamEntry | None
+) -> bool:
+    """Return whether an upstream is the destination."""
+    return entry is not None and entry.incarnation == (
+        destination.upstream,
+        destination.born,
+    )
--- a/baobabpond/schema/peer.thrift
+++ b/baobabpond/schema/peer.thrift
@@ -120,6 +120,19 @@
   1: required string reason
 }
 
+// Identifies one start of an upstream.
+struct UpstreamKey {
+  1: required string upstream
+  2: required i64 born
+}
+
+struct ReachedUpstreams {
+  // Ids of those that the instance can connect to.
+  1: required list<string> reached
+  // Where the instance takes requests to pass on to upstreams.
+  2: required i32 relay_port
+}
+
 // Calls between instances on a platform. Named after the first of them.
 service LogRelay {
   // Log calls for an instance that cannot reach the log directly.
@@ -131,4 +144,6 @@
   LogPage snapshot(1: string topic, 2: i32 partition, 3: string after, 4: i32 wait_ms) throws (1: LogUnavailable unavailable, 2: LogExpired expired)
   // NotIssuer: the instance does not own the shard.
   PermitDecision obtain_permit(1: PermitCall call) throws (1: NotIssuer not_issuer)
+  // Which of some upstreams the instance reaches; it may connect to them first.
+  ReachedUpstreams find_reached(1: list<UpstreamKey> upstreams)
 }
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -53,6 +53,11 @@
 class Connection:
     """A connection to an upstream, for one request at a time."""
 
+    # Whether it leads to the upstream itself.
+    is_direct = True
+    # Added to time-outs for what lies between this instance and the upstream.
+    _hop_s = 0.0
+
     def __init__(self, address: Address) -> None:
         self.address = address
         self.idle_since = 0.0
@@ -97,6 +102,9 @@
             self.close()
             raise ConnectionFailed('aborted while connecting')
 
+    def announce(self, request_id: str, checks_incarnation: bool) -> None:
+        """Tell what the next exchange carries; only relays need to know."""
+
     def exchange(
         self,
         method: str,
@@ -108,16 +116,17 @@
         """Send a request and return the response, its body unread.
 
         The time-out applies to sending, and to the head as a whole. Raises
-        ResponseFailed; the upstream may have run the request.
+        ResponseFailed; the upstream may have run the request. A connection
+        that is not direct raises ConnectionFailed if nothing reached it.
         """
         fields = urllib3.HTTPHeaderDict()
-        for name, value in headers:
+        for name, value in (*headers, *self._own_headers(timeout_s)):
             fields.add(name, value)
         for name in ('User-Agent', 'Accept-Encoding'):
             if name not in fields:
                 fields[name] = util.SKIP_HEADER
         try:
-            self._set_timeout(timeout_s)
+            self._set_timeout(timeout_s + self._hop_s)
             self._http.request(
                 method,
                 target,
@@ -126,10 +135,19 @@
                 preload_content=False,
                 decode_content=False,
             )
-            return self._http.getresponse()
+            response = self._http.getresponse()
         except TRANSPORT_ERRORS as error:
             self.close()
             raise _response_error(error) from error
+        self._check_response(response)
+        return response
+
+    def _own_headers(self, timeout_s: float) -> list[tuple[str, str]]:
+        """Return the headers that a request needs on this connection."""
+        return []
+
+    def _check_response(self, response: urllib3.HTTPResponse) -> None:
+        """Raise an error if a response is not that of the upstream."""
 
     def iter_body(
         self,
@@ -229,10 +247,12 @@
             list
         )
 
-    def acquire(self, address: Address) -> Connection:
+    def acquire(
+        self, address: Address, make: type[Connection] = Connection
+    ) -> Connection:
         """Return an idle connection that is not stale, or a new one.
 
-        A new one is not connected yet.
+        A new one is not connected yet. All at an address are of one type.
         """
         while True:
             with self._lock:
@@ -240,7 +260,7 @@
                 connection = idle.pop() if idle else None
             if connection is None:
                 self._metrics.count('upstream.connections.new')
-                return Connection(address)
+                return make(address)
             if not connection.is_stale:
                 self._metrics.count('upstream.connections.reused')
                 connection.is_new = False
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -48,6 +48,50 @@
     is_for_incarnation: bool = False
 
 
+class PathObserver(typing.Protocol):
+    """Learn whether upstreams can be reached from this instance."""
+
+    def record_connected(self, entry: catalogue.UpstreamEntry) -> None:
+        """Record that a new connection succeeded."""
+        ...
+
+    def record_failed(
+        self, entry: catalogue.UpstreamEntry, since: float
+    ) -> None:
+        """Record that a new connection, begun at a time, failed."""
+        ...
+
+    def record_heard(self, entry: catalogue.UpstreamEntry) -> None:
+        """Record that a response arrived."""
+        ...
+
+    def record_silence(
+        self, entry: catalogue.UpstreamEntry, since: float
+    ) -> None:
+        """Record that no response came to a request sent at a time."""
+        ...
+
+
+class NoObserver:
+    """Learn nothing."""
+
+    def record_connected(self, entry: catalogue.UpstreamEntry) -> None:
+        """Ignore a new connection."""
+
+    def record_failed(
+        self, entry: catalogue.UpstreamEntry, since: float
+    ) -> None:
+        """Ignore a failed connection."""
+
+    def record_heard(self, entry: catalogue.UpstreamEntry) -> None:
+        """Ignore a response."""
+
+    def record_silence(
+        self, entry: catalogue.UpstreamEntry, since: float
+    ) -> None:
+        """Ignore a missing response."""
+
+
 class Gateway:
     """Exchange requests, and learn what responses state about upstreams."""
 
@@ -57,7 +101,9 @@
         directory: directory_module.UpstreamDirectory,
         limits: tracker_module.LimitTracker,
         permits: permits_module.Permits,
+        observer: PathObserver | None = None,
     ) -> None:
+        self._observer = observer or NoObserver()
         self._protocol = protocol
         self._directory = directory
         self._limits = limits
@@ -78,21 +124,16 @@
         ConnectionFailed if nothing was sent, and ResponseFailed.
         """
         if connection.is_new and not connection.is_connected:
-            connection.connect()
-        if outgoing.is_for_incarnation:
+            self._connect(connection, entry)
+        connection.announce(outgoing.id, outgoing.is_for_incarnation)
+        if outgoing.is_for_incarnation and connection.is_direct:
             self._check_incarnation(connection, entry)
         if not self._directory.accepts_requests(entry):
             raise connections_module.ConnectionFailed('the upstream leaves')
         if not self._permits.may_send(entry, permit):
             raise NoPermit('no permit that is still valid')
         sent_at = time.monotonic()
-        response = connection.exchange(
-            outgoing.method,
-            outgoing.target,
-            outgoing.headers,
-            outgoing.body,
-            timeout_s,
-        )
+        response = self._send(connection, entry, outgoing, timeout_s)
         head = self._protocol.parse_response_head(
             response.status, response.headers
         )
@@ -104,6 +145,46 @@
             self._limits.observe(entry, head, sent_at, is_genuine)
         return response, head
 
+    def _connect(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+    ) -> None:
+        """Connect, and let the observer know what came of it."""
+        started_at = time.monotonic()
+        try:
+            connection.connect()
+        except connections_module.ConnectionFailed:
+            if connection.is_direct:
+                self._observer.record_failed(entry, started_at)
+            raise
+        if connection.is_direct:
+            self._observer.record_connected(entry)
+
+    def _send(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+        outgoing: Outgoing,
+        timeout_s: float,
+    ) -> urllib3.HTTPResponse:
+        started_at = time.monotonic()
+        try:
+            response = connection.exchange(
+                outgoing.method,
+                outgoing.target,
+                outgoing.headers,
+                outgoing.body,
+                timeout_s,
+            )
+        except connections_module.ResponseTimedOut:
+            if connection.is_direct:
+                self._observer.record_silence(entry, started_at)
+            raise
+        if connection.is_direct:
+            self._observer.record_heard(entry)
+        return response
+
     def _check_incarnation(
         self,
         connection: connections_module.Connection,
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -250,6 +250,7 @@
             'entries_listen': listen_addresses[2],
             'metrics_port': metrics_port,
             'peer_port': serving.free_port(),
+            'relay_port': serving.free_port(),
             'plugin_folder': str(ROOT / 'platform'),
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -56,6 +56,7 @@
         self.follower = follower_module.Follower(
             self.log, 't', 0, self.shard_state.apply, metrics.Metrics()
         )
+        self.may_own = True
         self.ownership = self.make('a')
 
     def make(self, name: str) -> ownership.Ownership:
@@ -69,6 +70,7 @@
             self.follower,
             self.worker,
             metrics.Metrics(),
+            lambda: self.may_own,
         )
 
     def start(self) -> None:
@@ -118,6 +120,22 @@
         time.sleep(0.5)
         self.assertIsNone(self.ownership.tenure)
 
+    def test_owner_that_others_should_replace_gives_the_shard_up(self) -> None:
+        """Its work stops first, and the last record releases the shard."""
+        self.start()
+        self.wait(lambda: self.ownership.tenure)
+        self.may_own = False
+        self.wait(lambda: self.ownership.tenure is None)
+        self.assertTrue(self.worker.stopped.is_set())
+        self.follower.catch_up()
+        owner = self.shard_state.owner
+        assert owner is not None
+        self.assertTrue(owner.record.released)
+        time.sleep(ownership.MAX_RELEASE_DELAY_S)
+        self.assertEqual(1, len(self.worker.tenures))
+        self.may_own = True
+        self.wait(lambda: self.ownership.tenure)
+
     def test_live_owner_keeps_the_shard(self) -> None:
         """No instance claims while heartbeats arrive."""
         self.add_owner('b')
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -31,6 +31,7 @@
 from standins.emulator import serving
 from standins.emulator import store as store_module
 from standins.emulator import upstream as upstream_module
+from test.relaying import examples as path_examples
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SERVICE = 'orders'
@@ -93,7 +94,7 @@
             platform.upstreams,
             directory,
             gateway.Gateway(platform.upstreams, directory, limits, permits),
-            pool,
+            path_examples.DirectPaths(pool),
             balancer,
             mock.create_autospec(server.DisconnectWatcher, instance=True),
             guard,
--- a/test/edge/test_stream_resumption.py
+++ b/test/edge/test_stream_resumption.py
@@ -15,8 +15,8 @@
 from baobabpond.ports import catalogue
 from baobabpond.ports import upstreams
 from baobabpond.ratelimits import permits
+from baobabpond.relaying import paths
 from baobabpond.streams import origins as origins_module
-from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
 from test.ratelimits import examples
@@ -45,7 +45,7 @@
             mock.create_autospec(upstreams.UpstreamProtocol, instance=True),
             self.directory,
             self.gateway,
-            mock.create_autospec(connections.ConnectionPool, instance=True),
+            mock.create_autospec(paths.Paths, instance=True),
             load_balancer.LoadBalancer(),
             mock.create_autospec(server.DisconnectWatcher, instance=True),
             mock.create_autospec(guard.CrashGuard, instance=True),
--- /dev/null
+++ b/test/reachability/test_monitor.py
@@ -0,0 +1,104 @@
+"""Test when an instance believes that it is cut off, and until when."""
+
+import time
+import unittest
+from unittest import mock
+
+from baobabpond.catalogue import directory as directory_module
+from baobabpond import metrics
+from baobabpond.reachability import monitor as monitor_module
+from baobabpond.reachability import peers
+from baobabpond.reachability import prober as prober_module
+from baobabpond.reachability import sharing
+from baobabpond.reachability import tracker as tracker_module
+from test.ratelimits import examples
+
+WITNESS = peers.Testimony('other', 'dc', ('h', 1), frozenset({'a', 'b', 'c'}))
+SERVICE = 'orders'
+WAIT_S = 5.0
+
+
+class MonitorTest(unittest.TestCase):
+    """Three upstreams of one service; what can be reached is given."""
+
+    def setUp(self) -> None:
+        """Create a monitor of an instance that reaches nothing."""
+        self.entries = [examples.entry(name) for name in 'abc']
+        directory = mock.create_autospec(
+            directory_module.UpstreamDirectory, instance=True
+        )
+        directory.usable.side_effect = lambda service: self.entries
+        self.reachable: set[str] = set()
+        prober = mock.create_autospec(prober_module.Prober, instance=True)
+        prober.probe.side_effect = self.probe
+        self.tracker = tracker_module.PathTracker()
+        self.witnesses = mock.create_autospec(
+            peers.PeerWitnesses, instance=True
+        )
+        self.witnesses.ask.return_value = [WITNESS]
+        self.records = mock.create_autospec(sharing.CutRecords, instance=True)
+        self.monitor = monitor_module.ReachMonitor(
+            directory,
+            self.tracker,
+            prober,
+            self.witnesses,
+            self.records,
+            metrics.Metrics(),
+        )
+
+    def probe(self, entries: list) -> prober_module.ProbeResult:
+        """Return which of the upstreams are set to be reachable."""
+        return prober_module.ProbeResult(
+            [entry for entry in entries if entry.id in self.reachable],
+            [entry for entry in entries if entry.id not in self.reachable],
+        )
+
+    def suspicion(self, is_silence: bool = False) -> tracker_module.Suspicion:
+        """Return a failure that has just happened."""
+        return tracker_module.Suspicion(
+            self.entries[0], time.monotonic(), is_silence
+        )
+
+    def test_cut_is_entered_and_left(self) -> None:
+        """Others reach what this instance does not, until it does."""
+        self.assertTrue(self.monitor.check(self.suspicion()))
+        self.assertEqual({SERVICE}, self.monitor.cut_off_services)
+        self.records.set_own.assert_called_with(frozenset({SERVICE}))
+        self.assertTrue(self.monitor.recheck(SERVICE))
+        self.reachable = {'a', 'b', 'c'}
+        self.assertFalse(self.monitor.recheck(SERVICE))
+        self.assertEqual(frozenset(), self.monitor.cut_off_services)
+        self.records.set_own.assert_called_with(frozenset())
+
+    def test_service_that_is_down_for_all_is_no_cut(self) -> None:
+        """No other instance reaches it."""
+        self.witnesses.ask.return_value = [
+            WITNESS._replace(reached=frozenset())
+        ]
+        self.assertFalse(self.monitor.check(self.suspicion()))
+
+    def test_one_upstream_that_is_down_is_no_cut(self) -> None:
+        """Nobody is asked, as another one is reached."""
+        self.reachable = {'b', 'c'}
+        self.assertFalse(self.monitor.check(self.suspicion()))
+        self.witnesses.ask.assert_not_called()
+
+    def test_slow_upstream_is_no_cut(self) -> None:
+        """It can be connected to, though its response takes too long."""
+        self.reachable = {'a'}
+        self.assertFalse(self.monitor.check(self.suspicion(True)))
+
+    def test_failure_is_checked_in_the_background(self) -> None:
+        """The thread goes on until the service is reached again."""
+        with mock.patch.object(monitor_module, 'RECHECK_INTERVAL_S', 0.01):
+            self.tracker.record_failed(self.entries[0], time.monotonic())
+            self.wait_for_services(frozenset({SERVICE}))
+            self.reachable = {'a', 'b', 'c'}
+            self.wait_for_services(frozenset())
+
+    def wait_for_services(self, expected: frozenset[str]) -> None:
+        """Wait until the instance is cut off from some services."""
+        ends_at = time.monotonic() + WAIT_S
+        while self.monitor.cut_off_services != expected:
+            self.assertLess(time.monotonic(), ends_at)
+            time.sleep(0.01)
--- a/test/settings/test_host.py
+++ b/test/settings/test_host.py
@@ -21,6 +21,7 @@
     'entries_listen': '127.0.0.1:3',
     'metrics_port': 4,
     'peer_port': 5,
+    'relay_port': 6,
     'plugin_folder': 'platform',
     'plugin': 'p',
     'store_address': '127.0.0.1:6',
