Do not take a cut that refuses connections for the end of upstreams

Where connections are refused to it alone, requests in flight are reset and the probe is refused, so each counted as a crash, shared with all instances; three refuse the request everywhere.

--- a/baobabpond/crashes/components.py
+++ b/baobabpond/crashes/components.py
@@ -26,6 +26,7 @@
         directory: directory_module.UpstreamDirectory,
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
+        is_reached_elsewhere: detector.IsReachedElsewhere,
         metrics: metrics_module.Metrics,
     ) -> None:
         registry = registry_module.CrashRegistry()
@@ -38,7 +39,9 @@
         self.guard = guard_module.CrashGuard(
             registry,
             self._sharing,
-            detector.CrashDetector(directory, connections, metrics),
+            detector.CrashDetector(
+                directory, connections, metrics, is_reached_elsewhere
+            ),
             load_balancer,
             metrics,
         )
--- a/baobabpond/reachability/components.py
+++ b/baobabpond/reachability/components.py
@@ -3,6 +3,7 @@
 from .. import metrics as metrics_module
 from ..catalogue import directory as directory_module
 from ..members import roster as roster_module
+from ..ports import catalogue
 from ..ports import log as log_port
 from ..upstreams import connections as connections_module
 
@@ -33,11 +34,12 @@
             instance, roster_module.TOPIC, roster_module.PARTITION, log
         )
         path_prober = prober.Prober(connections, self.tracker, metrics)
+        self._witnesses = peers.PeerWitnesses(self.peers_not_cut_off)
         self.monitor = monitor_module.ReachMonitor(
             directory,
             self.tracker,
             path_prober,
-            peers.PeerWitnesses(self.peers_not_cut_off),
+            self._witnesses,
             self.records,
             metrics,
         )
@@ -49,6 +51,10 @@
         """Start to share cuts."""
         self.records.start()
 
+    def is_reached_elsewhere(self, entry: catalogue.UpstreamEntry) -> bool:
+        """Ask other instances whether one can connect to an upstream."""
+        return any(each.reached for each in self._witnesses.ask([entry]))
+
     def peers_not_cut_off(self) -> list[roster_module.Member]:
         """Return the other instances that have no cut on record."""
         return [
--- a/test/crashes/test_detector.py
+++ b/test/crashes/test_detector.py
@@ -46,6 +46,17 @@
         self.listener.close()
         self.assertTrue(self.detector.has_ended(self.entry))
 
+    def test_upstream_that_others_reach_has_not_ended(self) -> None:
+        """It is this instance that is refused."""
+        self.listener.close()
+        detector = detector_module.CrashDetector(
+            self.directory,
+            self.connections,
+            metrics.Metrics(),
+            lambda entry: entry == self.entry,
+        )
+        self.assertFalse(detector.has_ended(self.entry))
+
     def test_successor_listens_at_the_address(self) -> None:
         """The directory shows another incarnation there."""
         self.directory.is_replaced.return_value = True
--- a/test/emulator/test_cut_instances.py
+++ b/test/emulator/test_cut_instances.py
@@ -1,5 +1,6 @@
 """Test instances that are cut off from all upstreams and nothing else."""
 
+import threading
 import time
 
 from standins.emulator import callers as callers_module
@@ -75,6 +76,16 @@
                 if each.status in NOT_RUN_STATUSES:
                     self.assertEqual(0, runs, each)
 
+    def check_nothing_crashed(self) -> None:
+        """Check that no instance took the cut for the end of an upstream."""
+        suspected = [
+            entry
+            for instance in self.deployment.instances
+            for entry in instance.log_entries()
+            if entry.get('event') == 'upstream crashed under a request'
+        ]
+        self.assertEqual([], suspected)
+
     def play_cut(self, cut: links.Cut, slow_factor: float = 1.0) -> None:
         """Cut the shard's owner off while callers send to all instances.
 
@@ -104,6 +115,20 @@
         """Open connections are reset, and new ones are refused."""
         self.play_cut(links.Cut.REFUSED)
 
+    def test_cut_is_not_taken_for_crashes_of_upstreams(self) -> None:
+        """Requests are in flight when the connections are reset."""
+        owner = self.owner()
+        assert owner.links is not None
+        for upstream in self.deployment.plain_services:
+            upstream.slow_factor = BUSY_SLOW_FACTOR
+        timer = threading.Timer(
+            SETTLE_S, owner.links.cut, (links.Cut.REFUSED,)
+        )
+        timer.start()
+        self.callers.run(2 * SETTLE_S)
+        timer.join()
+        self.check_nothing_crashed()
+
     def test_open_connections_do_not_hide_that_new_ones_are_refused(
         self,
     ) -> None:
