Check all services once one is cut off; fewer connections to renew testimonies

An instance with any cut now neither keeps nor claims the shard while another has none, and the first cut has the other services checked.

--- a/baobabpond/reachability/components.py
+++ b/baobabpond/reachability/components.py
@@ -28,7 +28,6 @@
         metrics: metrics_module.Metrics,
     ) -> None:
         self._roster = roster
-        self._directory = directory
         self.tracker = tracker_module.PathTracker()
         self.records = sharing.CutRecords(
             instance, roster_module.TOPIC, roster_module.PARTITION, log
@@ -81,10 +80,6 @@
 
         The owner orders weights and runs items over direct paths only.
         """
-        cut_off = self.monitor.cut_off_services
-        needed = {
-            entry.service
-            for entry in self._directory.entries()
-            if entry.versions
-        }
-        return not (cut_off & needed) or not self.peers_not_cut_off()
+        return (
+            not self.monitor.cut_off_services or not self.peers_not_cut_off()
+        )
--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -22,7 +22,9 @@
 # Between the attempts to reach a service from which the instance is cut off.
 RECHECK_INTERVAL_S = 0.5
 # Testimonies are renewed after this time.
-TESTIMONY_TTL_S = 2.0
+TESTIMONY_TTL_S = 3.0
+# Enough to choose among.
+RENEWAL_WITNESSES = 4
 
 LOG = structlog.get_logger(__name__)
 
@@ -140,7 +142,7 @@
             self._leave(service, probed.reached)
             return False
         if time.monotonic() - cut.testified_at > TESTIMONY_TTL_S:
-            testimonies = self._ask(probed.failing)
+            testimonies = self._ask(probed.failing[:1], RENEWAL_WITNESSES)
             with self._lock:
                 self._cuts[service] = cut._replace(
                     testified_at=time.monotonic(),
@@ -164,12 +166,14 @@
                 self._checked_at[service] = time.monotonic()
 
     def _ask(
-        self, failing: list[catalogue.UpstreamEntry]
+        self,
+        failing: list[catalogue.UpstreamEntry],
+        max_asked: int = peers_module.MAX_ASKED,
     ) -> list[peers_module.Testimony]:
         """Return the testimonies of instances that reach what fails here."""
         return [
             testimony
-            for testimony in self._witnesses.ask(failing)
+            for testimony in self._witnesses.ask(failing, max_asked)
             if testimony.reached
         ]
 
@@ -186,6 +190,17 @@
             reached_by=[each.instance for each in testimonies],
         )
         self._records.set_own(self.cut_off_services)
+        self._suspect_others()
+
+    def _suspect_others(self) -> None:
+        """Check the other services too: most cuts concern them all."""
+        now = time.monotonic()
+        by_service = {
+            entry.service: entry for entry in self._directory.entries()
+        }
+        for service, entry in by_service.items():
+            if service not in self._cuts:
+                self.suspect(tracker_module.Suspicion(entry, now, False))
 
     def _leave(
         self, service: str, reached: list[catalogue.UpstreamEntry]
--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -25,6 +25,8 @@
 MAX_ASKED = 8
 # An upstream to which a connection succeeded this recently is reached.
 FRESH_S = 2.0
+# As long as responses arrive, an older connection will do.
+FRESH_WHILE_HEARD_S = 20.0
 # Upstreams about which one call asks.
 MAX_UPSTREAMS = 4
 
@@ -53,10 +55,14 @@
             pool_module.ClientPool(LogRelay.Client, CONNECT_TIMEOUT_MS)
         )
 
-    def ask(self, entries: list[catalogue.UpstreamEntry]) -> list[Testimony]:
+    def ask(
+        self,
+        entries: list[catalogue.UpstreamEntry],
+        max_asked: int = MAX_ASKED,
+    ) -> list[Testimony]:
         """Return the testimonies of those that respond."""
         peers = self._list_peers()
-        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
+        asked = random.sample(peers, min(max_asked, len(peers)))
         if not asked or not entries:
             return []
         keys = [
@@ -131,5 +137,12 @@
 
     def _is_reached(self, entry: catalogue.UpstreamEntry) -> bool:
         path = self._tracker.path_to(entry)
-        age_s = time.monotonic() - path.connected_at
-        return age_s < FRESH_S and not path.is_failing
+        if path.is_failing:
+            return False
+        now = time.monotonic()
+        if now - path.connected_at < FRESH_S:
+            return True
+        return (
+            now - path.connected_at < FRESH_WHILE_HEARD_S
+            and now - path.heard_at < FRESH_S
+        )
--- a/test/reachability/test_monitor.py
+++ b/test/reachability/test_monitor.py
@@ -27,7 +27,10 @@
         directory = mock.create_autospec(
             directory_module.UpstreamDirectory, instance=True
         )
-        directory.usable.side_effect = lambda service: self.entries
+        directory.usable.side_effect = lambda service: [
+            entry for entry in self.entries if entry.service == service
+        ]
+        directory.entries.side_effect = lambda: self.entries
         self.reachable: set[str] = set()
         prober = mock.create_autospec(prober_module.Prober, instance=True)
         prober.probe.side_effect = self.probe
@@ -96,6 +99,14 @@
             self.reachable = {'a', 'b', 'c'}
             self.wait_for_services(frozenset())
 
+    def test_other_services_are_checked_with_the_first(self) -> None:
+        """No request to them has to fail first."""
+        self.entries += [
+            entry._replace(service='drafts') for entry in self.entries
+        ]
+        self.monitor.check(self.suspicion())
+        self.wait_for_services(frozenset({SERVICE, 'drafts'}))
+
     def wait_for_services(self, expected: frozenset[str]) -> None:
         """Wait until the instance is cut off from some services."""
         ends_at = time.monotonic() + WAIT_S
