Take no response for whole whose head or last chunk is cut

What callers saw: where an upstream stopped inside the head of its answer and closed, a 200 or 204 with an empty body counted as whole; a chunked body counted as whole without its last empty line, and a body of doubtful length (two lengths, no number, a length and chunks) was read somehow.

Cause: the HTTP library takes the end of a connection for the end of a head and of a chunked body. The reader of bounded now raises where the connection ends, unless the body has no length, and heads that don't say where the body ends are errors. One place, for upstreams, peers and the store.

--- a/baobabpond/upstreams/bounded.py
+++ b/baobabpond/upstreams/bounded.py
@@ -24,6 +24,14 @@
     """Raised when a response exceeds its limit in bytes."""
 
 
+class CutResponse(ConnectionError):
+    """Raised when the connection ends before the response does."""
+
+
+class MalformedResponse(http.client.HTTPException):
+    """Raised when a head does not say where its body ends."""
+
+
 class ReadBudget:
     """Limit what may still be read, and for how long."""
 
@@ -75,6 +83,10 @@
     def __init__(self, sock: socket.socket, budget: ReadBudget) -> None:
         self._sock = sock
         self._budget = budget
+        # Whether the end of the connection may end what is read; the library
+        # takes it for the end of a head, and of a chunked body.
+        self.may_end = False
+        self._has_data = False
         # Keeps the socket open while the response is read, even after its
         # connection has been closed.
         self._raw = sock.makefile('rb', buffering=0)
@@ -84,9 +96,15 @@
         return True
 
     def readinto(self, buffer: typing.Any) -> int | None:
-        """Read into a buffer; raise OversizedResponse or TimeoutError."""
+        """Read into a buffer.
+
+        Raises OversizedResponse, TimeoutError or CutResponse.
+        """
         self._sock.settimeout(self._budget.timeout_s)
         count = self._raw.readinto(buffer)
+        if count == 0 and self._has_data and not self.may_end:
+            raise CutResponse('the connection ended within the response')
+        self._has_data = True
         self._budget.consume(count or 0)
         return count
 
@@ -110,13 +128,37 @@
         super().__init__(sock, *args, **options)
         self._budget = budget
         self.fp.close()
-        self.fp = io.BufferedReader(BoundedReader(sock, budget))
+        self._reader = BoundedReader(sock, budget)
+        self.fp = io.BufferedReader(self._reader)
 
     def begin(self) -> None:
-        """Read the head, then allow for the body."""
+        """Read the head, then allow for the body.
+
+        Raises MalformedResponse or CutResponse.
+        """
         super().begin()
+        if self.headers is None:
+            # An earlier version of the protocol, which has no heads.
+            raise MalformedResponse('no head')
+        self._check_framing()
+        self._reader.may_end = not self.chunked and self.length is None
         self._budget.begin_body()
 
+    def _check_framing(self) -> None:
+        """Raise MalformedResponse if the end of the body is in doubt."""
+        lengths = set(self.headers.get_all('Content-Length', []))
+        codings = self.headers.get_all('Transfer-Encoding', [])
+        if len(lengths) > 1 or not all(_is_length(text) for text in lengths):
+            raise MalformedResponse(f'length {sorted(lengths)}')
+        if codings and (lengths or not self.chunked):
+            raise MalformedResponse(
+                f'transfer encoding {codings}, length {sorted(lengths)}'
+            )
+
+
+def _is_length(text: str) -> bool:
+    return text.isascii() and text.isdecimal()
+
 
 class BoundedConnection(urllib3_connection.HTTPConnection):
     """An HTTP connection whose responses are bounded.
