Read answers that end with their connection

What callers saw: each answer of an upstream with Connection: close, or without a length, failed: 502 for requests that may run only once, though the answer had come in full; others ran again. Streams could not begin at all at an upstream that closes after each response, as its report never counted.

Cause: the body was not read once the HTTP library had let go of the socket of such an answer, which it does with the head. The connection now keeps the socket for aborts, and closes the response itself. A report counts for the next connection for 0.2 s.

--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -67,6 +67,10 @@
         # None while nobody has asked.
         self.born: int | None = None
         self._aborted = False
+        # The library lets go of the socket when a response closes the
+        # connection, before its body is read.
+        self._sock: socket.socket | None = None
+        self._response: urllib3.HTTPResponse | None = None
         self._http = bounded.BoundedConnection(
             address[0],
             address[1],
@@ -135,7 +139,9 @@
                 preload_content=False,
                 decode_content=False,
             )
+            self._sock = self._http.sock
             response = self._http.getresponse()
+            self._response = response
         except TRANSPORT_ERRORS as error:
             self.close()
             raise _response_error(error) from error
@@ -163,8 +169,8 @@
         body is cut or exceeds a limit.
         """
         try:
-            if self._http.sock is None:
-                raise OSError('the connection is closed')
+            if self._aborted:
+                raise OSError('the exchange was aborted')
             self._http.budget.restart(
                 max_bytes,
                 read_timeout_s,
@@ -195,14 +201,16 @@
     def abort(self) -> None:
         """Abort the exchange; may be called from another thread."""
         self._aborted = True
-        sock = self._http.sock
+        sock = self._http.sock or self._sock
         if sock is not None:
             with contextlib.suppress(OSError):
                 sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, also while a response is read."""
         self._http.close()
+        if self._response is not None:
+            self._response.close()
 
     def is_reusable_after(self, response: urllib3.HTTPResponse) -> bool:
         """Return whether the connection can be reused after a response."""
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -6,6 +6,7 @@
 import structlog
 import urllib3
 
+from .. import clock
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
@@ -16,6 +17,8 @@
 
 
 REPORT_TIMEOUT_S = 0.5
+# A restart of an upstream takes longer.
+REPORT_VALID_S = 0.2
 # Reports and orders are answered without a signature.
 SUCCESS = range(200, 300)
 
@@ -222,6 +225,7 @@
             [('Host', f'{entry.host}:{entry.port}')],
             None,
         )
+        asked_at_boot_s = clock.since_boot_s()
         try:
             response, _ = self.exchange(
                 connection,
@@ -231,8 +235,23 @@
                 REPORT_TIMEOUT_S,
             )
             body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+            born = self._protocol.report(body).born
             if not connection.is_reusable_after(response):
-                raise NotVerified('closed after its report')
-            return self._protocol.report(body).born
+                self._reconnect(connection, asked_at_boot_s)
+            return born
         except (connections_module.ResponseFailed, ValueError) as error:
             raise NotVerified(f'no report: {error}') from error
+
+    def _reconnect(
+        self,
+        connection: connections_module.Connection,
+        asked_at_boot_s: float,
+    ) -> None:
+        """Connect again to an upstream that closes after each response.
+
+        No other process can listen there so soon. Raises ConnectionFailed.
+        """
+        connection.close()
+        connection.connect()
+        if clock.since_boot_s() - asked_at_boot_s > REPORT_VALID_S:
+            raise NotVerified('closed after its report')
--- a/standins/emulator/serving.py
+++ b/standins/emulator/serving.py
@@ -89,6 +89,23 @@
         exchange.socket.shutdown(socket.SHUT_RDWR)
 
 
+def end_with_connection(exchange: server.Exchange) -> None:
+    """Send the response without a length; the connection ends it."""
+    request = exchange._request
+    # Otherwise the server would send it in chunks.
+    request.response_protocol = 'HTTP/1.0'
+    request.close_connection = True
+
+    def send_response(
+        status: int, reason: str, headers: server.Headers, body: bytes
+    ) -> None:
+        exchange.begin_stream(status, reason, headers)
+        if body:
+            exchange.write(body)
+
+    exchange.send_response = send_response
+
+
 def stop_listening(http_server: server.Server) -> None:
     """Refuse new connections from now on."""
     with contextlib.suppress(OSError):
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -58,6 +58,11 @@
         self.fault: str | None = None
         # If set, all responses state that the upstream is leaving.
         self.announces_leaving = False
+        # Whether the connection closes after each response, as it does at
+        # upstreams that are leaving.
+        self.closes_connections = False
+        # Whether the end of the connection ends each response.
+        self.omits_lengths = False
         # If set, all responses state this limit of requests a second.
         self.request_limit: str | None = None
         # If set, connections of streams are closed after this many events.
@@ -173,6 +178,10 @@
                 exchange.headers.get('X-Request-Id', ''),
             )
         )
+        if self.closes_connections or self.announces_leaving:
+            exchange.close_after_response()
+        if self.omits_lengths:
+            serving.end_with_connection(exchange)
         if self.fault == 'silent':
             while self.fault == 'silent' and not self._stopped.is_set():
                 time.sleep(0.05)
