Test that no error enters a stream that has begun

Report of other operators: a stream broke off, and the error of the next upstream, or its head, stood in the middle of it. It does not happen here: a response that has begun is broken off without its last chunk.

--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -67,6 +67,9 @@
         self.request_limit: str | None = None
         # If set, connections of streams are closed after this many events.
         self.cut_after_events: int | None = None
+        # If set, what answers a stream that is resumed; one of 'failed' (500),
+        # 'rejected' (422), 'unmarked' (without a signature) and 'head_only'.
+        self.resumption_fault: str | None = None
         # If set, weight orders are executed after this delay, and their
         # responses are never sent.
         self.order_delay_s: float | None = None
@@ -364,6 +367,9 @@
         if self.fault == 'error':
             exchange.send_response(500, 'Failed', common_headers, b'failed')
             return
+        if after and self.resumption_fault is not None:
+            self._fail_resumption(exchange, common_headers)
+            return
         version = self.versions[model]
         exchange.begin_stream(
             200,
@@ -395,6 +401,25 @@
                 self._recorder.record_completion(request_id)
             exchange.write(block.encode())
 
+    def _fail_resumption(
+        self, exchange: server.Exchange, common_headers: server.Headers
+    ) -> None:
+        """Answer the resumption of a stream with something else."""
+        if self.resumption_fault == 'failed':
+            exchange.send_response(500, 'Failed', common_headers, b'failed')
+        elif self.resumption_fault == 'rejected':
+            exchange.send_response(422, 'Failed', common_headers, b'failed')
+        elif self.resumption_fault == 'unmarked':
+            headers = [
+                (name, value)
+                for name, value in common_headers
+                if name != 'X-Server-Seal'
+            ]
+            exchange.send_response(200, 'OK', headers, b'failed')
+        else:
+            exchange.begin_stream(200, 'OK', common_headers)
+            serving.close_without_response(exchange)
+
     def _is_cut(self, run: recorder_module.RunRecord) -> bool:
         return self.cut_after_events is not None and (
             len(run.versions) >= self.cut_after_events
