--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -23,8 +23,8 @@
 RECHECK_INTERVAL_S = 0.5
 # Testimonies are renewed after this time.
 TESTIMONY_TTL_S = 3.0
-# Enough to choose among.
-RENEWAL_WITNESSES = 4
+# Where most instances are cut off, the first ones that are asked may all be.
+MAX_ROUNDS = 3
 
 LOG = structlog.get_logger(__name__)
 
@@ -142,7 +142,7 @@
             self._leave(service, probed.reached)
             return False
         if time.monotonic() - cut.testified_at > TESTIMONY_TTL_S:
-            testimonies = self._ask(probed.failing[:1], RENEWAL_WITNESSES)
+            testimonies = self._ask(probed.failing[:1])
             with self._lock:
                 self._cuts[service] = cut._replace(
                     testified_at=time.monotonic(),
@@ -166,16 +166,18 @@
                 self._checked_at[service] = time.monotonic()
 
     def _ask(
-        self,
-        failing: list[catalogue.UpstreamEntry],
-        max_asked: int = peers_module.MAX_ASKED,
+        self, failing: list[catalogue.UpstreamEntry]
     ) -> list[peers_module.Testimony]:
         """Return the testimonies of instances that reach what fails here."""
-        return [
-            testimony
-            for testimony in self._witnesses.ask(failing, max_asked)
-            if testimony.reached
-        ]
+        for _ in range(MAX_ROUNDS):
+            testimonies = [
+                testimony
+                for testimony in self._witnesses.ask(failing)
+                if testimony.reached
+            ]
+            if testimonies:
+                return testimonies
+        return []
 
     def _enter(
         self, service: str, testimonies: list[peers_module.Testimony]
--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -22,13 +22,13 @@
 CONNECT_TIMEOUT_MS = 200
 # The peer may have to connect to the upstreams first.
 CALL_TIMEOUT_MS = 600
-MAX_ASKED = 8
+MAX_ASKED = 4
 # An upstream to which a connection succeeded this recently is reached.
 FRESH_S = 2.0
 # As long as responses arrive, an older connection will do.
 FRESH_WHILE_HEARD_S = 20.0
 # Upstreams about which one call asks.
-MAX_UPSTREAMS = 4
+MAX_UPSTREAMS = 2
 
 LOG = structlog.get_logger(__name__)
 
@@ -55,14 +55,10 @@
             pool_module.ClientPool(LogRelay.Client, CONNECT_TIMEOUT_MS)
         )
 
-    def ask(
-        self,
-        entries: list[catalogue.UpstreamEntry],
-        max_asked: int = MAX_ASKED,
-    ) -> list[Testimony]:
-        """Return the testimonies of those that respond."""
+    def ask(self, entries: list[catalogue.UpstreamEntry]) -> list[Testimony]:
+        """Return the testimonies of some that respond, drawn at random."""
         peers = self._list_peers()
-        asked = random.sample(peers, min(max_asked, len(peers)))
+        asked = random.sample(peers, min(MAX_ASKED, len(peers)))
         if not asked or not entries:
             return []
         keys = [
