Take no request that a planned stop would cut

Cause: a draining instance took everything up to the moment at which its servers stopped, whatever time a request may need. A request that may run once is now taken if it can't be cut; a repeatable one also while callers may not know yet. Once idle, the instance takes nothing at all, so that stopping the servers meets no request. It passes nothing on for other instances from the start.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -1,7 +1,6 @@
 """Dispatch requests of callers, trainers and operators to handlers."""
 
 import json
-import threading
 import typing
 import urllib.parse
 
@@ -15,6 +14,7 @@
 from ..ports import catalogue
 
 from . import batch_handlers as batch_handlers_module
+from . import draining
 from . import forwarder as forwarder_module
 from . import responses
 from . import server
@@ -26,6 +26,8 @@
 # How long callers may cache the address list; some cache it for up to three
 # times as long.
 ADDRESS_LIST_TTL_S = 0.5
+# A call on a batch takes no longer, its own wait apart.
+BATCH_CALL_LIMIT_S = 2.0
 MAX_ADDRESSES = 64
 METRICS_PATH = '/metrics'
 
@@ -50,15 +52,18 @@
         self._batch_handlers = batch_handlers
         self._forwarder = forwarder
         self._metrics = metrics
-        self._draining = threading.Event()
+        self._drain: draining.Drain | None = None
 
-    def start_draining(self) -> None:
-        """Close each connection after its next response from now on."""
-        self._draining.set()
+    def start_draining(self, drain: draining.Drain) -> None:
+        """Close each connection after its next response from now on.
+
+        Refuse what would be cut at the end of the drain.
+        """
+        self._drain = drain
 
     def handle(self, exchange: server.Exchange) -> None:
         """Handle one request."""
-        if self._draining.is_set():
+        if self._drain is not None:
             exchange.close_after_response()
         try:
             self._dispatch(exchange)
@@ -105,6 +110,10 @@
                 ),
             )
             return
+        if call.kind is not callers.CallKind.REQUEST and self._refuse_late(
+            exchange, call, BATCH_CALL_LIMIT_S + call.wait_s, True
+        ):
+            return
         if call.kind is callers.CallKind.READ_RESULTS:
             self._batch_handlers.read_results(exchange, call)
         elif call.kind is callers.CallKind.READ_ITEM:
@@ -123,11 +132,40 @@
                 exchange,
                 verdicts.bad_request('no_id', 'the request has no id'),
             )
+        elif self._refuse_late(
+            exchange,
+            call,
+            _longest_run_s(match.route, call),
+            match.route.is_repeatable,
+        ):
+            return
         elif match.route.kind is catalogue.RouteKind.ROLLOUT:
             self._batch_handlers.submit(exchange, call, match)
         else:
             self._forwarder.forward(exchange, call, match)
 
+    def _refuse_late(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        limit_s: float,
+        is_repeatable: bool,
+    ) -> bool:
+        """Refuse a request that a drain would cut; return whether it did."""
+        refusal = draining.refusal(self._drain, limit_s, is_repeatable)
+        if refusal is None:
+            return False
+        self._metrics.count('edge.refused_while_draining')
+        LOG.info(
+            'request comes too late before the shutdown',
+            request=call.request_id,
+            path=call.path,
+            limit_s=round(limit_s, 3),
+            outcome=refusal.code,
+        )
+        responses.send_refusal(exchange, refusal)
+        return True
+
     def _refuse_unknown_route(
         self, exchange: server.Exchange, call: callers.Call
     ) -> None:
@@ -151,6 +189,15 @@
         responses.send_refusal(exchange, refusal)
 
 
+def _longest_run_s(route: catalogue.Route, call: callers.Call) -> float:
+    """Return the longest time that a request may take to be answered."""
+    if route.kind is catalogue.RouteKind.ROLLOUT:
+        return BATCH_CALL_LIMIT_S
+    if call.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, call.deadline_s)
+
+
 class OperatorApp:
     """Handle requests for readiness, the address list and metrics."""
 
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -169,7 +169,7 @@
                 return None
             if last.verdict is not verdicts.Verdict.NOT_RUN:
                 verdict = verdicts.Verdict.MAY_HAVE_RUN
-                if not _is_retryable(context.route):
+                if not context.route.is_repeatable:
                     break
             crashes += last.has_crashed
             if not self._guard.may_retry(context.digest, crashes):
@@ -393,12 +393,6 @@
     )
 
 
-def _is_retryable(route: catalogue.Route) -> bool:
-    if route.kind is catalogue.RouteKind.STREAMING:
-        return route.resumable
-    return route.kind is catalogue.RouteKind.IDEMPOTENT
-
-
 def _check_response(
     context: attempts_module.RequestContext,
     response: urllib3.HTTPResponse,
@@ -423,7 +417,7 @@
             verdicts.Verdict.MAY_HAVE_RUN,
             'response without the mark of an upstream',
         )
-    if response.status >= SERVER_ERROR and _is_retryable(context.route):
+    if response.status >= SERVER_ERROR and context.route.is_repeatable:
         return FailedAttempt(
             verdicts.Verdict.MAY_HAVE_RUN,
             f'failed {response.status}',
--- a/baobabpond/edge/relay_handler.py
+++ b/baobabpond/edge/relay_handler.py
@@ -53,10 +53,18 @@
         self._permits = permits
         self._watcher = watcher
         self._metrics = metrics
+        self._is_draining = False
         self._slots = threading.Semaphore(MAX_RELAYED)
 
+    def start_draining(self) -> None:
+        """Pass nothing new on; requests in flight go on."""
+        self._is_draining = True
+
     def handle(self, exchange: server.Exchange) -> None:
         """Handle one relayed request."""
+        if self._is_draining:
+            self._end(exchange, wire.Outcome.NOT_SENT, 'shutting down')
+            return
         if not self._slots.acquire(blocking=False):
             self._end(exchange, wire.Outcome.BUSY, 'too many requests')
             return
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -16,6 +16,7 @@
 from .crashes import components as crash_components
 from .edge import app as app_module
 from .edge import batch_handlers
+from .edge import draining
 from .edge import forwarder
 from .edge import relay_handler
 from .edge import server
@@ -155,24 +156,36 @@
         LOG.info('leaving')
         self._leaving = True
         self._roster.leave()
-        self._caller_app.start_draining()
-        self._ownership.release(RELEASE_TIMEOUT_S)
         # Callers may use a cached list of instances until it expires.
-        time.sleep(
-            min(
-                VALIDITY_FACTOR * self._validity_s + LEAVE_PROPAGATION_S,
-                max(0.0, deadline - time.monotonic()),
-            )
+        announced_until = min(
+            deadline,
+            time.monotonic()
+            + VALIDITY_FACTOR * self._validity_s
+            + LEAVE_PROPAGATION_S,
         )
-        drained = all(
-            request_server.wait_idle(max(0.0, deadline - time.monotonic()))
-            for request_server in self._request_servers
+        self._caller_app.start_draining(
+            draining.Drain(announced_until, deadline)
         )
+        self._relay_handler.start_draining()
+        self._ownership.release(RELEASE_TIMEOUT_S)
+        time.sleep(max(0.0, announced_until - time.monotonic()))
+        self._wait_idle(deadline)
+        # From now on nothing begins that stopping the servers would cut.
+        now = time.monotonic()
+        self._caller_app.start_draining(draining.Drain(now, now))
+        drained = self._wait_idle(deadline)
         for http_server in self._servers:
             http_server.stop()
         LOG.info('left', drained=drained)
         return drained
 
+    def _wait_idle(self, deadline: float) -> bool:
+        """Wait for the requests in flight; return False on timeout."""
+        return all(
+            request_server.wait_idle(max(0.0, deadline - time.monotonic()))
+            for request_server in self._request_servers
+        )
+
     def _apply_configuration(
         self, records: list[log_port.Record], is_snapshot: bool
     ) -> None:
@@ -427,7 +440,7 @@
             settings['entries_listen'],
             f'{settings["address"]}:{settings["metrics_port"]}',
         }
-        relays = relay_handler.RelayHandler(
+        self._relay_handler = relay_handler.RelayHandler(
             self._directory,
             self._gateway,
             self._connections,
@@ -442,7 +455,7 @@
             ),
             self._make_server(
                 f'{settings["address"]}:{settings["relay_port"]}',
-                relays.handle,
+                self._relay_handler.handle,
                 relay_handler.THREADS,
             ),
         ]
--- a/baobabpond/ports/catalogue.py
+++ b/baobabpond/ports/catalogue.py
@@ -39,6 +39,13 @@
     # Time from the submission of a batch until its items may be given up.
     give_up_after_s: float
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        if self.kind is RouteKind.STREAMING:
+            return self.resumable
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
 
 class Service(typing.NamedTuple):
     """Describe a service, i.e. a group of upstreams."""
--- a/test/relaying/test_relay.py
+++ b/test/relaying/test_relay.py
@@ -48,7 +48,8 @@
         )
         self.directory.entries.side_effect = lambda: [self.entry]
         self.directory.accepts_requests.return_value = True
-        self.relay = serving.serve(self.make_handler().handle)
+        self.handler = self.make_handler()
+        self.relay = serving.serve(self.handler.handle)
         self.addCleanup(self.relay.stop)
         self.is_avoided = mock.Mock()
         self.connection = self.connect()
@@ -175,6 +176,14 @@
             self.send()
         self.assertEqual([], self.requests)
 
+    def test_draining_instance_passes_nothing_on(self) -> None:
+        """The instance that asked goes by way of another one."""
+        self.handler.start_draining()
+        with self.assertRaises(connections.ConnectionFailed):
+            self.send()
+        self.assertEqual([], self.requests)
+        self.is_avoided.assert_called_once_with()
+
     def test_restarted_upstream_gets_nothing(self) -> None:
         """The relaying instance knows another incarnation."""
         self.entry = self.entry._replace(born=2)
