Name the request in the log where it goes through another instance

While an instance is cut off, only upstreams to which it has connected since are reached directly: each of the others cost its first request half a second. Probes raise no suspicion of their own, so that a crash that is checked with other instances does not make each of them check the service.

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -101,7 +101,9 @@
 
     def __enter__(self) -> 'Attempt':
         """Acquire a connection and watch for a disconnect of the caller."""
-        self.connection = self._dependencies.paths.acquire(self.entry)
+        self.connection = self._dependencies.paths.acquire(
+            self.entry, self._context.request.id
+        )
         self._watch_handle = self._dependencies.watcher.add(
             self._context.exchange.socket, self._on_disconnect
         )
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -50,7 +50,7 @@
 
     def call(self, attempt: state.RewardAttempt) -> RewardResponse:
         """Execute an attempt until it ends."""
-        connection = self._paths.acquire(attempt.entry)
+        connection = self._paths.acquire(attempt.entry, attempt.task.id)
         attempt.abort = connection.abort
         if attempt.is_cancelled:
             connection.close()
--- a/baobabpond/reachability/prober.py
+++ b/baobabpond/reachability/prober.py
@@ -1,7 +1,6 @@
 """Connect to upstreams to see whether they can be reached."""
 
 import concurrent.futures
-import time
 import typing
 
 from .. import metrics as metrics_module
@@ -49,15 +48,14 @@
 
     def _connect(self, entry: catalogue.UpstreamEntry) -> bool:
         self._metrics.count('reachability.probes')
-        started_at = time.monotonic()
         connection = connections_module.Connection((entry.host, entry.port))
         try:
             connection.connect(PROBE_TIMEOUT_S)
         except connections_module.ConnectionRefused:
-            self._tracker.record_failed(entry, started_at)
+            self._tracker.record_unreachable(entry)
             return False
         except connections_module.ConnectionFailed:
-            self._tracker.record_failed(entry, started_at)
+            self._tracker.record_unreachable(entry)
             # Those that are open get no answers either.
             self._connections.close_idle(connection.address)
             return False
--- a/baobabpond/reachability/tracker.py
+++ b/baobabpond/reachability/tracker.py
@@ -68,6 +68,10 @@
         self._update(entry, failed_at=time.monotonic())
         self._on_suspicion(Suspicion(entry, since, False))
 
+    def record_unreachable(self, entry: catalogue.UpstreamEntry) -> None:
+        """Record that a probe failed, which raises no suspicion."""
+        self._update(entry, failed_at=time.monotonic())
+
     def record_heard(self, entry: catalogue.UpstreamEntry) -> None:
         """Record that a response arrived."""
         self._update(entry, heard_at=time.monotonic())
--- a/baobabpond/relaying/paths.py
+++ b/baobabpond/relaying/paths.py
@@ -45,7 +45,7 @@
         self._avoided_until: dict[str, float] = {}
 
     def acquire(
-        self, entry: catalogue.UpstreamEntry
+        self, entry: catalogue.UpstreamEntry, request_id: str
     ) -> connections_module.Connection:
         """Return a connection to an upstream; a new one is not connected.
 
@@ -55,7 +55,8 @@
         cut = self._monitor.cut_from(entry.service)
         if cut is None:
             return self._connections.acquire(address)
-        if not self._tracker.path_to(entry).is_failing:
+        path = self._tracker.path_to(entry)
+        if path.connected_at > cut.since and not path.is_failing:
             return self._connections.acquire(address)
         relay = self._choose(cut.testimonies)
         if relay is None:
@@ -71,6 +72,7 @@
         connection.set_destination(entry, lambda: self._avoid(relay))
         LOG.info(
             'request goes through another instance',
+            request=request_id,
             upstream=entry.id,
             service=entry.service,
             relay=relay.instance,
--- a/test/relaying/examples.py
+++ b/test/relaying/examples.py
@@ -13,7 +13,7 @@
         self._pool = pool
 
     def acquire(
-        self, entry: catalogue.UpstreamEntry
+        self, entry: catalogue.UpstreamEntry, request_id: str
     ) -> connections_module.Connection:
         """Return a direct connection."""
         return self._pool.acquire((entry.host, entry.port))
