--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -23,6 +23,8 @@
 RECHECK_INTERVAL_S = 0.5
 # Testimonies are renewed after this time.
 TESTIMONY_TTL_S = 3.0
+# A service that no other instance has reached for this long is down.
+MAX_TESTIMONY_AGE_S = 9.0
 # Where most instances are cut off, the first ones that are asked may all be.
 MAX_ROUNDS = 3
 
@@ -33,8 +35,9 @@
     """The belief that this instance does not reach a service."""
 
     since: float
+    asked_at: float
     testified_at: float
-    # Of the instances that reach upstreams of the service.
+    # Of the instances that reach upstreams of the service, as last heard.
     testimonies: tuple[peers_module.Testimony, ...]
 
 
@@ -101,20 +104,13 @@
         if judgement.is_explained(suspicion, paths):
             return False
         self._metrics.count('reachability.checks')
-        sample = random.sample(
-            others, min(judgement.MIN_OTHERS_FAILING, len(others))
-        )
-        probed = self._prober.probe([entry, *sample])
-        reached = [each for each in probed.reached if each in sample]
-        if entry in probed.reached and suspicion.is_silence:
-            # It is slow, not out of reach.
-            reached.append(entry)
+        probed = self._probe(suspicion, others)
         testimonies: list[peers_module.Testimony] = []
-        if not reached:
+        if not probed.reached:
             testimonies = self._ask(probed.failing)
         standing = judgement.judge(
             probed.failing,
-            reached,
+            probed.reached,
             {upstream for each in testimonies for upstream in each.reached},
         )
         LOG.info(
@@ -138,18 +134,54 @@
         entries = self._directory.usable(service)
         count = min(judgement.MIN_OTHERS_FAILING, len(entries))
         probed = self._prober.probe(random.sample(entries, count))
-        if probed.reached and not probed.failing:
+        if not probed.failing:
+            # All were reached, or the service has no upstreams any more.
             self._leave(service, probed.reached)
             return False
-        if time.monotonic() - cut.testified_at > TESTIMONY_TTL_S:
-            testimonies = self._ask(probed.failing[:1])
-            with self._lock:
-                self._cuts[service] = cut._replace(
-                    testified_at=time.monotonic(),
-                    testimonies=tuple(testimonies),
-                )
+        now = time.monotonic()
+        if now - cut.testified_at > MAX_TESTIMONY_AGE_S:
+            LOG.info('no other instance reaches the service', service=service)
+            self._leave(service, [])
+            return False
+        if now - cut.asked_at > TESTIMONY_TTL_S:
+            self._renew(service, cut, probed.failing[:1])
         return True
 
+    def _probe(
+        self,
+        suspicion: tracker_module.Suspicion,
+        others: list[catalogue.UpstreamEntry],
+    ) -> prober_module.ProbeResult:
+        """Connect to the upstreams that tell a cut from another failure."""
+        entry = suspicion.entry
+        if suspicion.is_silence:
+            probed = self._prober.probe([entry])
+            if probed.reached:
+                # It is slow, not out of reach.
+                return probed
+        if len(others) < judgement.MIN_OTHERS_FAILING:
+            return self._prober.probe([entry, *others])
+        sample = random.sample(others, judgement.MIN_OTHERS_FAILING)
+        probed = self._prober.probe(sample)
+        return probed._replace(failing=[entry, *probed.failing])
+
+    def _renew(
+        self,
+        service: str,
+        cut: Cut,
+        failing: list[catalogue.UpstreamEntry],
+    ) -> None:
+        """Ask again who reaches a service."""
+        testimonies = self._ask(failing)
+        now = time.monotonic()
+        renewed = cut._replace(asked_at=now)
+        if testimonies:
+            renewed = renewed._replace(
+                testified_at=now, testimonies=tuple(testimonies)
+            )
+        with self._lock:
+            self._cuts[service] = renewed
+
     def _watch(self, suspicion: tracker_module.Suspicion) -> None:
         service = suspicion.entry.service
         try:
@@ -184,7 +216,7 @@
     ) -> None:
         now = time.monotonic()
         with self._lock:
-            self._cuts[service] = Cut(now, now, tuple(testimonies))
+            self._cuts[service] = Cut(now, now, now, tuple(testimonies))
         self._metrics.count('reachability.cuts')
         LOG.warning(
             'cut off from a service that others reach',
--- a/test/reachability/test_monitor.py
+++ b/test/reachability/test_monitor.py
@@ -91,6 +91,33 @@
         self.reachable = {'a'}
         self.assertFalse(self.monitor.check(self.suspicion(True)))
 
+    def test_only_upstream_of_a_service_is_tried_again(self) -> None:
+        """One failed connection to it is no cut."""
+        self.entries = self.entries[:1]
+        self.reachable = {'a'}
+        self.assertFalse(self.monitor.check(self.suspicion()))
+        self.reachable = set()
+        self.assertTrue(self.monitor.check(self.suspicion()))
+
+    def test_cut_ends_with_the_last_upstream_of_the_service(self) -> None:
+        """The operator has removed it."""
+        self.monitor.check(self.suspicion())
+        self.entries = []
+        self.assertFalse(self.monitor.recheck(SERVICE))
+
+    def test_service_that_nobody_reaches_any_more_is_no_cut(self) -> None:
+        """It has gone down for all while this instance was cut off."""
+        self.monitor.check(self.suspicion())
+        self.witnesses.ask.return_value = []
+        with mock.patch.object(monitor_module, 'TESTIMONY_TTL_S', 0.0):
+            self.assertTrue(self.monitor.recheck(SERVICE))
+            cut = self.monitor.cut_from(SERVICE)
+            assert cut is not None
+            # Those that testified last are asked for help until then.
+            self.assertEqual((WITNESS,), cut.testimonies)
+            with mock.patch.object(monitor_module, 'MAX_TESTIMONY_AGE_S', 0.0):
+                self.assertFalse(self.monitor.recheck(SERVICE))
+
     def test_failure_is_checked_in_the_background(self) -> None:
         """The thread goes on until the service is reached again."""
         with mock.patch.object(monitor_module, 'RECHECK_INTERVAL_S', 0.01):
--- a/test/relaying/test_paths.py
+++ b/test/relaying/test_paths.py
@@ -39,7 +39,7 @@
         """Let some instances reach the service."""
         now = time.monotonic()
         self.monitor.cut_from.side_effect = lambda service: monitor_module.Cut(
-            now, now, testimonies
+            now, now, now, testimonies
         )
 
     def acquire(self) -> connections.Connection:
