--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -246,6 +246,46 @@
         unit_test='test.emulator.test_software_versions.RestartedSamplerTest'
         '.test_stream_of_a_sampler_with_an_old_registration',
     ),
+    Mutant(
+        5,
+        'a cut is told from upstreams that are down for all',
+        'baobabpond/reachability/judgement.py',
+        'if any(entry.id in reached_by_peers for entry in failing):',
+        'if failing:',
+        unit_test='test.reachability.test_monitor',
+    ),
+    Mutant(
+        4,
+        'a relayed response that is cut does not look whole',
+        'baobabpond/edge/relay_handler.py',
+        'exchange.abort()',
+        'pass',
+        unit_test='test.relaying.test_relay',
+    ),
+    Mutant(
+        6,
+        'what the relaying instance may have sent is not called unsent',
+        'baobabpond/relaying/connection.py',
+        'wire.Outcome.CUT: connections_module.ResponseFailed',
+        'wire.Outcome.CUT: connections_module.ConnectionFailed',
+        unit_test='test.relaying.test_relay',
+    ),
+    Mutant(
+        4,
+        'the end of a connection does not end a head',
+        'baobabpond/upstreams/bounded.py',
+        'if count == 0 and self._has_data and not self.may_end:',
+        'if False:',
+        unit_test='test.upstreams.test_framing',
+    ),
+    Mutant(
+        8,
+        'a draining instance takes nothing that would be cut',
+        'baobabpond/edge/draining.py',
+        'if now + limit_s + MARGIN_S <= drain.ends_at:',
+        'if True:',
+        unit_test='test.edge.test_draining',
+    ),
 )
 
 
