--- a/test/upstreams/test_gateway.py
+++ b/test/upstreams/test_gateway.py
@@ -156,6 +156,23 @@
             self.send(self.outgoing)
         self.assertEqual(['GET'], self.sent())
 
+    def test_report_counts_for_the_next_connection_for_a_moment(self) -> None:
+        """The upstream closes its connections after each response."""
+        self.connection.is_reusable_after.return_value = False
+        self.send(self.outgoing)
+        self.assertEqual(['GET', 'POST'], self.sent())
+        self.connection.connect.assert_called_once_with()
+
+    def test_old_report_does_not_count_for_the_next_connection(self) -> None:
+        """The upstream may have been restarted meanwhile."""
+        self.connection.is_reusable_after.return_value = False
+        with (
+            mock.patch.object(gateway_module, 'REPORT_VALID_S', -1.0),
+            self.assertRaises(gateway_module.NotVerified),
+        ):
+            self.send(self.outgoing)
+        self.assertEqual(['GET'], self.sent())
+
     def test_limited_upstream_is_not_asked(self) -> None:
         """The permit is for one request."""
         self.instance.state_limit(100.0, stated_at=time.monotonic())
