Name what instances tell of their reach reports; the shutdown of an instance on its own

Names and a move, no change of behaviour: testimonies and witnesses become reports and queries, as the rest of the code calls such things; the steps of a planned stop move from host to shutdown.

--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -9,6 +9,7 @@
 
 from . import metrics as metrics_module
 from . import readiness
+from . import shutdown
 from .batches import ownership
 from .batches import shard_state as state_module
 from .catalogue import current as current_module
@@ -16,7 +17,6 @@
 from .crashes import components as crash_components
 from .edge import app as app_module
 from .edge import batch_handlers
-from .edge import draining
 from .edge import forwarder
 from .edge import relay_handler
 from .edge import server
@@ -54,12 +54,6 @@
 
 CALLER_THREADS = 48
 OPERATOR_THREADS = 4
-# Some callers cache the list of instances for this many times its validity.
-VALIDITY_FACTOR = 3
-LEAVE_PROPAGATION_S = 0.5
-# Left between the end of draining and the end of the grace period.
-GRACE_MARGIN_S = 1.0
-RELEASE_TIMEOUT_S = 2.0
 READY_CHECK_INTERVAL_S = 0.05
 SHARD = 0
 MS_PER_S = 1000
@@ -108,7 +102,7 @@
                         [self._shard_first_load],
                     ),
                     self._limits.permit_handler,
-                    self._reach.witness_handler,
+                    self._reach.reach_handler,
                 )
             ),
         )
@@ -120,7 +114,7 @@
         self._streams.start()
         self._reach.start()
         self._ownership.start()
-        for http_server in self._servers:
+        for http_server in (*self._request_servers, *self._operator_servers):
             http_server.start_thread('http')
         threading.Thread(
             target=self._join_when_ready, name='ready', daemon=True
@@ -150,41 +144,16 @@
         Returns whether all requests completed within the grace period.
         """
         self._leave_requested.wait()
-        deadline = (
-            time.monotonic() + self._settings['grace_s'] - GRACE_MARGIN_S
-        )
         LOG.info('leaving')
         self._leaving = True
-        self._roster.leave()
-        # Callers may use a cached list of instances until it expires.
-        announced_until = min(
-            deadline,
-            time.monotonic()
-            + VALIDITY_FACTOR * self._validity_s
-            + LEAVE_PROPAGATION_S,
-        )
-        self._caller_app.start_draining(
-            draining.Drain(announced_until, deadline)
-        )
-        self._relay_handler.start_draining()
-        self._ownership.release(RELEASE_TIMEOUT_S)
-        time.sleep(max(0.0, announced_until - time.monotonic()))
-        self._wait_idle(deadline)
-        # From now on nothing begins that stopping the servers would cut.
-        now = time.monotonic()
-        self._caller_app.start_draining(draining.Drain(now, now))
-        drained = self._wait_idle(deadline)
-        for http_server in self._servers:
-            http_server.stop()
-        LOG.info('left', drained=drained)
-        return drained
-
-    def _wait_idle(self, deadline: float) -> bool:
-        """Wait for the requests in flight; return False on timeout."""
-        return all(
-            request_server.wait_idle(max(0.0, deadline - time.monotonic()))
-            for request_server in self._request_servers
-        )
+        return shutdown.GracefulShutdown(
+            self._roster,
+            self._ownership,
+            self._caller_app,
+            self._relay_handler,
+            self._request_servers,
+            self._operator_servers,
+        ).run(self._settings['grace_s'], self._validity_s)
 
     def _apply_configuration(
         self, records: list[log_port.Record], is_snapshot: bool
@@ -459,8 +428,7 @@
                 relay_handler.THREADS,
             ),
         ]
-        self._servers = list(self._request_servers)
-        self._servers += [
+        self._operator_servers = [
             self._make_server(listen, operator_app.handle, OPERATOR_THREADS)
             for listen in sorted(addresses)
         ]
--- a/baobabpond/peers/handler.py
+++ b/baobabpond/peers/handler.py
@@ -13,11 +13,11 @@
         self,
         relay: relay_handler.RelayHandler,
         permits: permit_peers.PermitHandler,
-        witness: reach_peers.WitnessHandler,
+        reach: reach_peers.ReachHandler,
     ) -> None:
         self.append = relay.append
         self.read = relay.read
         self.newest = relay.newest
         self.snapshot = relay.snapshot
         self.obtain_permit = permits.obtain_permit
-        self.find_reached = witness.find_reached
+        self.find_reached = reach.find_reached
--- a/baobabpond/reachability/components.py
+++ b/baobabpond/reachability/components.py
@@ -33,16 +33,16 @@
             instance, roster_module.TOPIC, roster_module.PARTITION, log
         )
         path_prober = prober.Prober(connections, self.tracker, metrics)
-        self._witnesses = peers.PeerWitnesses(self.peers_not_cut_off)
+        self._peer_query = peers.PeerQuery(self.peers_not_cut_off)
         self.monitor = monitor_module.ReachMonitor(
             directory,
             self.tracker,
             path_prober,
-            self._witnesses,
+            self._peer_query,
             self.records,
             metrics,
         )
-        self.witness_handler = peers.WitnessHandler(
+        self.reach_handler = peers.ReachHandler(
             directory, self.tracker, path_prober, relay_port, metrics
         )
 
@@ -52,7 +52,7 @@
 
     def is_reached_elsewhere(self, entry: catalogue.UpstreamEntry) -> bool:
         """Ask other instances whether one can connect to an upstream."""
-        return any(each.reached for each in self._witnesses.ask([entry]))
+        return any(each.reached for each in self._peer_query.ask([entry]))
 
     def peers_not_cut_off(self) -> list[roster_module.Member]:
         """Return the other instances that have no cut on record."""
--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -21,10 +21,10 @@
 MIN_CHECK_INTERVAL_S = 1.0
 # Between the attempts to reach a service from which the instance is cut off.
 RECHECK_INTERVAL_S = 0.5
-# Testimonies are renewed after this time.
-TESTIMONY_TTL_S = 3.0
+# Reports are renewed after this time.
+REPORT_TTL_S = 3.0
 # A service that no other instance has reached for this long is down.
-MAX_TESTIMONY_AGE_S = 9.0
+MAX_REPORT_AGE_S = 9.0
 # Where most instances are cut off, the first ones that are asked may all be.
 MAX_ROUNDS = 3
 
@@ -36,9 +36,9 @@
 
     since: float
     asked_at: float
-    testified_at: float
+    reported_at: float
     # Of the instances that reach upstreams of the service, as last heard.
-    testimonies: tuple[peers_module.Testimony, ...]
+    reports: tuple[peers_module.ReachReport, ...]
 
 
 class ReachMonitor:
@@ -49,14 +49,14 @@
         directory: directory_module.UpstreamDirectory,
         tracker: tracker_module.PathTracker,
         prober: prober_module.Prober,
-        witnesses: peers_module.PeerWitnesses,
+        peer_query: peers_module.PeerQuery,
         records: sharing_module.CutRecords,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._directory = directory
         self._tracker = tracker
         self._prober = prober
-        self._witnesses = witnesses
+        self._peer_query = peer_query
         self._records = records
         self._metrics = metrics
         self._lock = threading.Lock()
@@ -105,13 +105,13 @@
             return False
         self._metrics.count('reachability.checks')
         probed = self._probe(suspicion, others)
-        testimonies: list[peers_module.Testimony] = []
+        reports: list[peers_module.ReachReport] = []
         if not probed.reached:
-            testimonies = self._ask(probed.failing)
+            reports = self._ask(probed.failing)
         standing = judgement.judge(
             probed.failing,
             probed.reached,
-            {upstream for each in testimonies for upstream in each.reached},
+            {upstream for each in reports for upstream in each.reached},
         )
         LOG.info(
             'path to a service checked',
@@ -120,12 +120,12 @@
             is_silence=suspicion.is_silence,
             failing=[each.id for each in probed.failing],
             reached=[each.id for each in probed.reached],
-            reached_by=[each.instance for each in testimonies],
+            reached_by=[each.instance for each in reports],
             outcome=standing.value,
         )
         if standing is not judgement.Standing.CUT_OFF:
             return False
-        self._enter(entry.service, testimonies)
+        self._enter(entry.service, reports)
         return True
 
     def recheck(self, service: str) -> bool:
@@ -139,11 +139,11 @@
             self._leave(service, probed.reached)
             return False
         now = time.monotonic()
-        if now - cut.testified_at > MAX_TESTIMONY_AGE_S:
+        if now - cut.reported_at > MAX_REPORT_AGE_S:
             LOG.info('no other instance reaches the service', service=service)
             self._leave(service, [])
             return False
-        if now - cut.asked_at > TESTIMONY_TTL_S:
+        if now - cut.asked_at > REPORT_TTL_S:
             self._renew(service, cut, probed.failing[:1])
         return True
 
@@ -172,13 +172,11 @@
         failing: list[catalogue.UpstreamEntry],
     ) -> None:
         """Ask again who reaches a service."""
-        testimonies = self._ask(failing)
+        reports = self._ask(failing)
         now = time.monotonic()
         renewed = cut._replace(asked_at=now)
-        if testimonies:
-            renewed = renewed._replace(
-                testified_at=now, testimonies=tuple(testimonies)
-            )
+        if reports:
+            renewed = renewed._replace(reported_at=now, reports=tuple(reports))
         with self._lock:
             self._cuts[service] = renewed
 
@@ -199,29 +197,29 @@
 
     def _ask(
         self, failing: list[catalogue.UpstreamEntry]
-    ) -> list[peers_module.Testimony]:
-        """Return the testimonies of instances that reach what fails here."""
+    ) -> list[peers_module.ReachReport]:
+        """Return the reports of instances that reach what fails here."""
         for _ in range(MAX_ROUNDS):
-            testimonies = [
-                testimony
-                for testimony in self._witnesses.ask(failing)
-                if testimony.reached
+            reports = [
+                report
+                for report in self._peer_query.ask(failing)
+                if report.reached
             ]
-            if testimonies:
-                return testimonies
+            if reports:
+                return reports
         return []
 
     def _enter(
-        self, service: str, testimonies: list[peers_module.Testimony]
+        self, service: str, reports: list[peers_module.ReachReport]
     ) -> None:
         now = time.monotonic()
         with self._lock:
-            self._cuts[service] = Cut(now, now, now, tuple(testimonies))
+            self._cuts[service] = Cut(now, now, now, tuple(reports))
         self._metrics.count('reachability.cuts')
         LOG.warning(
             'cut off from a service that others reach',
             service=service,
-            reached_by=[each.instance for each in testimonies],
+            reached_by=[each.instance for each in reports],
         )
         self._records.set_own(self.cut_off_services)
         self._suspect_others()
--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -33,7 +33,7 @@
 LOG = structlog.get_logger(__name__)
 
 
-class Testimony(typing.NamedTuple):
+class ReachReport(typing.NamedTuple):
     """What one instance says of the upstreams it was asked about."""
 
     instance: str
@@ -43,7 +43,7 @@
     reached: frozenset[str]
 
 
-class PeerWitnesses:
+class PeerQuery:
     """Ask several instances at the same time."""
 
     def __init__(
@@ -55,8 +55,8 @@
             pool_module.ClientPool(LogRelay.Client, CONNECT_TIMEOUT_MS)
         )
 
-    def ask(self, entries: list[catalogue.UpstreamEntry]) -> list[Testimony]:
-        """Return the testimonies of some that respond, drawn at random."""
+    def ask(self, entries: list[catalogue.UpstreamEntry]) -> list[ReachReport]:
+        """Return the reports of some that respond, drawn at random."""
         peers = self._list_peers()
         asked = random.sample(peers, min(MAX_ASKED, len(peers)))
         if not asked or not entries:
@@ -66,14 +66,14 @@
             for entry in entries[:MAX_UPSTREAMS]
         ]
         with concurrent.futures.ThreadPoolExecutor(
-            len(asked), 'witness'
+            len(asked), 'reach-query'
         ) as executor:
             answers = executor.map(lambda peer: self._ask(peer, keys), asked)
             return [answer for answer in answers if answer is not None]
 
     def _ask(
         self, peer: roster_module.Member, keys: list[ttypes.UpstreamKey]
-    ) -> Testimony | None:
+    ) -> ReachReport | None:
         host, _ = peer.peer_address
         try:
             answer = self._pool.call(
@@ -88,7 +88,7 @@
                 error=str(error),
             )
             return None
-        return Testimony(
+        return ReachReport(
             peer.instance,
             peer.data_centre,
             (host, answer.relay_port),
@@ -96,7 +96,7 @@
         )
 
 
-class WitnessHandler:
+class ReachHandler:
     """Tell other instances which upstreams this one reaches."""
 
     def __init__(
--- a/baobabpond/relaying/paths.py
+++ b/baobabpond/relaying/paths.py
@@ -58,7 +58,7 @@
         path = self._tracker.path_to(entry)
         if path.connected_at > cut.since and not path.is_failing:
             return self._connections.acquire(address)
-        relay = self._choose(cut.testimonies)
+        relay = self._choose(cut.reports)
         if relay is None:
             self._metrics.count('relaying.no_path')
             return connection_module.NoPath(address)
@@ -77,7 +77,7 @@
             service=entry.service,
             relay=relay.instance,
             cut_for_s=round(time.monotonic() - cut.since, 3),
-            testimony_age_s=round(time.monotonic() - cut.testified_at, 3),
+            report_age_s=round(time.monotonic() - cut.reported_at, 3),
         )
         return connection
 
@@ -94,8 +94,8 @@
         self._connections.release_or_close(connection, response)
 
     def _choose(
-        self, testimonies: tuple[peers_module.Testimony, ...]
-    ) -> peers_module.Testimony | None:
+        self, reports: tuple[peers_module.ReachReport, ...]
+    ) -> peers_module.ReachReport | None:
         """Return the less used of two instances drawn, nearest first.
 
         Instances that are cut off at the same moment so spread over those
@@ -105,7 +105,7 @@
         with self._lock:
             usable = [
                 each
-                for each in testimonies
+                for each in reports
                 if self._avoided_until.get(each.instance, 0.0) <= now
             ]
             if not usable:
@@ -121,7 +121,7 @@
             self._used[chosen.instance] += 1
             return chosen
 
-    def _avoid(self, relay: peers_module.Testimony) -> None:
+    def _avoid(self, relay: peers_module.ReachReport) -> None:
         self._metrics.count('relaying.avoided')
         LOG.info('instance does not pass on requests', relay=relay.instance)
         with self._lock:
--- a/test/reachability/test_monitor.py
+++ b/test/reachability/test_monitor.py
@@ -13,7 +13,7 @@
 from baobabpond.reachability import tracker as tracker_module
 from test.ratelimits import examples
 
-WITNESS = peers.Testimony('other', 'dc', ('h', 1), frozenset({'a', 'b', 'c'}))
+REPORT = peers.ReachReport('other', 'dc', ('h', 1), frozenset({'a', 'b', 'c'}))
 SERVICE = 'orders'
 WAIT_S = 5.0
 
@@ -35,16 +35,14 @@
         prober = mock.create_autospec(prober_module.Prober, instance=True)
         prober.probe.side_effect = self.probe
         self.tracker = tracker_module.PathTracker()
-        self.witnesses = mock.create_autospec(
-            peers.PeerWitnesses, instance=True
-        )
-        self.witnesses.ask.return_value = [WITNESS]
+        self.peer_query = mock.create_autospec(peers.PeerQuery, instance=True)
+        self.peer_query.ask.return_value = [REPORT]
         self.records = mock.create_autospec(sharing.CutRecords, instance=True)
         self.monitor = monitor_module.ReachMonitor(
             directory,
             self.tracker,
             prober,
-            self.witnesses,
+            self.peer_query,
             self.records,
             metrics.Metrics(),
         )
@@ -75,8 +73,8 @@
 
     def test_service_that_is_down_for_all_is_no_cut(self) -> None:
         """No other instance reaches it."""
-        self.witnesses.ask.return_value = [
-            WITNESS._replace(reached=frozenset())
+        self.peer_query.ask.return_value = [
+            REPORT._replace(reached=frozenset())
         ]
         self.assertFalse(self.monitor.check(self.suspicion()))
 
@@ -84,7 +82,7 @@
         """Nobody is asked, as another one is reached."""
         self.reachable = {'b', 'c'}
         self.assertFalse(self.monitor.check(self.suspicion()))
-        self.witnesses.ask.assert_not_called()
+        self.peer_query.ask.assert_not_called()
 
     def test_slow_upstream_is_no_cut(self) -> None:
         """It can be connected to, though its response takes too long."""
@@ -108,14 +106,14 @@
     def test_service_that_nobody_reaches_any_more_is_no_cut(self) -> None:
         """It has gone down for all while this instance was cut off."""
         self.monitor.check(self.suspicion())
-        self.witnesses.ask.return_value = []
-        with mock.patch.object(monitor_module, 'TESTIMONY_TTL_S', 0.0):
+        self.peer_query.ask.return_value = []
+        with mock.patch.object(monitor_module, 'REPORT_TTL_S', 0.0):
             self.assertTrue(self.monitor.recheck(SERVICE))
             cut = self.monitor.cut_from(SERVICE)
             assert cut is not None
-            # Those that testified last are asked for help until then.
-            self.assertEqual((WITNESS,), cut.testimonies)
-            with mock.patch.object(monitor_module, 'MAX_TESTIMONY_AGE_S', 0.0):
+            # Those that reported last are asked for help until then.
+            self.assertEqual((REPORT,), cut.reports)
+            with mock.patch.object(monitor_module, 'MAX_REPORT_AGE_S', 0.0):
                 self.assertFalse(self.monitor.recheck(SERVICE))
 
     def test_failure_is_checked_in_the_background(self) -> None:
--- a/test/relaying/test_paths.py
+++ b/test/relaying/test_paths.py
@@ -12,8 +12,8 @@
 from baobabpond.upstreams import connections
 from test.ratelimits import examples
 
-NEAR = peers.Testimony('near', 'dc', ('near', 1), frozenset({'u'}))
-FAR = peers.Testimony('far', 'other', ('far', 1), frozenset({'u'}))
+NEAR = peers.ReachReport('near', 'dc', ('near', 1), frozenset({'u'}))
+FAR = peers.ReachReport('far', 'other', ('far', 1), frozenset({'u'}))
 
 
 class PathsTest(unittest.TestCase):
@@ -35,11 +35,11 @@
             metrics.Metrics(),
         )
 
-    def cut_off_with(self, *testimonies: peers.Testimony) -> None:
+    def cut_off_with(self, *reports: peers.ReachReport) -> None:
         """Let some instances reach the service."""
         now = time.monotonic()
         self.monitor.cut_from.side_effect = lambda service: monitor_module.Cut(
-            now, now, now, testimonies
+            now, now, now, reports
         )
 
     def acquire(self) -> connections.Connection:
