Publish the cuts of an instance in the order in which they change

Two services that are entered or left at the same moment could publish their cuts in the wrong order; an instance could stay off the list for callers, and without the shard, until its next cut. Seen by reading; the test failed before.

--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -215,13 +215,13 @@
         now = time.monotonic()
         with self._lock:
             self._cuts[service] = Cut(now, now, now, tuple(reports))
+            self._publish()
         self._metrics.count('reachability.cuts')
         LOG.warning(
             'cut off from a service that others reach',
             service=service,
             reached_by=[each.instance for each in reports],
         )
-        self._records.set_own(self.cut_off_services)
         self._suspect_others()
 
     def _suspect_others(self) -> None:
@@ -239,6 +239,7 @@
     ) -> None:
         with self._lock:
             cut = self._cuts.pop(service, None)
+            self._publish()
         if cut is None:
             return
         LOG.info(
@@ -247,4 +248,7 @@
             reached=[entry.id for entry in reached],
             cut_for_s=round(time.monotonic() - cut.since, 3),
         )
-        self._records.set_own(self.cut_off_services)
+
+    def _publish(self) -> None:
+        """Tell the cuts; the caller holds the lock, so that none is lost."""
+        self._records.set_own(frozenset(self._cuts))
--- a/test/reachability/test_monitor.py
+++ b/test/reachability/test_monitor.py
@@ -1,5 +1,6 @@
 """Test when an instance believes that it is cut off, and until when."""
 
+import threading
 import time
 import unittest
 from unittest import mock
@@ -16,6 +17,7 @@
 REPORT = peers.ReachReport('other', 'dc', ('h', 1), frozenset({'a', 'b', 'c'}))
 SERVICE = 'orders'
 WAIT_S = 5.0
+PUBLISHING_S = 0.2
 
 
 class MonitorTest(unittest.TestCase):
@@ -89,6 +91,26 @@
         self.reachable = {'a'}
         self.assertFalse(self.monitor.check(self.suspicion(True)))
 
+    def test_last_published_cuts_are_those_of_two_services(self) -> None:
+        """Both are entered at the same time."""
+        others = [entry._replace(service='drafts') for entry in self.entries]
+        second = threading.Thread(
+            target=self.monitor.check,
+            args=(self.suspicion()._replace(entry=others[0]),),
+        )
+        published: list[frozenset[str]] = []
+
+        def set_own(services: frozenset[str]) -> None:
+            if SERVICE in services and not second.ident:
+                second.start()
+                second.join(PUBLISHING_S)
+            published.append(services)
+
+        self.records.set_own.side_effect = set_own
+        self.monitor.check(self.suspicion())
+        second.join()
+        self.assertEqual({SERVICE, 'drafts'}, published[-1])
+
     def test_only_upstream_of_a_service_is_tried_again(self) -> None:
         """One failed connection to it is no cut."""
         self.entries = self.entries[:1]
