--- a/test/emulator/test_planned_stop.py
+++ b/test/emulator/test_planned_stop.py
@@ -11,6 +11,11 @@
 SLOW_FACTOR = 150
 INTERVAL_S = 0.25
 DEADLINE_MS = '2000'
+# The rest of the grace period is then shorter than the deadline.
+REFUSES_AFTER_S = 2.1
+# Before an idle instance stops.
+RUNS_AFTER_S = 0.9
+LARGE_BODY = b'x' * 2_000_000
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -19,7 +24,9 @@
 
     INSTANCES = 2
 
-    def send(self, address: str, request_id: str) -> clients.Response:
+    def send(
+        self, address: str, request_id: str, body: bytes = b'x'
+    ) -> clients.Response:
         """Send a request that may run only once."""
         return clients.Client().send(
             address,
@@ -30,7 +37,7 @@
                 'X-Request-Id': request_id,
                 'X-Deadline-Ms': DEADLINE_MS,
             },
-            b'x',
+            body,
         )
 
     def test_requests_late_in_the_grace_period_are_not_cut(self) -> None:
@@ -58,3 +65,20 @@
                     self.assertEqual([], runs)
                 else:
                     self.assertEqual(200, status)
+
+    def test_refusals_late_in_the_grace_period_reach_their_callers(
+        self,
+    ) -> None:
+        """Also where the request has a large body that nobody reads."""
+        leaving = self.deployment.instances[0]
+        for service in self.deployment.plain_services:
+            service.slow_factor = SLOW_FACTOR
+        with concurrent.futures.ThreadPoolExecutor(1) as executor:
+            # Keeps the instance from being idle.
+            leaving.terminate()
+            self.run_for(RUNS_AFTER_S)
+            executor.submit(self.send, leaving.address, 'running')
+            self.run_for(REFUSES_AFTER_S - RUNS_AFTER_S)
+            response = self.send(leaving.address, 'refused', LARGE_BODY)
+        self.assertEqual(503, response.status)
+        self.assertEqual([], self.deployment.recorder.runs_of('refused'))
