Count reconnections as connections; no line that a service is reached where it is not

Found by reading: the connection that replaces one which an upstream closed after its report was made beside the gateway's own way of connecting, so that nobody learned of its failure; and a cut that ended because its service was gone or down logged 'service reached again'. Both are small changes of behaviour: what the tracker of paths learns, and the text of one line.

--- a/baobabpond/reachability/monitor.py
+++ b/baobabpond/reachability/monitor.py
@@ -140,7 +140,6 @@
             return False
         now = time.monotonic()
         if now - cut.reported_at > MAX_REPORT_AGE_S:
-            LOG.info('no other instance reaches the service', service=service)
             self._leave(service, [])
             return False
         if now - cut.asked_at > REPORT_TTL_S:
@@ -243,7 +242,7 @@
         if cut is None:
             return
         LOG.info(
-            'service reached again',
+            'service reached again' if reached else 'service gone or down',
             service=service,
             reached=[entry.id for entry in reached],
             cut_for_s=round(time.monotonic() - cut.since, 3),
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -213,7 +213,7 @@
             body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
             born = self._protocol.report(body).born
             if not connection.is_reusable_after(response):
-                self._reconnect(connection, asked_at_boot_s)
+                self._reconnect(connection, entry, asked_at_boot_s)
             return born
         except (connections_module.ResponseFailed, ValueError) as error:
             raise NotVerified(f'no report: {error}') from error
@@ -221,6 +221,7 @@
     def _reconnect(
         self,
         connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
         asked_at_boot_s: float,
     ) -> None:
         """Connect again to an upstream that closes after each response.
@@ -228,6 +229,6 @@
         No other process can listen there so soon. Raises ConnectionFailed.
         """
         connection.close()
-        connection.connect()
+        self._connect(connection, entry)
         if clock.since_boot_s() - asked_at_boot_s > REPORT_VALID_S:
             raise NotVerified('closed after its report')
