Test that upstreams that leave around outages of the log get nothing late

The emulator's store can be away for upstreams too, so that their registrations expire; it counts runs by upstream.

--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -87,7 +87,12 @@
 class Deployment:
     """The emulated platform, its upstreams and the instances."""
 
-    def __init__(self, seed: int = 1) -> None:
+    def __init__(
+        self,
+        seed: int = 1,
+        heartbeat_s: float = upstream_module.HEARTBEAT_INTERVAL_S,
+    ) -> None:
+        self._heartbeat_s = heartbeat_s
         self.store = store_module.Store(seed)
         self.recorder = recorder_module.Recorder()
         self.operator = clients.Operator(self.store)
@@ -168,6 +173,7 @@
             (MODEL,),
             checks_fence=checks_fence,
             software=software,
+            heartbeat_s=self._heartbeat_s,
         )
         self.samplers.append(sampler)
         return sampler
@@ -214,7 +220,11 @@
 
     def _add_plain_service(self, port: int | None = None) -> None:
         service = upstream_module.Upstream(
-            self.store, self.recorder, PLAIN_SERVICE, port=port
+            self.store,
+            self.recorder,
+            PLAIN_SERVICE,
+            port=port,
+            heartbeat_s=self._heartbeat_s,
         )
         service.on_crash = self._restart_later
         self.plain_services.append(service)
--- a/standins/emulator/recorder.py
+++ b/standins/emulator/recorder.py
@@ -104,3 +104,8 @@
         """Return the runs with a request id, in the order of their start."""
         with self._lock:
             return [run for run in self.runs if run.request_id == request_id]
+
+    def runs_at(self, upstream: str) -> list[RunRecord]:
+        """Return the runs of an upstream, in the order of their start."""
+        with self._lock:
+            return [run for run in self.runs if run.upstream == upstream]
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -38,6 +38,9 @@
         self.outage: str | None = None
         # The only topic with the outage; all topics if empty.
         self.outage_topic = ''
+        # Whether the outage keeps upstreams from the store as well, so that
+        # their registrations expire; else it is one of the instances only.
+        self.excludes_upstreams = False
         # Delay before each call is handled.
         self.delay_s = 0.0
         # Share of the appends that are applied without a response.
@@ -108,6 +111,13 @@
         """Return the host and port on which the store listens."""
         return serving.address_of(self.server)
 
+    @property
+    def is_away_for_upstreams(self) -> bool:
+        """Return whether upstreams cannot reach the store now."""
+        return self.faults.outage is not None and (
+            self.faults.excludes_upstreams
+        )
+
     def serve_view(self, rewrite: Rewrite) -> server.Server:
         """Serve the store with registrations of upstreams rewritten."""
         return serving.serve(functools.partial(self._handle, rewrite), THREADS)
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -14,6 +14,8 @@
 from . import store as store_module
 
 HEARTBEAT_INTERVAL_S = 0.3
+# Heartbeats that are missed until the store drops a registration.
+MAX_MISSED_HEARTBEATS = 3
 EVENT_INTERVAL_S = 0.01
 WEIGHT_LOAD_S = 0.3
 REPORT_DELAY_S = 0.05
@@ -40,6 +42,7 @@
         software: str = outputs.FIRST_SOFTWARE,
         name: str = '',
         is_registration_delayed: bool = False,
+        heartbeat_s: float = HEARTBEAT_INTERVAL_S,
     ) -> None:
         # While set, the registration of the former process stays.
         self.is_registration_delayed = is_registration_delayed
@@ -80,6 +83,7 @@
         self._exchanges: set[server.Exchange] = set()
         self._slots = slots
         self._checks_fence = checks_fence
+        self._heartbeat_s = heartbeat_s
         self._lock = threading.Lock()
         self._running = 0
         self._order_sequence = 0
@@ -103,13 +107,17 @@
     def stop(self) -> None:
         """Deregister the upstream and stop its server."""
         self._stopped.set()
-        self._store.produce('keyed.servers', self.id, b'')
+        self._deregister()
         self.server.stop()
 
-    def lapse(self) -> None:
-        """Lose the registration; the upstream still serves."""
+    def lapse(self) -> float:
+        """Lose the registration; the upstream still serves.
+
+        Returns the monotonic time at which the store has accepted it.
+        """
         self._stopped.set()
-        self._store.produce('keyed.servers', self.id, b'')
+        self._deregister()
+        return time.monotonic()
 
     def crash(self) -> None:
         """Stop the server without deregistering the upstream."""
@@ -144,10 +152,19 @@
         return headers
 
     def _send_heartbeats(self) -> None:
+        missed = 0
         while not self._stopped.is_set():
-            if not self.is_registration_delayed:
+            if self._store.is_away_for_upstreams:
+                missed += 1
+                if missed == MAX_MISSED_HEARTBEATS:
+                    self._deregister()
+            elif not self.is_registration_delayed:
+                missed = 0
                 self._register()
-            self._stopped.wait(HEARTBEAT_INTERVAL_S)
+            self._stopped.wait(self._heartbeat_s)
+
+    def _deregister(self) -> None:
+        self._store.produce(store_module.UPSTREAMS_TOPIC, self.id, b'')
 
     def _register(self) -> None:
         entry = {
@@ -161,7 +178,7 @@
             'models': self._models(),
         }
         self._store.produce(
-            'keyed.servers', self.id, json.dumps(entry).encode()
+            store_module.UPSTREAMS_TOPIC, self.id, json.dumps(entry).encode()
         )
 
     def _models(self) -> list[dict[str, typing.Any]]:
--- a/test/emulator/base.py
+++ b/test/emulator/base.py
@@ -5,6 +5,7 @@
 
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
+from standins.emulator import upstream as upstream_module
 
 READ_TIMEOUT_S = 25.0
 
@@ -18,10 +19,14 @@
     PLAIN_SERVICES = 2
     # Whether instances can be cut off from the upstreams.
     HAS_LINKS = False
+    # Interval of the heartbeats of upstreams.
+    HEARTBEAT_S = upstream_module.HEARTBEAT_INTERVAL_S
 
     def setUp(self) -> None:
         """Start the deployment."""
-        self.deployment = deployment_module.Deployment()
+        self.deployment = deployment_module.Deployment(
+            heartbeat_s=self.HEARTBEAT_S
+        )
         self.addCleanup(self.deployment.__exit__)
         self.deployment.start(
             self.INSTANCES,
