Count the grace of lapsed upstreams from the end of the outage

Cause: a tombstone read within 3 s of the return of contact was taken for a registration that lapsed in the outage, and its upstream kept for 2.2 s from the moment at which the tombstone was read. Whoever lives is registered again 2 s after the log is back, so the grace counts from there now; a tombstone read later than that is a departure and counts at once.

The end of an outage is the first answer to any call, as the read of this one topic may hang on (up to 1.1 s in the record); not one from before that read, which tells nothing of its partition. A contact of under a second does not end an outage. A read that is only late is none: the process stood still. Logs say how long the outage was, when it ended and for how long an entry is kept.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -9,12 +9,11 @@
 from ..ports import catalogue
 from ..ports import log as log_port
 from ..ports import upstreams as upstream_port
+from ..store import contact
 
-# Upstreams whose entries lapsed during an outage of the log register again
-# within this time.
+# Upstreams whose entries lapsed in an outage of the log register again within
+# this time of its end.
 LAPSE_GRACE_S = 2.2
-# If the log has been reachable for less than this, an outage is recent.
-RECENT_OUTAGE_S = 3.0
 # Announced shutdowns that are remembered.
 MAX_LEAVING = 1000
 LOG = structlog.get_logger(__name__)
@@ -29,11 +28,11 @@
     def __init__(
         self,
         operator: catalogue.CatalogueDecoder,
-        contact_duration_s: typing.Callable[[], float],
+        last_outage: typing.Callable[[], contact.Outage | None],
         on_removed: RemovalListener = lambda address: None,
     ) -> None:
         self._operator = operator
-        self._contact_duration_s = contact_duration_s
+        self._last_outage = last_outage
         self._on_removed = on_removed
         self._lock = threading.Lock()
         self._entries: dict[str, catalogue.UpstreamEntry] = {}
@@ -156,11 +155,20 @@
     def _remove(self, upstream: str) -> None:
         if upstream not in self._entries or upstream in self._removal_due:
             return
-        if self._contact_duration_s() < RECENT_OUTAGE_S:
-            self._removal_due[upstream] = time.monotonic() + LAPSE_GRACE_S
-            LOG.info('upstream lapsed in an outage', upstream=upstream)
+        outage = self._last_outage()
+        now = time.monotonic()
+        due_at = outage.ended_at + LAPSE_GRACE_S if outage else now
+        if outage is None or due_at <= now:
+            self._drop(upstream)
             return
-        self._drop(upstream)
+        self._removal_due[upstream] = due_at
+        LOG.info(
+            'upstream lapsed in an outage',
+            upstream=upstream,
+            outage_s=round(outage.duration_s, 3),
+            outage_age_s=round(now - outage.ended_at, 3),
+            kept_s=round(due_at - now, 3),
+        )
 
     def _drop(self, upstream: str) -> None:
         self._removal_due.pop(upstream, None)
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -40,6 +40,7 @@
 from .reachability import components as reach_components
 from .reachability import sharing as reach_sharing
 from .relaying import paths
+from .store import contact
 from .store import dispatcher
 from .store import first_load as first_load_module
 from .store import follower as follower_module
@@ -164,6 +165,10 @@
             for request_server in self._request_servers:
                 request_server.set_limits(configuration.limits)
 
+    def _last_upstreams_outage(self) -> contact.Outage | None:
+        outage = self._upstreams_follower.last_outage
+        return outage and outage.ending_by(self._log.regained_at)
+
     def _build_catalogue(self) -> None:
         decoder = self._platform.catalogue_decoder
         self._current = current_module.CurrentConfiguration(decoder)
@@ -171,7 +176,7 @@
         self._load_balancer = load_balancer.LoadBalancer()
         self._directory = directory_module.UpstreamDirectory(
             decoder,
-            lambda: self._upstreams_follower.contact_duration_s,
+            self._last_upstreams_outage,
             self._connections.close_idle,
         )
         self._roster = roster_module.Roster(
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -11,6 +11,7 @@
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
+from . import contact as contact_module
 from . import first_load as first_load_module
 from . import snapshots
 
@@ -57,8 +58,9 @@
         self._first_load = first_load
         self._load = snapshots.SnapshotLoad()
         self._failed_loads = 0
-        self._last_contact = float('-inf')
-        self._contact_started = float('-inf')
+        self._contact = contact_module.Contact(
+            read_wait_s + pause_s + OVERDUE_MARGIN_S
+        )
         self._complete_boot_s = float('-inf')
         self._completed = threading.Condition()
         self._has_missed_records = False
@@ -72,7 +74,7 @@
     @property
     def contact_age_s(self) -> float:
         """Return the seconds since the last successful read."""
-        return time.monotonic() - self._last_contact
+        return self._contact.age_s
 
     @property
     def staleness_s(self) -> float:
@@ -96,14 +98,17 @@
     @property
     def is_in_contact(self) -> bool:
         """Return whether the last read that ended has succeeded."""
-        return self._contact_started > float('-inf')
+        return self._contact.is_established
 
     @property
     def contact_duration_s(self) -> float:
         """Return for how many seconds reads have succeeded without a gap."""
-        if self._is_overdue:
-            return 0.0
-        return time.monotonic() - self._contact_started
+        return self._contact.duration_s
+
+    @property
+    def last_outage(self) -> contact_module.Outage | None:
+        """Return the last period of failed reads; one that lasts ends now."""
+        return self._contact.last_outage
 
     def silence_s(self, since: float) -> float:
         """Return for how many seconds the log is known to have been silent.
@@ -112,17 +117,7 @@
         last successful read; time before the current period of contact with
         the log does not count.
         """
-        if self._contact_started == float('-inf'):
-            return 0.0
-        return max(0.0, self._last_contact - max(since, self._contact_started))
-
-    @property
-    def _is_overdue(self) -> bool:
-        max_age_s = self._read_wait_s + self._pause_s + OVERDUE_MARGIN_S
-        return (
-            self._contact_started == float('-inf')
-            or self.contact_age_s > max_age_s
-        )
+        return self._contact.silence_s(since)
 
     def start(self) -> None:
         """Start consuming in a background thread."""
@@ -158,10 +153,11 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
+            tried_at = time.monotonic()
             try:
                 self._read_once()
             except log_port.LogError as error:
-                self._record_failure(error)
+                self._record_failure(tried_at, error)
                 time.sleep(self._retry_delay_s())
             except Exception:
                 # A record that the listener fails on must not end the thread.
@@ -340,15 +336,14 @@
             raise
 
     def _record_contact(self) -> None:
-        now = time.monotonic()
-        if self._is_overdue:
-            self._contact_started = now
+        gap_s = min(self.contact_age_s, MAX_STALENESS_S)
+        if self._contact.record_success():
             LOG.info(
                 'log partition reachable',
                 topic=self._topic,
                 partition=self._partition,
+                since_last_read_s=round(gap_s, 3),
             )
-        self._last_contact = now
 
     def _record_complete(self, sent_boot_s: float) -> None:
         if self._has_missed_records:
@@ -357,13 +352,12 @@
             self._complete_boot_s = max(self._complete_boot_s, sent_boot_s)
             self._completed.notify_all()
 
-    def _record_failure(self, error: Exception) -> None:
+    def _record_failure(self, tried_at: float, error: Exception) -> None:
         self._metrics.count('log.read_failures')
-        if self._contact_started > float('-inf'):
+        if self._contact.record_failure(tried_at):
             LOG.warning(
                 'log partition unreachable',
                 topic=self._topic,
                 partition=self._partition,
                 error=str(error),
             )
-        self._contact_started = float('-inf')
--- a/baobabpond/store/relay.py
+++ b/baobabpond/store/relay.py
@@ -61,6 +61,7 @@
         self._lock = threading.Lock()
         self._last_failure = float('-inf')
         self._last_success = float('-inf')
+        self._regained_at = float('-inf')
         self._started = time.monotonic()
         self._is_direct_lost = False
         self._retry_s = INITIAL_DIRECT_RETRY_S
@@ -81,6 +82,11 @@
         """Return whether the last direct call reached the log."""
         return not self._is_direct_lost
 
+    @property
+    def regained_at(self) -> float:
+        """Return when the direct way was last regained; monotonic seconds."""
+        return self._regained_at
+
     def set_peer_source(self, peers: Peers) -> None:
         """Set the callback that returns the addresses of possible relays."""
         self._list_peers = peers
@@ -296,6 +302,8 @@
                 self._retry_s = INITIAL_DIRECT_RETRY_S
             if reached:
                 self._last_success = time.monotonic()
+                if changed:
+                    self._regained_at = self._last_success
             else:
                 self._last_failure = time.monotonic()
         if changed:
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -1,5 +1,6 @@
 """Test the directory of upstreams."""
 
+import time
 import unittest
 
 import freezegun
@@ -8,8 +9,9 @@
 from baobabpond.ports import catalogue
 from baobabpond.ports import log as log_port
 from baobabpond.ports import upstreams
+from baobabpond.store import contact
 
-LONG_CONTACT_S = 60.0
+OUTAGE_S = 5.0
 
 
 class FakeOperator:
@@ -28,11 +30,11 @@
 
     def setUp(self) -> None:
         """Create a directory that collects removed addresses."""
-        self.contact_duration_s = LONG_CONTACT_S
+        self.outage: contact.Outage | None = None
         self.removed: list[tuple[str, int]] = []
         self.directory = directory_module.UpstreamDirectory(
             FakeOperator(),
-            lambda: self.contact_duration_s,
+            lambda: self.outage,
             self.removed.append,
         )
 
@@ -67,17 +69,41 @@
         self.assertEqual([], self.removed)
         self.assertEqual([], self.directory.usable('models'))
 
+    def end_outage(self, age_s: float, duration_s: float = OUTAGE_S) -> None:
+        """Let an outage of the log have ended some time ago."""
+        ended_at = time.monotonic() - age_s
+        started_at = ended_at - duration_s
+        self.outage = contact.Outage(started_at, ended_at - 0.1, ended_at)
+
     def test_entry_lapsed_in_an_outage_has_a_grace_period(self) -> None:
         """Entries that lapsed during a log outage have time to reappear."""
         with freezegun.freeze_time() as clock:
             self.apply_record('u1', 'h1 1')
-            self.contact_duration_s = 0.1
+            self.end_outage(0.0)
             self.apply_record('u1', '')
             self.assertEqual(['u1'], self.ids())
             clock.tick(directory_module.LAPSE_GRACE_S + 0.1)
             self.assertEqual([], self.ids())
             self.assertEqual([('h1', 80)], self.removed)
 
+    def test_grace_period_counts_from_the_end_of_the_outage(self) -> None:
+        """Not from when the tombstone is read."""
+        with freezegun.freeze_time() as clock:
+            self.apply_record('u1', 'h1 1')
+            self.end_outage(1.5)
+            self.apply_record('u1', '')
+            self.assertEqual(['u1'], self.ids())
+            clock.tick(directory_module.LAPSE_GRACE_S - 1.4)
+            self.assertEqual([], self.ids())
+
+    def test_departure_after_the_grace_period_counts_at_once(self) -> None:
+        """Whoever lives is registered again by then."""
+        self.apply_record('u1', 'h1 1')
+        self.end_outage(directory_module.LAPSE_GRACE_S + 0.1)
+        self.apply_record('u1', '')
+        self.assertEqual([], self.ids())
+        self.assertEqual([('h1', 80)], self.removed)
+
     def head(self, **fields: bool) -> upstreams.ResponseHead:
         """Return the head of a response."""
         head = upstreams.ResponseHead(
