Take no short loss of the log for an outage in which entries lapse

Callers saw requests run at an upstream up to 3.0 s after it left, while instances had lost the log for a second and the upstreams had not. Cause: any failed read counted as an outage of the log in which registrations may lapse. One lapses after three heartbeat intervals of silence, one of which may be over when an outage begins, so an outage of under one and a half intervals lets none lapse, and a tombstone read after it is a departure. The interval comes from the platform's settings (heartbeat-ms), 1,200 ms where they lack it.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -14,6 +14,10 @@
 # Upstreams whose entries lapsed in an outage of the log register again within
 # this time of its end.
 LAPSE_GRACE_S = 2.2
+# An outage of fewer heartbeat intervals lets no entry lapse: that takes three
+# without a heartbeat, one of which may be over when the outage begins.
+# Intervals vary.
+MIN_LAPSE_INTERVALS = 1.5
 # Announced shutdowns that are remembered.
 MAX_LEAVING = 1000
 LOG = structlog.get_logger(__name__)
@@ -29,10 +33,12 @@
         self,
         operator: catalogue.CatalogueDecoder,
         last_outage: typing.Callable[[], contact.Outage | None],
+        heartbeat_s: float,
         on_removed: RemovalListener = lambda address: None,
     ) -> None:
         self._operator = operator
         self._last_outage = last_outage
+        self._min_lapse_s = MIN_LAPSE_INTERVALS * heartbeat_s
         self._on_removed = on_removed
         self._lock = threading.Lock()
         self._entries: dict[str, catalogue.UpstreamEntry] = {}
@@ -157,10 +163,14 @@
             return
         outage = self._last_outage()
         now = time.monotonic()
-        due_at = outage.ended_at + LAPSE_GRACE_S if outage else now
-        if outage is None or due_at <= now:
+        if (
+            outage is None
+            or outage.duration_s < self._min_lapse_s
+            or outage.ended_at + LAPSE_GRACE_S <= now
+        ):
             self._drop(upstream)
             return
+        due_at = outage.ended_at + LAPSE_GRACE_S
         self._removal_due[upstream] = due_at
         LOG.info(
             'upstream lapsed in an outage',
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from typing import Literal, TypedDict
+from typing import Literal, NotRequired, TypedDict
 
 
 class HostSettings(TypedDict):
@@ -26,6 +26,7 @@
     store_address: str
     parts: int
     order_lease_ms: float
+    upstream_heartbeat_ms: NotRequired[float]
     upstreams_check_fences: bool
     grace_s: float
     status_s: float
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -58,6 +58,8 @@
 READY_CHECK_INTERVAL_S = 0.05
 SHARD = 0
 MS_PER_S = 1000
+# Of upstreams, where the settings do not tell it.
+HEARTBEAT_MS = 1200
 # Pause between reads, so that one read returns many records.
 DIRECTORY_READ_PAUSE_S = 0.1
 # Shorter than the default, to detect early that the owner of the shard has
@@ -177,6 +179,8 @@
         self._directory = directory_module.UpstreamDirectory(
             decoder,
             self._last_upstreams_outage,
+            self._settings.get('upstream_heartbeat_ms', HEARTBEAT_MS)
+            / MS_PER_S,
             self._connections.close_idle,
         )
         self._roster = roster_module.Roster(
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -266,6 +266,7 @@
             'store_address': store_relay.url.removeprefix('http://'),
             'parts': 12,
             'order_lease_ms': 1500,
+            'upstream_heartbeat_ms': self._heartbeat_s * 1000,
             'upstreams_check_fences': self._checks_fence,
             'grace_s': GRACE_S,
             'status_s': 120,
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -12,6 +12,7 @@
 from baobabpond.store import contact
 
 OUTAGE_S = 5.0
+HEARTBEAT_S = 1.2
 
 
 class FakeOperator:
@@ -35,6 +36,7 @@
         self.directory = directory_module.UpstreamDirectory(
             FakeOperator(),
             lambda: self.outage,
+            HEARTBEAT_S,
             self.removed.append,
         )
 
@@ -96,6 +98,13 @@
             clock.tick(directory_module.LAPSE_GRACE_S - 1.4)
             self.assertEqual([], self.ids())
 
+    def test_short_outage_lets_no_entry_lapse(self) -> None:
+        """A tombstone read after it is that of a departure."""
+        self.apply_record('u1', 'h1 1')
+        self.end_outage(0.0, HEARTBEAT_S)
+        self.apply_record('u1', '')
+        self.assertEqual([], self.ids())
+
     def test_departure_after_the_grace_period_counts_at_once(self) -> None:
         """Whoever lives is registered again by then."""
         self.apply_record('u1', 'h1 1')
