Send no request to a lapsed upstream whose grace has ended

A request that was placed before the end of the grace, and waited for a connection, a permit or another instance, was sent after it: the last question before a request is sent did not look at the end of the grace, only the list of entries did.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -51,11 +51,8 @@
 
     def entries(self) -> list[catalogue.UpstreamEntry]:
         """Return the current entries, without lapsed ones past their grace."""
-        now = time.monotonic()
         with self._lock:
-            for upstream, due_at in list(self._removal_due.items()):
-                if now >= due_at:
-                    self._drop(upstream)
+            self._drop_overdue()
             return list(self._entries.values())
 
     def usable(self, service: str) -> list[catalogue.UpstreamEntry]:
@@ -72,6 +69,7 @@
         It may have been found to be leaving, or gone, since it was chosen.
         """
         with self._lock:
+            self._drop_overdue()
             current = self._entries.get(entry.id)
         return (
             current is not None
@@ -180,6 +178,12 @@
             kept_s=round(due_at - now, 3),
         )
 
+    def _drop_overdue(self) -> None:
+        now = time.monotonic()
+        for upstream, due_at in list(self._removal_due.items()):
+            if now >= due_at:
+                self._drop(upstream)
+
     def _drop(self, upstream: str) -> None:
         self._removal_due.pop(upstream, None)
         entry = self._entries.pop(upstream, None)
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -98,6 +98,17 @@
             clock.tick(directory_module.LAPSE_GRACE_S - 1.4)
             self.assertEqual([], self.ids())
 
+    def test_no_request_is_sent_after_the_grace_period(self) -> None:
+        """It may have been chosen before, and waited for a connection."""
+        with freezegun.freeze_time() as clock:
+            self.apply_record('u1', 'h1 1')
+            self.end_outage(0.0)
+            self.apply_record('u1', '')
+            entry = self.directory.entries()[0]
+            self.assertTrue(self.directory.accepts_requests(entry))
+            clock.tick(directory_module.LAPSE_GRACE_S + 0.1)
+            self.assertFalse(self.directory.accepts_requests(entry))
+
     def test_short_outage_lets_no_entry_lapse(self) -> None:
         """A tombstone read after it is that of a departure."""
         self.apply_record('u1', 'h1 1')
