Decode what others wrote in one way, with one error

Entries with ports out of range or not in plain digits, with hosts that are none, with lone surrogates or line ends were used. An entry whose state is unknown, or that became unreadable, left the former one in use. A record with a key that is no text made its whole page unreadable, again and again.

One module (decoding) reads foreign JSON, texts, numbers and addresses, and raises MalformedData for all that can go wrong: for the records of operators, upstreams and instances, reports, batches, answers of the store, numbers in heads and queries, and the JSON of the other assembly. Fourteen tuples of exceptions are gone. An entry that lacks a zone or slots names no upstream, as the users' page says; the test of the plugin had a valid entry without both and checks two more cases now.

What is stored and sent does not change. Heartbeats of later builds may have fields that this one skips.

--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -4,6 +4,7 @@
 import typing
 import zlib
 
+from .. import decoding
 from ..ports import callers
 from ..ports import log as log_port
 
@@ -135,6 +136,7 @@
     return f'{BATCH}/{batch}/{number}'
 
 
+@decoding.decoder('part of a batch')
 def decode_batch(value: bytes) -> BatchPart:
     """Decode a part of a batch."""
     head, parts, number, items = _decode(value)
@@ -154,6 +156,7 @@
     )
 
 
+@decoding.decoder('results')
 def decode_results(key: str, value: bytes) -> Results:
     """Decode results."""
     batch = key.split('/')[1]
@@ -176,6 +179,7 @@
     return log_port.Record(OWNER_KEY, _encode(owner._asdict()))
 
 
+@decoding.decoder('owner')
 def decode_owner(value: bytes) -> OwnerRecord:
     """Decode the owner of a shard."""
     return OwnerRecord(**_decode(value))
@@ -189,6 +193,7 @@
     )
 
 
+@decoding.decoder('intent')
 def decode_intent(key: str, value: bytes) -> Intent:
     """Decode the intent to send an order."""
     return Intent(key.split('/')[1], *_decode(value))
@@ -199,6 +204,7 @@
     return log_port.Record(f'{SOFTWARE}/{service}', _encode(software))
 
 
+@decoding.decoder('default software version')
 def decode_default_software(key: str, value: bytes) -> tuple[str, str]:
     """Decode a service and the default of its software versions."""
     return key.partition('/')[2], str(_decode(value))
@@ -219,6 +225,7 @@
     )
 
 
+@decoding.decoder('progress')
 def decode_progress(key: str, value: bytes) -> Progress:
     """Decode events of an unfinished item."""
     _, item, output_id, first_event = key.split('/')
@@ -239,6 +246,7 @@
     )
 
 
+@decoding.decoder('failures')
 def decode_failures(key: str, value: bytes) -> Failures:
     """Decode the failed attempts at an item."""
     _, batch, item = key.split('/')
@@ -264,13 +272,10 @@
 
 
 def _decode(value: bytes) -> typing.Any:
-    """Decode what _encode returned, or raise ValueError."""
+    """Decode what _encode returned."""
     if value[:1] == ZLIB_PREFIX:
-        try:
-            value = zlib.decompress(value)
-        except zlib.error as error:
-            raise ValueError(str(error)) from error
-    return json.loads(value)
+        value = zlib.decompress(value)
+    return decoding.load_json(value)
 
 
 def _decode_item(fields: list[typing.Any]) -> callers.Item:
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from .. import decoding
 from ..ports import callers
 from ..ports import log as log_port
 
@@ -227,16 +228,17 @@
             for record in records_read:
                 try:
                     self._apply_record(record, is_snapshot)
-                except (ValueError, TypeError, KeyError, IndexError) as error:
+                except decoding.MalformedData as error:
                     LOG.error(
                         'invalid record skipped',
                         key=record.key,
                         offset=record.offset,
-                        error=repr(error),
+                        error=str(error),
                     )
             self._revision += 1
             self._changed.notify_all()
 
+    @decoding.decoder('record')
     def _apply_record(
         self, record: log_port.Record, is_snapshot: bool
     ) -> None:
--- a/baobabpond/catalogue/current.py
+++ b/baobabpond/catalogue/current.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from .. import decoding
 from ..ports import catalogue
 from ..ports import log as log_port
 
@@ -52,12 +53,12 @@
                 continue
             try:
                 self._apply_one(record)
-            except (ValueError, KeyError, TypeError, AttributeError) as error:
+            except decoding.MalformedData as error:
                 LOG.error(
                     'ignoring malformed operator record',
                     key=record.key,
                     offset=record.offset,
-                    error=repr(error),
+                    error=str(error),
                 )
 
     def apply_if_newer(self, configuration: catalogue.Configuration) -> None:
--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from .. import decoding
 from ..ports import catalogue
 from ..ports import log as log_port
 from ..ports import upstreams as upstream_port
@@ -127,16 +128,9 @@
         if not record.value:
             self._remove(record.key)
             return
-        try:
-            entry = self._operator.upstream(record.key, record.value)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
-            LOG.warning(
-                'ignoring malformed upstream entry',
-                upstream=record.key,
-                error=repr(error),
-            )
-            entry = None
+        entry = self._decode(record)
         if entry is None:
+            self._drop(record.key)
             return
         former = self._entries.get(entry.id)
         if former is not None and former.incarnation != entry.incarnation:
@@ -156,6 +150,21 @@
                 born=entry.born,
             )
 
+    def _decode(
+        self, record: log_port.Record
+    ) -> catalogue.UpstreamEntry | None:
+        """Return the upstream of a record, None if it names none to use."""
+        try:
+            return self._operator.upstream(record.key, record.value)
+        except decoding.MalformedData as error:
+            LOG.warning(
+                'ignoring malformed upstream entry',
+                upstream=record.key,
+                offset=record.offset,
+                error=str(error),
+            )
+            return None
+
     def _remove(self, upstream: str) -> None:
         if upstream not in self._entries or upstream in self._removal_due:
             return
--- a/baobabpond/crashes/sharing.py
+++ b/baobabpond/crashes/sharing.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from .. import decoding
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
@@ -34,8 +35,9 @@
     return f'{KEY_PREFIX}{crash.digest}/{born}/{upstream}'
 
 
+@decoding.decoder('key of a crash')
 def decode_key(key: str) -> registry_module.Crash:
-    """Return the crash of a record's key; raise ValueError."""
+    """Return the crash of a record's key; raise MalformedData."""
     digest, born, upstream = key.removeprefix(KEY_PREFIX).split('/', 2)
     return registry_module.Crash(digest, (upstream, int(born)))
 
@@ -87,11 +89,11 @@
         for record in new_records:
             try:
                 crash = decode_key(record.key)
-            except ValueError as error:
+            except decoding.MalformedData as error:
                 LOG.error(
                     'ignoring malformed crash record',
                     key=record.key,
-                    error=repr(error),
+                    error=str(error),
                 )
                 continue
             if record.value:
--- a/baobabpond/edge/streams.py
+++ b/baobabpond/edge/streams.py
@@ -2,6 +2,7 @@
 
 import urllib3
 
+from .. import decoding
 from ..streams import records
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
@@ -102,6 +103,6 @@
 def _requested_last_event(context: attempts.RequestContext) -> int:
     """Return the id of the last event that the caller received, 0 if none."""
     for name, value in context.request.headers:
-        if name.lower() == LAST_EVENT_HEADER.lower() and value.isdecimal():
-            return int(value)
+        if name.lower() == LAST_EVENT_HEADER.lower():
+            return decoding.decimal(value) or 0
     return 0
--- a/baobabpond/http/completions.py
+++ b/baobabpond/http/completions.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from .. import answers
+from .. import decoding
 from .. import verdicts
 from ..routing import router
 from ..routing import streams
@@ -188,7 +189,7 @@
             raise IncompleteStreamError('the attempt was cancelled')
         try:
             texts += _parse_texts(batch)
-        except (ValueError, LookupError, TypeError) as error:
+        except decoding.MalformedData as error:
             stream.reject(MALFORMED_CODE)
             raise IncompleteStreamError(
                 'an event is not a completion chunk'
@@ -196,12 +197,13 @@
     return Completion(''.join(texts), stream.units, stream.weight_versions)
 
 
+@decoding.decoder('completion chunk')
 def _parse_texts(batch: bytes) -> list[str]:
     data = (
         event.removeprefix(DATA_PREFIX) for event in batch.split(EVENT_END)
     )
     return [
-        json.loads(item)['choices'][0]['text']
+        decoding.load_json(item)['choices'][0]['text']
         for item in data
         if item and item != b'[DONE]'
     ]
--- a/baobabpond/http/parse.py
+++ b/baobabpond/http/parse.py
@@ -1,6 +1,5 @@
 """Read and validate HTTP requests."""
 
-import json
 import re
 import time
 import typing
@@ -8,6 +7,7 @@
 from returns import result
 import xxhash
 
+from .. import decoding
 from .. import verdicts
 from ..gen import tree as tree_schema
 from ..settings import tree as tree_module
@@ -103,8 +103,8 @@
     body: bytes,
 ) -> result.Result[JsonBody, verdicts.Refusal]:
     try:
-        fields = json.loads(body)
-    except (ValueError, RecursionError):
+        fields = decoding.load_json(body)
+    except decoding.MalformedData:
         return _fail('bad_json', 'the body is not JSON')
     if not isinstance(fields, dict):
         return _fail('bad_json', 'the body is not a JSON object')
--- a/baobabpond/log/client.py
+++ b/baobabpond/log/client.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from .. import decoding
 from .. import verdicts
 
 JSON_TYPE = 'application/vnd.kafka.json.v2+json'
@@ -114,8 +115,8 @@
 
 def _decode(response: urllib3.BaseHTTPResponse) -> typing.Any:
     try:
-        decoded = json.loads(response.data)
-    except ValueError as error:
+        decoded = decoding.load_json(response.data)
+    except decoding.MalformedData as error:
         raise LogError(
             'the response is not JSON', verdicts.Verdict.MAY_HAVE_RUN
         ) from error
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from .. import decoding
 from ..ports import log as log_port
 
 TOPIC = 'keyed.members'
@@ -76,12 +77,12 @@
                     self._heartbeats.pop(record.key, None)
                     continue
                 try:
-                    member = Member(**json.loads(record.value))
-                except (ValueError, TypeError) as error:
+                    member = _decode(record.value)
+                except decoding.MalformedData as error:
                     LOG.error(
                         'ignoring malformed heartbeat',
                         key=record.key,
-                        error=repr(error),
+                        error=str(error),
                     )
                     continue
                 if record.key not in self._heartbeats:
@@ -163,3 +164,11 @@
                 )
             if self._changed.wait(HEARTBEAT_S):
                 self._changed.clear()
+
+
+@decoding.decoder('heartbeat')
+def _decode(value: bytes) -> Member:
+    """Return the member of a heartbeat; raise MalformedData."""
+    fields = decoding.load_json(value)
+    decoding.address(fields['peer_listen'])
+    return Member(**{name: fields[name] for name in Member._fields})
--- a/baobabpond/ratelimits/sharing.py
+++ b/baobabpond/ratelimits/sharing.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from .. import decoding
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
@@ -52,8 +53,9 @@
     return f'{KEY_PREFIX}{born}/{upstream}'
 
 
+@decoding.decoder('key of a limit')
 def decode_key(key: str) -> tracker_module.Incarnation:
-    """Return the incarnation of a record's key; raise ValueError."""
+    """Return the incarnation of a record's key; raise MalformedData."""
     born, upstream = key.removeprefix(KEY_PREFIX).split('/', 1)
     return upstream, int(born)
 
@@ -67,16 +69,15 @@
     instance: str
 
 
+@decoding.decoder('limit')
 def decode_value(value: bytes) -> LimitValue:
-    """Decode a record's value; raise ValueError, TypeError or KeyError."""
-    fields = json.loads(value)
+    """Decode a record's value; raise MalformedData."""
+    fields = decoding.load_json(value)
     limit = fields['limit']
-    if limit is not None and not 0 <= float(limit) < float('inf'):
-        raise ValueError(f'{limit} is no limit')
     return LimitValue(
-        None if limit is None else float(limit),
-        float(fields['age_s']),
-        str(fields['instance']),
+        None if limit is None else decoding.number(limit),
+        decoding.number(fields['age_s']),
+        decoding.text(fields['instance']),
     )
 
 
@@ -122,11 +123,11 @@
         for record in new_records:
             try:
                 self._apply_one(record, is_snapshot)
-            except (ValueError, TypeError, KeyError) as error:
+            except decoding.MalformedData as error:
                 LOG.error(
                     'ignoring malformed record of a limit',
                     key=record.key,
-                    error=repr(error),
+                    error=str(error),
                 )
 
     def _apply_one(self, record: log_port.Record, is_snapshot: bool) -> None:
@@ -248,7 +249,7 @@
         for record in records:
             if record.value:
                 self._appended[decode_key(record.key)] = TimedLimit(
-                    json.loads(record.value)['limit'], now
+                    decode_value(record.value).limit, now
                 )
         return True
 
--- a/baobabpond/reachability/sharing.py
+++ b/baobabpond/reachability/sharing.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from .. import decoding
 from ..ports import log as log_port
 
 KEY_PREFIX = 'reach/'
@@ -73,11 +74,11 @@
             return
         try:
             self._services[instance] = _decode(record.value)
-        except (ValueError, TypeError, KeyError) as error:
+        except decoding.MalformedData as error:
             LOG.error(
                 'ignoring malformed record of a cut',
                 key=record.key,
-                error=repr(error),
+                error=str(error),
             )
 
     def pending(self) -> log_port.Record | None:
@@ -117,11 +118,13 @@
             delay_s = None if self.append_pending() else RETRY_S
 
 
+@decoding.decoder('cut')
 def _decode(value: bytes) -> frozenset[str]:
     """Return the services of a record; none for a tombstone.
 
-    Raises ValueError, TypeError or KeyError.
+    Raises MalformedData.
     """
     if not value:
         return frozenset()
-    return frozenset(map(str, json.loads(value)['cut_off']))
+    services = decoding.load_json(value)['cut_off']
+    return frozenset(decoding.text(service) for service in services)
--- a/baobabpond/relaying/wire.py
+++ b/baobabpond/relaying/wire.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 
+from .. import decoding
 from ..ports import headers as header_port
 from ..ports import upstreams as upstream_port
 
@@ -14,6 +15,7 @@
 OUTCOME_HEADER = 'Relay-Outcome'
 PREFIX = 'relay-'
 MS_PER_S = 1000
+MAX_TIMEOUT_MS = 24 * 3600 * MS_PER_S
 # Status of the responses that the relaying instance makes up itself.
 FAILURE_STATUS = 502
 
@@ -71,16 +73,19 @@
 
 def decode_destination(headers: typing.Mapping[str, str]) -> Destination:
     """Return the destination that headers name; raise MalformedRequest."""
-    try:
-        return Destination(
-            headers[REQUEST_HEADER],
-            headers[UPSTREAM_HEADER],
-            int(headers[BORN_HEADER]),
-            int(headers[TIMEOUT_HEADER]) / MS_PER_S,
-            INCARNATION_HEADER in headers,
-        )
-    except (KeyError, ValueError) as error:
-        raise MalformedRequest(f'not a relayed request: {error!r}') from error
+    born = decoding.decimal(headers.get(BORN_HEADER))
+    timeout_ms = decoding.decimal(headers.get(TIMEOUT_HEADER), MAX_TIMEOUT_MS)
+    request = headers.get(REQUEST_HEADER)
+    upstream = headers.get(UPSTREAM_HEADER)
+    if None in (born, timeout_ms, request, upstream):
+        raise MalformedRequest('not a relayed request')
+    return Destination(
+        request,
+        upstream,
+        born,
+        timeout_ms / MS_PER_S,
+        INCARNATION_HEADER in headers,
+    )
 
 
 def end_to_end_headers(
--- a/baobabpond/reports/log_lines.py
+++ b/baobabpond/reports/log_lines.py
@@ -2,9 +2,9 @@
 
 import collections.abc
 import datetime
-import json
 import typing
 
+from .. import decoding
 from .. import errors
 
 
@@ -27,7 +27,7 @@
     if start < 0:
         return None
     try:
-        fields = json.loads(text[start:])
+        fields = decoding.load_json(text[start:])
         timestamp = datetime.datetime.fromisoformat(fields['timestamp'])
         return LogLine(
             timestamp.timestamp(), fields['instance'], fields['event'], fields
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -329,8 +329,10 @@
             return True
 
     def _deliver(self, new: list[log_port.Record]) -> None:
+        # Records without a key stand for ones that cannot be read.
+        readable = [record for record in new if record.key]
         try:
-            self._listener(new, False)
+            self._listener(readable, False)
         except Exception:
             self._has_missed_records = True
             raise
--- a/baobabpond/streams/default_version.py
+++ b/baobabpond/streams/default_version.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from .. import decoding
 from ..batches import records
 from ..batches import shard_state as state_module
 from ..catalogue import current as current_module
@@ -70,11 +71,11 @@
             service, software = records.decode_default_software(
                 record.key, record.value
             )
-        except ValueError as error:
+        except decoding.MalformedData as error:
             LOG.error(
                 'ignoring malformed default of a service',
                 key=record.key,
-                error=repr(error),
+                error=str(error),
             )
             return
         self._loaded[service] = software
--- a/baobabpond/streams/recorder.py
+++ b/baobabpond/streams/recorder.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from .. import decoding
 from .. import metrics as metrics_module
 from ..ports import log as log_port
 
@@ -160,10 +161,10 @@
         return None
     try:
         return records_module.decode(record)
-    except (ValueError, TypeError, KeyError) as error:
+    except decoding.MalformedData as error:
         LOG.error(
             'ignoring malformed record of a stream',
             key=record.key,
-            error=repr(error),
+            error=str(error),
         )
         return None
--- a/baobabpond/streams/records.py
+++ b/baobabpond/streams/records.py
@@ -3,6 +3,7 @@
 import json
 import typing
 
+from .. import decoding
 from ..ports import log as log_port
 
 KEY_PREFIX = 'stream/'
@@ -25,11 +26,14 @@
     )
 
 
+@decoding.decoder('origin of a stream')
 def decode(record: log_port.Record) -> StreamOrigin:
-    """Decode a record with a value; raise ValueError, TypeError, KeyError."""
-    fields = json.loads(record.value)
+    """Decode a record with a value; raise MalformedData."""
+    fields = decoding.load_json(record.value)
     return StreamOrigin(
-        stream_of(record), str(fields['service']), str(fields['software'])
+        stream_of(record),
+        decoding.text(fields['service']),
+        decoding.text(fields['software']),
     )
 
 
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -11,6 +11,7 @@
 import urllib3
 from urllib3 import util
 
+from .. import decoding
 from .. import metrics as metrics_module
 
 from . import bounded
@@ -227,8 +228,9 @@
     def _update_idle_limit(self, keep_alive: str) -> None:
         for part in keep_alive.split(','):
             name, _, value = part.strip().partition('=')
-            if name.lower() == 'timeout' and value.strip().isdecimal():
-                self.idle_limit_s = max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
+            timeout_s = decoding.decimal(value.strip())
+            if name.lower() == 'timeout' and timeout_s is not None:
+                self.idle_limit_s = max(0.0, timeout_s - KEEP_ALIVE_MARGIN_S)
 
     def _set_timeout(self, timeout_s: float) -> None:
         sock = self._http.sock
--- a/test/platform_plugin/test_plugin.py
+++ b/test/platform_plugin/test_plugin.py
@@ -7,6 +7,7 @@
 import sys
 import unittest
 
+from baobabpond import decoding
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
@@ -111,7 +112,13 @@
 
     def test_invalid_records_register_no_upstream(self) -> None:
         """Unknown states, wrong types and bytes raise or give None."""
-        valid = {'service': 's', 'address': '1.2.3.4:5', 'state': 'ready'}
+        valid = {
+            'service': 's',
+            'address': '1.2.3.4:5',
+            'zone': 'z',
+            'slots': 4,
+            'state': 'ready',
+        }
         self.assertIsNotNone(self.decode(json.dumps(valid).encode()))
         invalid = (
             b'\xff',
@@ -122,6 +129,8 @@
             json.dumps({**valid, 'address': 'nowhere'}).encode(),
             json.dumps({**valid, 'service': ['s']}).encode(),
             json.dumps({**valid, 'models': 3}).encode(),
+            json.dumps({**valid, 'zone': 5}).encode(),
+            json.dumps({**valid, 'slots': '4'}).encode(),
         )
         for value in invalid:
             with self.subTest(value=value):
@@ -131,7 +140,7 @@
         """Decode a record; None if the directory would skip it."""
         try:
             return self.decoder.upstream('i-1', value)
-        except (ValueError, KeyError, TypeError, AttributeError):
+        except decoding.MalformedData:
             return None
 
 
