Check the incarnation of upstreams that state a limit, too

A stream was taken up at an upstream that had been restarted under its id with another software version (ORDER), if that upstream states a limit of requests: the report that tells the process was left out there, to spare the permit. It takes a permit of its own now; without one nothing is sent, and the request has not run.

The unit test that asked for no report at limited upstreams (test_limited_upstream_is_not_asked) was wrong: it kept the limit at the price of ORDER; two tests replace it, which keep the limit as well.

--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -10,6 +10,7 @@
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
+from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
 from ..ratelimits import tracker as tracker_module
 
@@ -17,6 +18,8 @@
 
 
 REPORT_TIMEOUT_S = 0.5
+# The permit of the request that waits for it is not valid for much longer.
+REPORT_URGENCY = bucket_module.Urgency(max_wait_s=0.3)
 # A restart of an upstream takes longer.
 REPORT_VALID_S = 0.2
 # Reports and orders are answered without a signature.
@@ -176,9 +179,6 @@
         ConnectionFailed.
         """
         if connection.born is None:
-            if self._permits.is_limited(entry):
-                # The report would take the permit of another request.
-                return
             connection.born = self._read_born(connection, entry)
         if connection.born not in (0, entry.born):
             LOG.info(
@@ -206,7 +206,7 @@
             response, _ = self.exchange(
                 connection,
                 entry,
-                permits_module.unlimited(entry),
+                self._permits.obtain(entry, REPORT_URGENCY),
                 report,
                 REPORT_TIMEOUT_S,
             )
@@ -215,7 +215,11 @@
             if not connection.is_reusable_after(response):
                 self._reconnect(connection, entry, asked_at_boot_s)
             return born
-        except (connections_module.ResponseFailed, ValueError) as error:
+        except (
+            connections_module.ResponseFailed,
+            permits_module.RateLimited,
+            ValueError,
+        ) as error:
             raise NotVerified(f'no report: {error}') from error
 
     def _reconnect(
--- a/test/upstreams/test_gateway.py
+++ b/test/upstreams/test_gateway.py
@@ -173,8 +173,15 @@
             self.send(self.outgoing)
         self.assertEqual(['GET'], self.sent())
 
-    def test_limited_upstream_is_not_asked(self) -> None:
-        """The permit is for one request."""
+    def test_report_of_a_limited_upstream_takes_a_permit(self) -> None:
+        """The permit of the request is for that alone."""
         self.instance.state_limit(100.0, stated_at=time.monotonic())
         self.send(self.outgoing)
-        self.assertEqual(['POST'], self.sent())
+        self.assertEqual(['GET', 'POST'], self.sent())
+
+    def test_nothing_is_sent_without_a_permit_for_the_report(self) -> None:
+        """A restart of the upstream would go unnoticed."""
+        self.instance.state_limit(0.5, stated_at=time.monotonic())
+        with self.assertRaises(gateway_module.NotVerified):
+            self.send(self.outgoing)
+        self.assertEqual([], self.sent())
