Tell the origin of a stream only where nothing can contradict it

An append of a record without an answer may take effect later: the same request then began the stream on the default version, and the late record would have named the other one; it keeps to that version now. Once records of a topic were missed, a search for a record that is not there failed to find what had been lost; the origin is unknown then. A client that does not name the stream it resumes got the default; now only where all upstreams have it.

test_stream_resumption compares the calls that ask for an origin; these have a third argument, the versions that are registered.

--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -213,14 +213,18 @@
         """
         if not stream.last_event or not context.route.resumable:
             return None
-        found = self._origins.find(context.service, context.resumed_stream)
+        registered = {
+            entry.software for entry in self._directory.usable(context.service)
+        }
+        found = self._origins.find(
+            context.service, context.resumed_stream, registered
+        )
         if found is None:
             reasons.append('software version of the stream unknown')
             return refusals.stream_origin_unknown()
         stream.software = found.software
         reasons.append(f'begun by {found.software} ({found.source})')
-        entries = self._directory.usable(context.service)
-        if any(entry.software == found.software for entry in entries):
+        if found.software in registered:
             return None
         return refusals.stream_version_gone()
 
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -142,14 +142,15 @@
     def catch_up(self) -> int:
         """Read to the end of the partition and return its offset.
 
-        Raises LogError.
+        Raises LogError, also if records before it were missed.
         """
         while True:
             page = self._read(0.0)
-            if page is None:
+            if page is None or not self._has_reached_end(page):
                 continue
-            if self._has_reached_end(page):
-                return page.end
+            if self._has_missed_records:
+                raise log_port.LogError('records were missed before')
+            return page.end
 
     def _run(self) -> None:
         while not self._stopped.is_set():
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -51,6 +51,8 @@
         self._lock = threading.Lock()
         # Least recently begun first.
         self._begun: dict[str, str] = {}
+        # Streams whose record may yet appear on the log, oldest first.
+        self._unsettled: dict[str, str] = {}
 
     def begin(self, origin: records_module.StreamOrigin) -> bool:
         """Note the origin of a stream whose first event has arrived.
@@ -59,24 +61,56 @@
         to tell the origin.
         """
         default = self._defaults.known(origin.service)
-        if origin.software != default and not self._recorder.record(origin):
+        outcome = self._record(origin, default)
+        if outcome is not log_port.AppendOutcome.DONE:
             LOG.warning(
                 'stream not begun: its origin is not on the log',
                 request=origin.stream,
                 software=origin.software,
                 default=default,
+                outcome=outcome.value,
             )
             self._metrics.count('streams.not_begun')
             return False
         with self._lock:
-            self._begun[origin.stream] = origin.software
-            if len(self._begun) > MAX_REMEMBERED:
-                del self._begun[next(iter(self._begun))]
+            _remember(self._begun, origin)
         return True
 
-    def find(self, service: str, stream: str) -> FoundOrigin | None:
-        """Return the origin of a stream, None if it can't be told now."""
-        found = self._find(service, stream)
+    def _record(
+        self, origin: records_module.StreamOrigin, default: str | None
+    ) -> log_port.AppendOutcome:
+        """Make sure that the log tells the origin, with a record if need be.
+
+        An append without an answer may still take effect; until then its
+        stream can begin with no other version.
+        """
+        unsettled = self._unsettled.get(origin.stream)
+        if unsettled not in (None, origin.software):
+            return log_port.AppendOutcome.UNKNOWN
+        if unsettled is None and origin.software == default:
+            return log_port.AppendOutcome.DONE
+        outcome = self._recorder.record(origin)
+        with self._lock:
+            if outcome is log_port.AppendOutcome.UNKNOWN:
+                _remember(self._unsettled, origin)
+            else:
+                self._unsettled.pop(origin.stream, None)
+        return outcome
+
+    def find(
+        self, service: str, stream: str, registered: set[str]
+    ) -> FoundOrigin | None:
+        """Return the origin of a stream, None if it can't be told now.
+
+        Without the name of the stream, it can be told only if all registered
+        upstreams have the default version.
+        """
+        if stream:
+            found = self._find(service, stream)
+        elif registered == {self._defaults.known(service)}:
+            found = FoundOrigin(next(iter(registered)), 'default')
+        else:
+            found = None
         self._metrics.count(
             f'streams.resumed.{found.source if found else "unknown"}'
         )
@@ -107,3 +141,12 @@
             return FoundOrigin(origin.software, 'record')
         default = self._defaults.load(service)
         return None if default is None else FoundOrigin(default, 'default')
+
+
+def _remember(
+    software: dict[str, str], origin: records_module.StreamOrigin
+) -> None:
+    """Add an origin by its stream, and drop the oldest beyond a bound."""
+    software[origin.stream] = origin.software
+    if len(software) > MAX_REMEMBERED:
+        del software[next(iter(software))]
--- a/baobabpond/streams/recorder.py
+++ b/baobabpond/streams/recorder.py
@@ -32,7 +32,8 @@
 
     def __init__(self, record: log_port.Record) -> None:
         self.record = record
-        self.is_done = False
+        # Unknown until its append has ended.
+        self.outcome = log_port.AppendOutcome.UNKNOWN
         self.ended = threading.Event()
 
 
@@ -75,17 +76,17 @@
         found = self._origins.get(stream)
         return found.origin if found else None
 
-    def record(self, origin: records_module.StreamOrigin) -> bool:
-        """Append an origin; return whether the log has confirmed it."""
+    def record(
+        self, origin: records_module.StreamOrigin
+    ) -> log_port.AppendOutcome:
+        """Append an origin; return the outcome, as far as it is known."""
         pending = PendingRecord(records_module.encode(origin))
         with self._changed:
             self._pending.append(pending)
             self._changed.notify_all()
         pending.ended.wait(RECORD_TIMEOUT_S)
-        self._metrics.count(
-            f'streams.records.{"done" if pending.is_done else "failed"}'
-        )
-        return pending.is_done
+        self._metrics.count(f'streams.records.{pending.outcome.value}')
+        return pending.outcome
 
     def apply(
         self, new_records: list[log_port.Record], is_snapshot: bool
@@ -119,8 +120,7 @@
             records,
             timeout_s=APPEND_TIMEOUT_S,
         )
-        is_done = result.outcome is log_port.AppendOutcome.DONE
-        if not is_done:
+        if result.outcome is not log_port.AppendOutcome.DONE:
             LOG.warning(
                 'append of streams failed',
                 outcome=result.outcome.value,
@@ -128,7 +128,7 @@
                 records=len(records),
             )
         for waiting in pending:
-            waiting.is_done = is_done
+            waiting.outcome = result.outcome
             waiting.ended.set()
 
     def _expired(self) -> list[str]:
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -33,6 +33,16 @@
         self.snapshots += snapshot
         self.received += [(record.key, record.value) for record in records]
 
+    def test_catch_up_fails_once_records_were_missed(self) -> None:
+        """What is lacking would be taken for not there."""
+        self.follower.catch_up()
+        self.failing_key = 'a'
+        self.log.add('a')
+        with self.assertRaises(RuntimeError):
+            self.follower.catch_up()
+        with self.assertRaises(log_port.LogError):
+            self.follower.catch_up()
+
     def test_snapshot_comes_first_then_appended_records(self) -> None:
         """Each key's newest record comes once, appended records in order."""
         self.log.add('a', b'1')
