Act only on responses to runs and reward calls that their upstream has marked

Cause: only ordinary requests and reward calls asked for the mark that upstreams put on what they have run; runs of items never did. Until answers that end with their connection were read, the closed connection refused such bytes by accident. A 422 or 500 without the mark also ended items, and counted as one of their failed attempts.

A success must name its request as well. Responses that are not reliable interrupt a run, which is repeated; refusals that say that nothing has run need no mark. One line in the log and a counter for each such response to a run.

--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -19,6 +19,7 @@
 from ..ratelimits import permits as permits_module
 from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
+from ..upstreams import authenticity
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
@@ -403,12 +404,11 @@
     response_head: upstream_port.ResponseHead,
     body: bytes,
 ) -> FailedAttempt | None:
-    """Return why a response must not be sent yet, None if it may be.
-
-    A response is foreign if it names the id of another request, and
-    unmarked if it lacks the header that every upstream adds.
-    """
-    if response_head.request_id not in ('', context.request.id):
+    """Return why a response must not be sent yet, None if it may be."""
+    found = authenticity.of_response(
+        context.request.id, response.status, response_head
+    )
+    if found is authenticity.Authenticity.FOREIGN:
         return FailedAttempt(
             verdicts.Verdict.MAY_HAVE_RUN, 'response to another request'
         )
@@ -416,7 +416,10 @@
         return FailedAttempt(
             verdicts.Verdict.NOT_RUN, f'refused {response.status}'
         )
-    if response.status in SUCCESS and not response_head.is_from_upstream:
+    if (
+        response.status in SUCCESS
+        and found is authenticity.Authenticity.UNMARKED
+    ):
         return FailedAttempt(
             verdicts.Verdict.MAY_HAVE_RUN,
             'response without the mark of an upstream',
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -10,6 +10,7 @@
 from ..ports import callers
 from ..ports import upstreams as upstream_port
 from ..relaying import paths as paths_module
+from ..upstreams import authenticity
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 
@@ -104,7 +105,7 @@
         )
         # The signature is the score; the body only has to be complete.
         connection.drain_body(response, attempt.timeout_s)
-        if head.request_id not in ('', call.id):
+        if not authenticity.is_reliable(call.id, response.status, head):
             connection.close()
             return RewardResponse(runner.RunOutcome.INTERRUPTED)
         self._paths.release_or_close(connection, response)
@@ -132,8 +133,6 @@
             load=head.load,
             retry_after_s=_retry_after_s(response),
         )
-    if not head.is_from_upstream:
-        return RewardResponse(runner.RunOutcome.INTERRUPTED, load=head.load)
     return RewardResponse(
         runner.RunOutcome.COMPLETED, head.signature, head.load
     )
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -10,6 +10,7 @@
 from .. import metrics as metrics_module
 from ..ports import upstreams as upstream_port
 from ..ratelimits import permits as permits_module
+from ..upstreams import authenticity
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
 from ..upstreams import gateway as gateway_module
@@ -141,8 +142,10 @@
             ),
             READ_TIMEOUT_S,
         )
-        if response_head.request_id not in ('', attempt.request.id):
-            self._metrics.count('upstream.foreign_answers')
+        if not authenticity.is_reliable(
+            attempt.request.id, response.status, response_head
+        ):
+            self._log_doubt(attempt, response, response_head)
             connection.close()
             return RunOutcome.INTERRUPTED
         if response.status != OK:
@@ -195,6 +198,25 @@
         self._connections.release_or_close(connection, response)
         return classify_refusal(response.status, response_head)
 
+    def _log_doubt(
+        self,
+        attempt: Attempt,
+        response: typing.Any,
+        response_head: upstream_port.ResponseHead,
+    ) -> None:
+        found = authenticity.of_response(
+            attempt.request.id, response.status, response_head
+        )
+        self._metrics.count(f'upstream.{found.value}_answers')
+        LOG.info(
+            'response to a run is not that of its upstream',
+            request=attempt.request.id,
+            upstream=attempt.run.upstream.id,
+            status=response.status,
+            found=found.value,
+            events=len(attempt.run.task.events),
+        )
+
     def _log_failure(self, attempt: Attempt, error: Exception) -> None:
         if attempt.run.cancel_reason:
             return
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -14,6 +14,7 @@
 from ..ratelimits import permits as permits_module
 from ..ratelimits import tracker as tracker_module
 
+from . import authenticity
 from . import connections as connections_module
 
 
@@ -22,8 +23,6 @@
 REPORT_URGENCY = bucket_module.Urgency(max_wait_s=0.3)
 # A restart of an upstream takes longer.
 REPORT_VALID_S = 0.2
-# Reports and orders are answered without a signature.
-SUCCESS = range(200, 300)
 
 
 LOG = structlog.get_logger(__name__)
@@ -120,10 +119,9 @@
             response.status, response.headers
         )
         self._directory.observe(entry, head)
-        if head.request_id in ('', outgoing.id):
-            is_genuine = head.is_from_upstream or (
-                not outgoing.id and response.status in SUCCESS
-            )
+        found = authenticity.of_response(outgoing.id, response.status, head)
+        if found is not authenticity.Authenticity.FOREIGN:
+            is_genuine = found is authenticity.Authenticity.GENUINE
             self._limits.observe(entry, head, sent_at, is_genuine)
         return response, head
 
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -11,6 +11,7 @@
 from . import outputs
 from . import recorder as recorder_module
 from . import serving
+from . import spoiling
 from . import store as store_module
 
 HEARTBEAT_INTERVAL_S = 0.3
@@ -59,6 +60,8 @@
         # signature, 'late_copy' sends it a second time later. 'drip' sends a
         # comment now and then in place of the events of a stream.
         self.fault: str | None = None
+        # If set, spoils a share of the responses to requests.
+        self.spoiler: spoiling.Spoiler | None = None
         # If set, all responses state that the upstream is leaving.
         self.announces_leaving = False
         # Whether the connection closes after each response, as it does at
@@ -211,7 +214,7 @@
             self._handle_report(exchange)
         elif path == '/api/order':
             self._handle_order(exchange, json.loads(body))
-        else:
+        elif self.spoiler is None or not self.spoiler.spoil(exchange):
             self._handle_request(exchange, body)
 
     def _handle_report(self, exchange: server.Exchange) -> None:
