Play upgrades on the emulator: the last landing's build beside this one

The emulator builds a commit from the repository's history into target/builds, with packages of its own where its requirements differ, and runs instances of it.

--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -16,6 +16,7 @@
 from baobabpond.edge import server as server_module
 from standins import relay
 
+from . import builds
 from . import clients
 from . import links as links_module
 from . import outputs
@@ -24,7 +25,6 @@
 from . import store as store_module
 from . import upstream as upstream_module
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = 'pasak.example'
 # Path prefixes of the routes.
 ROLLOUTS = '/fit/'
@@ -93,6 +93,8 @@
         heartbeat_s: float = upstream_module.HEARTBEAT_INTERVAL_S,
     ) -> None:
         self._heartbeat_s = heartbeat_s
+        # The version of the product that instances run from now on.
+        self.build = builds.CURRENT
         self.store = store_module.Store(seed)
         self.recorder = recorder_module.Recorder()
         self.operator = clients.Operator(self.store)
@@ -261,7 +263,7 @@
             'metrics_port': metrics_port,
             'peer_port': serving.free_port(),
             'relay_port': serving.free_port(),
-            'plugin_folder': str(ROOT / 'platform'),
+            'plugin_folder': str(self.build.root / 'platform'),
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
             'parts': 12,
@@ -281,8 +283,12 @@
         with log_path.open('wb') as output:
             process = subprocess.Popen(
                 [sys.executable, '-m', 'baobabpond.ui.host'],
-                cwd=ROOT,
-                env={**os.environ, 'BAOBABPOND_CONFIG': str(path)},
+                cwd=self.build.root,
+                env={
+                    **os.environ,
+                    'PYTHONPATH': self.build.python_path,
+                    'BAOBABPOND_CONFIG': str(path),
+                },
                 stdout=output,
                 stderr=output,
             )
--- a/test/emulator/base.py
+++ b/test/emulator/base.py
@@ -28,6 +28,7 @@
             heartbeat_s=self.HEARTBEAT_S
         )
         self.addCleanup(self.deployment.__exit__)
+        self.prepare(self.deployment)
         self.deployment.start(
             self.INSTANCES,
             self.SAMPLERS,
@@ -38,6 +39,9 @@
         self.trainer = self.deployment.trainer()
         self.client = clients.Client()
 
+    def prepare(self, deployment: deployment_module.Deployment) -> None:
+        """Change a deployment before it is started."""
+
     def new_batch(
         self,
         step: int = 0,
--- a/test/relaying/test_relay.py
+++ b/test/relaying/test_relay.py
@@ -15,6 +15,7 @@
 from baobabpond.relaying import wire
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway as gateway_module
+from standins.emulator import builds
 from standins.emulator import deployment
 from standins.emulator import serving
 from test.ratelimits import examples
@@ -56,7 +57,7 @@
 
     def make_handler(self) -> relay_handler.RelayHandler:
         """Return the handler of an instance with the product's own parts."""
-        platforms.load('users_platform', deployment.ROOT / 'platform')
+        platforms.load('users_platform', builds.ROOT / 'platform')
         platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
         self.instance = examples.Instance(examples.OWNER)
         watcher = server.DisconnectWatcher()
