Keep lapsed upstreams while the next outage of the log lasts

Callers were refused during an outage that began a second after another one: a third of the plain requests on the emulator. Upstreams whose registration had lapsed in the first one were dropped 2.2 s after its end, though nobody could register any more. Their grace ends after the end of the last outage in which entries may lapse, and never while one lasts.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -170,14 +170,10 @@
             return
         outage = self._last_outage()
         now = time.monotonic()
-        if (
-            outage is None
-            or outage.duration_s < self._min_lapse_s
-            or outage.ended_at + LAPSE_GRACE_S <= now
-        ):
+        due_at = self._lapses_end_at(outage)
+        if outage is None or due_at <= now:
             self._drop(upstream)
             return
-        due_at = outage.ended_at + LAPSE_GRACE_S
         self._removal_due[upstream] = due_at
         LOG.info(
             'upstream lapsed in an outage',
@@ -187,10 +183,24 @@
             kept_s=round(due_at - now, 3),
         )
 
+    def _lapses_end_at(self, outage: contact.Outage | None) -> float:
+        """Return until when entries that lapsed in an outage are kept."""
+        if outage is None or outage.duration_s < self._min_lapse_s:
+            return float('-inf')
+        return outage.ended_at + LAPSE_GRACE_S
+
     def _drop_overdue(self) -> None:
+        """Remove lapsed entries once their upstreams could be back."""
+        if not self._removal_due:
+            return
         now = time.monotonic()
+        outage = self._last_outage()
+        if outage is not None and outage.ended_at >= now:
+            # It lasts: nobody can register.
+            return
+        lapses_end_at = self._lapses_end_at(outage)
         for upstream, due_at in list(self._removal_due.items()):
-            if now >= due_at:
+            if now >= max(due_at, lapses_end_at):
                 self._drop(upstream)
 
     def _drop(self, upstream: str) -> None:
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -116,6 +116,37 @@
         self.apply_record('u1', '')
         self.assertEqual([], self.ids())
 
+    def test_lapsed_entry_outlasts_the_next_outage(self) -> None:
+        """Its upstream had no time to register again in between."""
+        with freezegun.freeze_time() as clock:
+            self.apply_record('u1', 'h1 1')
+            self.end_outage(0.0)
+            self.apply_record('u1', '')
+            entry = self.directory.entries()[0]
+            for _ in range(4):
+                clock.tick(1.0)
+                # The next one lasts.
+                self.outage = contact.Outage(
+                    time.monotonic() - HEARTBEAT_S, 0.0, float('inf')
+                )
+                self.assertTrue(self.directory.accepts_requests(entry))
+            self.end_outage(0.0)
+            clock.tick(directory_module.LAPSE_GRACE_S - 0.1)
+            self.assertEqual(['u1'], self.ids())
+            clock.tick(0.2)
+            self.assertEqual([], self.ids())
+
+    def test_short_outage_does_not_extend_the_grace_period(self) -> None:
+        """Whoever lives could register again before and after it."""
+        with freezegun.freeze_time() as clock:
+            self.apply_record('u1', 'h1 1')
+            self.end_outage(0.0)
+            self.apply_record('u1', '')
+            clock.tick(directory_module.LAPSE_GRACE_S - 0.1)
+            self.end_outage(0.0, HEARTBEAT_S)
+            clock.tick(0.2)
+            self.assertEqual([], self.ids())
+
     def test_departure_after_the_grace_period_counts_at_once(self) -> None:
         """Whoever lives is registered again by then."""
         self.apply_record('u1', 'h1 1')
--- a/test/emulator/test_departures.py
+++ b/test/emulator/test_departures.py
@@ -134,6 +134,22 @@
                 [], self.delays_after(self.leaving, left_at, DRAIN_S)
             )
 
+    def test_outage_soon_after_another(self) -> None:
+        """Some upstreams have no time to register again in between."""
+        for upstream in self.deployment.plain_services:
+            upstream.is_registration_delayed = True
+        calls = self.call_for(2 * OUTAGE_S + 6.0)
+        began_at = time.monotonic()
+        self.lose_store(OUTAGE_S, True)
+        time.sleep(SHORT_LOSS_S)
+        returned_at = self.lose_store(OUTAGE_S, True)
+        for upstream in self.deployment.plain_services:
+            upstream.is_registration_delayed = False
+        calls.join()
+        self.assertEqual(
+            1.0, self.served_share(began_at, returned_at + LAPSE_S)
+        )
+
     def registered(self) -> list[str]:
         """Return the plain services that are registered."""
         services = {each.id for each in self.deployment.plain_services}
