Ask for the mark also where a request has no id

Found by reading the change again: a request without an id was taken for a report by the module that judges heads since, so that a success without the mark would have been passed on. Reports and orders are told apart by the gateway, as before.

--- a/baobabpond/upstreams/authenticity.py
+++ b/baobabpond/upstreams/authenticity.py
@@ -24,16 +24,13 @@
 def of_response(
     request_id: str, status: int, head: upstream_port.ResponseHead
 ) -> Authenticity:
-    """Judge the head of a response; the request of a report has no id."""
+    """Judge the head of a response to a request."""
     if head.request_id not in ('', request_id):
         return Authenticity.FOREIGN
-    if not request_id:
-        is_marked = status in SUCCESS or head.is_from_upstream
-    elif status in SUCCESS:
-        is_marked = head.is_from_upstream and head.request_id == request_id
-    else:
-        is_marked = head.is_from_upstream
-    return Authenticity.GENUINE if is_marked else Authenticity.UNMARKED
+    names_request = status not in SUCCESS or head.request_id == request_id
+    if head.is_from_upstream and names_request:
+        return Authenticity.GENUINE
+    return Authenticity.UNMARKED
 
 
 def is_reliable(
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -121,7 +121,10 @@
         self._directory.observe(entry, head)
         found = authenticity.of_response(outgoing.id, response.status, head)
         if found is not authenticity.Authenticity.FOREIGN:
-            is_genuine = found is authenticity.Authenticity.GENUINE
+            # Reports and orders are answered without a signature.
+            is_genuine = found is authenticity.Authenticity.GENUINE or (
+                not outgoing.id and response.status in authenticity.SUCCESS
+            )
             self._limits.observe(entry, head, sent_at, is_genuine)
         return response, head
 
