--- a/test/emulator/base.py
+++ b/test/emulator/base.py
@@ -5,6 +5,7 @@
 
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
+from standins.emulator import lookups
 from standins.emulator import upstream as upstream_module
 
 READ_TIMEOUT_S = 25.0
@@ -130,6 +131,14 @@
             body,
         )
 
+    def send_lookups(self, count: int, name: str) -> None:
+        """Send lookups to all instances in turn; all must be served."""
+        addresses = self.deployment.addresses()
+        for number in range(count):
+            address = addresses[number % len(addresses)]
+            response = lookups.send(self.client, address, f'{name}-{number}')
+            self.assertEqual(200, response.status)
+
     def run_for(self, seconds: float) -> None:
         """Wait while the deployment runs."""
         time.sleep(seconds)
