--- a/test/emulator/test_cut_instances.py
+++ b/test/emulator/test_cut_instances.py
@@ -24,7 +24,7 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-class CutInstancesTest(base.DeploymentTestCase):
+class CutInstancesTestCase(base.DeploymentTestCase):
     """Callers keep sending to the instances that are cut off."""
 
     HAS_LINKS = True
@@ -32,8 +32,12 @@
     def setUp(self) -> None:
         """Start callers of all instances."""
         super().setUp()
-        self.callers = callers_module.Callers(
-            self.deployment.instances, INTERVAL_S
+        self.callers = self.new_callers()
+
+    def new_callers(self) -> callers_module.Callers:
+        """Return callers of the instances that are live now."""
+        return callers_module.Callers(
+            self.deployment.live_instances(), INTERVAL_S
         )
 
     def owner(self) -> deployment_module.Instance:
@@ -86,12 +90,18 @@
         ]
         self.assertEqual([], suspected)
 
-    def play_cut(self, cut: links.Cut, slow_factor: float = 1.0) -> None:
-        """Cut the shard's owner off while callers send to all instances.
+    def play_cut(
+        self,
+        cut: links.Cut,
+        slow_factor: float = 1.0,
+        cut_off: deployment_module.Instance | None = None,
+    ) -> None:
+        """Cut an instance off while callers send to all instances.
 
-        The plain services are slower from then on.
+        It is the owner of the shard unless another one is given. The plain
+        services are slower from then on.
         """
-        owner = self.owner()
+        owner = cut_off or self.owner()
         assert owner.links is not None
         self.callers.run(SETTLE_S)
         owner.links.cut(cut)
@@ -103,6 +113,10 @@
         owner.links.restore()
         self.callers.run(SETTLE_S)
 
+
+class CutInstancesTest(CutInstancesTestCase):
+    """Cut the owner of the shard, or most instances, off."""
+
     def test_silent_links_do_not_fail_callers(self) -> None:
         """Open connections hang, and new ones get no answer."""
         self.play_cut(links.Cut.SILENT)
