Fail only the search for origins where records of a topic were missed

Since a catch-up failed for everybody once records were missed, also for those who go on without them (test_instance_that_lacks_records_does_not_claim and test_reload_does_not_hide_that_records_were_not_applied); only the search for the origin of a stream needs it, by a call of its own. And the name of a counter was put together, so that the check of outer names did not find it (test_each_name_of_the_list_occurs).

--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -209,7 +209,7 @@
             self._shard_state,
             batch_handlers.TOPIC,
             SHARD,
-            lambda: self._members_follower.catch_up(),
+            lambda: self._members_follower.catch_up_fully(),
             self._metrics,
         )
         self._reach = reach_components.ReachComponents(
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -23,6 +23,11 @@
 OK = 200
 UNPROCESSABLE_CONTENT = 422
 SERVER_ERROR = 500
+# Counters of responses to runs that are not those of their upstreams.
+DOUBTFUL_ANSWERS = {
+    authenticity.Authenticity.FOREIGN: 'upstream.foreign_answers',
+    authenticity.Authenticity.UNMARKED: 'upstream.unmarked_answers',
+}
 
 LOG = structlog.get_logger(__name__)
 
@@ -207,7 +212,7 @@
         found = authenticity.of_response(
             attempt.request.id, response.status, response_head
         )
-        self._metrics.count(f'upstream.{found.value}_answers')
+        self._metrics.count(DOUBTFUL_ANSWERS[found])
         LOG.info(
             'response to a run is not that of its upstream',
             request=attempt.request.id,
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -139,18 +139,26 @@
                 lambda: self._complete_boot_s >= since_boot_s, timeout_s
             )
 
+    def catch_up_fully(self) -> None:
+        """Read to the end, so that what is not there was never appended.
+
+        Raises LogError, also if the listener has failed on earlier records.
+        """
+        self.catch_up()
+        if self._has_missed_records:
+            raise log_port.LogError('records were missed before')
+
     def catch_up(self) -> int:
         """Read to the end of the partition and return its offset.
 
-        Raises LogError, also if records before it were missed.
+        Raises LogError.
         """
         while True:
             page = self._read(0.0)
-            if page is None or not self._has_reached_end(page):
+            if page is None:
                 continue
-            if self._has_missed_records:
-                raise log_port.LogError('records were missed before')
-            return page.end
+            if self._has_reached_end(page):
+                return page.end
 
     def _run(self) -> None:
         while not self._stopped.is_set():
--- a/baobabpond/streams/components.py
+++ b/baobabpond/streams/components.py
@@ -25,7 +25,7 @@
         shard_state: state_module.ShardState,
         topic: str,
         partition: int,
-        catch_up: collections.abc.Callable[[], int],
+        catch_up: collections.abc.Callable[[], None],
         metrics: metrics_module.Metrics,
     ) -> None:
         self.recorder = recorder_module.OriginRecorder(
--- a/baobabpond/streams/origins.py
+++ b/baobabpond/streams/origins.py
@@ -41,7 +41,7 @@
         self,
         recorder: recorder_module.OriginRecorder,
         defaults: default_version.DefaultReader,
-        catch_up: collections.abc.Callable[[], int],
+        catch_up: collections.abc.Callable[[], None],
         metrics: metrics_module.Metrics,
     ) -> None:
         self._recorder = recorder
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -39,9 +39,9 @@
         self.failing_key = 'a'
         self.log.add('a')
         with self.assertRaises(RuntimeError):
-            self.follower.catch_up()
+            self.follower.catch_up_fully()
         with self.assertRaises(log_port.LogError):
-            self.follower.catch_up()
+            self.follower.catch_up_fully()
 
     def test_snapshot_comes_first_then_appended_records(self) -> None:
         """Each key's newest record comes once, appended records in order."""
--- a/test/streams/test_origins.py
+++ b/test/streams/test_origins.py
@@ -61,12 +61,11 @@
         self.can_read = True
         self.recorder.start()
 
-    def read(self) -> int:
+    def read(self) -> None:
         """Read the log to its end; raise LogError."""
         if not self.can_read:
             raise log_port.LogError('away')
         self.recorder.apply(self.log.records, True)
-        return len(self.log.records)
 
     def begin(self, origin: records.StreamOrigin) -> bool:
         """Begin a stream; the recorder's thread appends."""
