Last read: one range of successes, one way to send streams in tests

No change of behaviour. The range of successful statuses stood in three modules (now authenticity.SUCCESS); three tests sent streams each in their own way (send_streams), two upgrade tests were the same but for a name (check_streams), and test_leaving counted runs as the recorder does. A local name hid a function of decoding.

--- a/baobabpond/decoding.py
+++ b/baobabpond/decoding.py
@@ -107,10 +107,10 @@
     host, _, port = text(value).rpartition(':')
     if len(host) > MAX_HOST_LENGTH or not HOST.fullmatch(host):
         raise MalformedData('no host in the address')
-    number = decimal(port, MAX_PORT + 1)
-    if number is None or not 1 <= number <= MAX_PORT:
+    port_number = decimal(port, MAX_PORT + 1)
+    if port_number is None or not 1 <= port_number <= MAX_PORT:
         raise MalformedData('no port in the address')
-    return host, number
+    return host, port_number
 
 
 def decimal(value: str | None, limit: int = MAX_INTEGER) -> int | None:
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -34,7 +34,6 @@
 # Reserved for sending the response to the caller before the deadline.
 RESPONSE_MARGIN_S = 0.02
 MIN_ATTEMPT_S = 0.02
-SUCCESS = range(200, 300)
 SERVER_ERROR = 500
 
 LOG = structlog.get_logger(__name__)
@@ -325,7 +324,7 @@
         response, response_head = attempt.send(
             _attempt_budget_s(context), stream.last_event
         )
-        if response.status not in SUCCESS:
+        if response.status not in authenticity.SUCCESS:
             return self._read_response(
                 context, attempt, response, response_head
             )
@@ -417,7 +416,7 @@
             verdicts.Verdict.NOT_RUN, f'refused {response.status}'
         )
     if (
-        response.status in SUCCESS
+        response.status in authenticity.SUCCESS
         and found is authenticity.Authenticity.UNMARKED
     ):
         return FailedAttempt(
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -17,8 +17,6 @@
 from . import runner
 from . import state
 
-SUCCESS = range(200, 300)
-
 LOG = structlog.get_logger(__name__)
 
 
@@ -127,7 +125,7 @@
     response: urllib3.HTTPResponse, head: upstream_port.ResponseHead
 ) -> RewardResponse:
     """Return what a complete response to the reward call means."""
-    if response.status not in SUCCESS:
+    if response.status not in authenticity.SUCCESS:
         return RewardResponse(
             runner.classify_refusal(response.status, head),
             load=head.load,
--- a/test/emulator/test_leaving.py
+++ b/test/emulator/test_leaving.py
@@ -11,9 +11,7 @@
 
     def runs_at(self, upstream: str) -> int:
         """Return how many runs an upstream has started."""
-        return sum(
-            run.upstream == upstream for run in self.deployment.recorder.runs
-        )
+        return len(self.deployment.recorder.runs_at(upstream))
 
     def test_plain_service_without_the_store(self) -> None:
         """Each instance sends it nothing after its first such response."""
--- a/test/emulator/test_out_of_step.py
+++ b/test/emulator/test_out_of_step.py
@@ -27,17 +27,10 @@
         self, executor: concurrent.futures.Executor, name: str
     ) -> list[streams.StreamClient]:
         """Begin streams at the other instances."""
-        clients = [
-            streams.StreamClient(
-                f'{name}-{number}',
-                deployment_module.HOST,
-                deployment_module.MODEL,
-            )
-            for number in range(versions.STREAMS)
-        ]
-        for number, client in enumerate(clients):
-            instance = self.others[number % len(self.others)]
-            executor.submit(client.send, instance.address, versions.TARGET)
+        addresses = [instance.address for instance in self.others]
+        clients = self.send_streams(
+            executor, name, addresses, versions.STREAMS
+        )
         deployment_module.wait_for(
             lambda: all(client.events or client.statuses for client in clients)
         )
@@ -131,18 +124,12 @@
 
     def learn_limits(self, executor: concurrent.futures.Executor) -> None:
         """Let all instances learn the limits from responses."""
-        for number in range(versions.STREAMS // 2):
-            client = streams.StreamClient(
-                f'warm-{number}',
-                deployment_module.HOST,
-                deployment_module.MODEL,
-            )
-            addresses = self.deployment.addresses()
-            executor.submit(
-                client.send,
-                addresses[number % len(addresses)],
-                versions.TARGET,
-            )
+        self.send_streams(
+            executor,
+            'warm',
+            self.deployment.addresses(),
+            versions.STREAMS // 2,
+        )
         self.run_for(versions.DISCOVERY_S)
 
     def test_restarted_sampler_with_an_old_registration(self) -> None:
--- a/test/emulator/test_software_versions.py
+++ b/test/emulator/test_software_versions.py
@@ -47,21 +47,32 @@
     ) -> list[streams.StreamClient]:
         """Begin streams at all instances; return them once events arrive."""
         addresses = self.deployment.addresses()
+        clients = self.send_streams(executor, name, addresses, STREAMS)
+        deployment_module.wait_for(
+            lambda: sum(bool(c.events) for c in clients) > STREAMS // 2
+        )
+        return clients
+
+    def send_streams(
+        self,
+        executor: concurrent.futures.Executor,
+        name: str,
+        addresses: list[str],
+        count: int,
+    ) -> list[streams.StreamClient]:
+        """Send streams to instances in turn, without waiting for events."""
         clients = [
             streams.StreamClient(
                 f'{name}-{number}',
                 deployment_module.HOST,
                 deployment_module.MODEL,
             )
-            for number in range(STREAMS)
+            for number in range(count)
         ]
         for number, client in enumerate(clients):
             executor.submit(
                 client.send, addresses[number % len(addresses)], TARGET
             )
-        deployment_module.wait_for(
-            lambda: sum(bool(c.events) for c in clients) > STREAMS // 2
-        )
         return clients
 
     def finish(
--- a/test/emulator/test_upgrade.py
+++ b/test/emulator/test_upgrade.py
@@ -157,33 +157,30 @@
 class StreamUpgradeTest(TwoBuilds, versions.SoftwareVersionTestCase):
     """Samplers of a new version join during the upgrade."""
 
-    def test_streams_of_old_instances_go_on_at_new_ones(self) -> None:
-        """Records of origins and defaults are understood."""
-        self.add_new_samplers()
-        self.deployment.build = builds.CURRENT
+    def check_streams(self, name: str) -> None:
+        """Begin streams, and take them up at the deployment's build."""
         with concurrent.futures.ThreadPoolExecutor(
             versions.STREAMS
         ) as executor:
-            clients_begun = self.begin_streams(executor, 'old')
+            clients_begun = self.begin_streams(executor, name)
             self.deployment.kill_all_instances()
             begun = self.finish(executor, clients_begun)
         self.assert_not_joined(clients_begun)
         self.assert_most_complete(begun)
 
+    def test_streams_of_old_instances_go_on_at_new_ones(self) -> None:
+        """Records of origins and defaults are understood."""
+        self.add_new_samplers()
+        self.deployment.build = builds.CURRENT
+        self.check_streams('old')
+
     def test_streams_of_new_instances_go_on_at_old_ones(self) -> None:
         """The upgrade is undone."""
         self.deployment.build = builds.CURRENT
         self.deployment.kill_all_instances()
         self.add_new_samplers()
         self.deployment.build = self.production
-        with concurrent.futures.ThreadPoolExecutor(
-            versions.STREAMS
-        ) as executor:
-            clients_begun = self.begin_streams(executor, 'new')
-            self.deployment.kill_all_instances()
-            begun = self.finish(executor, clients_begun)
-        self.assert_not_joined(clients_begun)
-        self.assert_most_complete(begun)
+        self.check_streams('new')
 
 
 class CutUpgradeTest(TwoBuilds, cut_instances.CutInstancesTestCase):
