--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,107 +1,114 @@
-"""Two of three machines are lost; the kept channels block the third."""
+"""A request in chunks on a removed route spoils the next one's answer."""
 
-import random
 import threading
 import time
-import typing
 
 from review.common import client
 from review.common import harness
 from standins.emulator import deployment
 
-CLIENTS = 200
-LOSS_AT_S = 15.0
-LENGTH_S = 45.0
-# Between two requests of a client; idle channels may be reused for 12 s.
-PAUSE_S = 6.0
-TIMEOUT_S = 2.0
-DEADLINE_S = 4.0
-AFTER_TIMEOUT_S = 0.5
-GONE_S = 0.5
-RETRY_PAUSE_S = 0.5
-
-
-class Sent(typing.NamedTuple):
-    """A request, when it was sent and what came of it."""
-
-    request: str
-    address: str
-    sent_at: float
-    # Time until its answer or the end of its channel, infinite without.
-    took_s: float
-    status: int
+ARCHIVE = '/archive/'
+CLIENTS = 8
+LENGTH_S = 20.0
+CHANGE_AT_S = 5.0
+PAUSE_S = 0.25
+# Between the head of a request and its body, which is being produced.
+BODY_AFTER_S = 0.03
+DEADLINE_S = 2.0
+# The bounds of the rule DENIED.
+FREE_DENIALS = 5
+REQUESTS_PER_DENIAL = 500
+
+
+def archive_route() -> dict:
+    """Return the route that the operator removes."""
+    return {
+        'name': 'archive',
+        'host': deployment.HOST,
+        'path-prefix': ARCHIVE,
+        'route-type': 'idempotent',
+        'service': deployment.PLAIN_SERVICE,
+        'timeout-ms': 2000,
+        'target-latency-ms': 150,
+        'attempts': 2,
+    }
 
 
 class Client(threading.Thread):
-    """Sends entries in chunks, on a channel that it keeps."""
+    """Sends to two routes in turn, on a kept channel."""
 
     def __init__(self, number, directories, record, ends_at):
         super().__init__(daemon=True)
         self._number = number
-        self._rng = random.Random(number)
         self._directories = directories
         self._record = record
         self._ends_at = ends_at
         self._channel = None
-        self.sent = []
+        self._sent = 0
+        # Status of each request on the route that stays; 0 if none came.
+        self.lookups = []
+        self.archived = []
+        self.strays = 0
 
     def run(self):
-        time.sleep(self._rng.uniform(0, PAUSE_S))
         while time.monotonic() < self._ends_at:
-            try:
-                self._connect()
-                is_answered = self._send()
-            except (OSError, client.ChannelEnded):
-                is_answered = False
-            if not is_answered:
-                self._drop_channel()
-            time.sleep(PAUSE_S if is_answered else RETRY_PAUSE_S)
-
-    def _connect(self):
-        if self._channel is not None and self._channel.has_input():
-            self._record.write(f'c{self._number} finds its idle channel ended')
-            self._drop_channel()
-        if self._channel is not None:
-            return
-        addresses = client.resolve(
-            self._rng.sample(self._directories, len(self._directories)),
-            deployment.HOST,
-        )
-        if not addresses:
-            raise client.ChannelEnded('no addresses')
-        self._channel = client.Channel(self._rng.choice(addresses))
-
-    def _send(self):
-        """Send one request; return whether it was answered with success."""
-        request = f'c{self._number}-{len(self.sent)}'
+            self.archived.append(self._send(f'{ARCHIVE}{self._sent}', True))
+            self.lookups.append(
+                self._send(f'{deployment.LOOKUPS}{self._sent}', False)
+            )
+            time.sleep(PAUSE_S)
+
+    def _send(self, target, is_chunked):
+        """Send one request, once; return the status of its answer."""
+        self._sent += 1
+        request = f'c{self._number}-{self._sent}'
+        self._check_channel(request)
         start = client.head(
             'POST',
-            f'{deployment.ENTRIES}{request}',
+            target,
             deployment.HOST,
             {
                 'X-Request-Id': request,
                 'X-Deadline-Ms': str(int(DEADLINE_S * 1000)),
             },
         )
-        sent_at = time.monotonic()
-        status = 0
-        took_s = float('inf')
-        outcome = 'no answer'
+        body = b'peg order ' + request.encode()
+        status, answer = 0, None
         try:
-            self._channel.send(client.in_chunks(start, b'checklist entry'))
-            answer = self._channel.read_answer(sent_at + DEADLINE_S)
+            if is_chunked:
+                self._channel.send(
+                    start + b'Transfer-Encoding: chunked\r\n\r\n'
+                )
+                time.sleep(BODY_AFTER_S)
+                self._channel.send(client.chunks(body))
+            else:
+                self._channel.send(client.with_length(start, body))
+            answer = self._channel.read_answer(time.monotonic() + DEADLINE_S)
             status = answer.status
-            took_s = time.monotonic() - sent_at
-            outcome = str(status)
-        except client.ChannelEnded as error:
-            took_s = time.monotonic() - sent_at
-            outcome = str(error)
-        except TimeoutError:
-            pass
-        address = self._channel.address
-        self.sent.append(Sent(request, address, sent_at, took_s, status))
-        self._record.write(f'{request} to {address}: {outcome}, {took_s:.3f} s')
-        return status == 200
+        except (client.ChannelEnded, TimeoutError) as error:
+            self._drop_channel()
+            answer = error
+        self._record.write(
+            f'{request} POST {target} '
+            f'{"in chunks" if is_chunked else "with a length"} -> {answer}'
+        )
+        if status and answer.headers.get('connection') == 'close':
+            self._drop_channel()
+        return status
+
+    def _check_channel(self, request):
+        """Replace a channel that has ended, or has bytes nobody asked for."""
+        if self._channel is not None and self._channel.has_input():
+            self._record.write(
+                f'{request} finds bytes or an end on its idle channel'
+            )
+            self.strays += 1
+            self._drop_channel()
+        while self._channel is None:
+            addresses = client.resolve(self._directories, deployment.HOST)
+            if addresses:
+                address = addresses[self._number % len(addresses)]
+                self._channel = client.Channel(address)
 
     def _drop_channel(self):
         if self._channel is not None:
@@ -110,62 +117,51 @@
 
 
 def case(record, has_trouble):
-    """Return whether requests had their final answers in time."""
+    """Return whether no more proper requests were denied than allowed."""
     with harness.Deployment() as cluster:
-        cluster.start(instances=3, samplers=1, plain_services=3)
-        time.sleep(1.0)
-        began_at = time.monotonic()
+        cluster.start(instances=2, samplers=1, plain_services=2)
+        stays = deployment.routes()
+        cluster.operator.publish(
+            [*stays, archive_route()], deployment.services()
+        )
+        time.sleep(3.0)
+        ends_at = time.monotonic() + LENGTH_S
         directories = [i.entries_address for i in cluster.instances]
         clients = [
-            Client(n, directories, record, began_at + LENGTH_S)
-            for n in range(CLIENTS)
+            Client(n, directories, record, ends_at) for n in range(CLIENTS)
         ]
         for each in clients:
             each.start()
-        time.sleep(LOSS_AT_S)
-        left = cluster.instances[0]
+        time.sleep(CHANGE_AT_S)
         if has_trouble:
-            for lost in cluster.instances[1:]:
-                lost.kill()
-                record.say(f'{lost.name} is lost for good')
+            cluster.operator.publish(stays, deployment.services())
+            record.say('the operator removes the route /archive/')
         for each in clients:
             each.join()
-        if left.process.poll() is not None:
-            raise RuntimeError('the machine that is left has ended')
-        ran_at = {r.request_id: r.started_at for r in cluster.recorder.runs}
-    since = began_at + LOSS_AT_S
-    judged = [
-        sent
-        for each in clients
-        for sent in each.sent
-        if sent.sent_at >= since
-        and (not has_trouble or sent.address == left.address)
-    ]
-    served = [sent for sent in judged if sent.status == 200]
-    longer = [sent for sent in judged if sent.took_s > TIMEOUT_S]
-    late = [s for s in longer if s.took_s > TIMEOUT_S + AFTER_TIMEOUT_S]
-    unanswered = [s for s in judged if s.took_s == float('inf')]
-    gone = [
-        s
-        for s in unanswered
-        if ran_at.get(s.request, 0.0) > s.sent_at + DEADLINE_S + GONE_S
-    ]
-    record.say(
-        f'{len(judged)} requests to the machine that is left from the loss on,'
-        f' {len(served)} served;'
-        f' {len(unanswered)} never answered'
-    )
+        runs = len(cluster.recorder.runs)
+    lookups = [status for each in clients for status in each.lookups]
+    archived = [status for each in clients for status in each.archived]
+    denied = sum(400 <= s < 500 and s not in (408, 421, 429) for s in lookups)
+    total = len(lookups) + len(archived)
+    allowed = FREE_DENIALS + total / REQUESTS_PER_DENIAL
+    record.say(f'{total} requests, {runs} run by servers')
+    record.say(f'on the removed route: {count(archived)}')
+    record.say(f'on the route that stays: {count(lookups)}')
     record.say(
-        f'CONFIG: {len(longer)} had no final answer at timeout-ms,'
-        f' {len(late)} of these none half a second later'
+        f'idle channels with an end or bytes: {sum(c.strays for c in clients)}'
     )
     record.say(
-        f'GONE: {len(gone)} ran over half a second after their clients had'
-        ' closed their channels'
+        f'DENIED: {denied} proper requests were ended with a 4xx,'
+        f' {allowed:.1f} are allowed'
     )
-    if len(judged) < CLIENTS or not served:
+    if len(lookups) < 100 or not has_trouble and min(lookups) != 200:
         raise RuntimeError('too little was served to judge')
-    return len(late) < 8 or len(late) <= len(longer) / 2
+    return denied <= allowed
+
+
+def count(statuses):
+    """Return how often each status came."""
+    return {status: statuses.count(status) for status in sorted(set(statuses))}
 
 
 if __name__ == '__main__':
