--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -18,6 +18,7 @@
 
 from . import builds
 from . import clients
+from . import crashing as crashing_module
 from . import links as links_module
 from . import outputs
 from . import recorder as recorder_module
@@ -101,6 +102,8 @@
         self.samplers: list[upstream_module.Upstream] = []
         self.plain_services: list[upstream_module.Upstream] = []
         self.instances: list[Instance] = []
+        self.crashing = crashing_module.Crashing()
+        self.restart_s = RESTART_S
         self._checks_fence = True
         self._has_links = False
         self._views: list[server_module.Server] = []
@@ -228,11 +231,12 @@
             port=port,
             heartbeat_s=self._heartbeat_s,
         )
+        service.crashing = self.crashing
         service.on_crash = self._restart_later
         self.plain_services.append(service)
 
     def _restart_later(self, crashed: upstream_module.Upstream) -> None:
-        timer = threading.Timer(RESTART_S, self._restart, (crashed,))
+        timer = threading.Timer(self.restart_s, self._restart, (crashed,))
         timer.daemon = True
         timer.start()
 
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -8,6 +8,7 @@
 
 from baobabpond.edge import server
 
+from . import crashing as crashing_module
 from . import outputs
 from . import recorder as recorder_module
 from . import serving
@@ -79,6 +80,8 @@
         # If set, weight orders are executed after this delay, and their
         # responses are never sent.
         self.order_delay_s: float | None = None
+        # What becomes of runs of a crashing request; shared by upstreams.
+        self.crashing = crashing_module.Crashing()
         # Called after the upstream has crashed under a request.
         self.on_crash: typing.Callable[[Upstream], None] = lambda _: None
         self._store = store
@@ -93,6 +96,8 @@
         self._highest_fencing_token = -1
         self._loading_model: str | None = None
         self._draining = False
+        # Neither answers nor sends heartbeats, but keeps its connections.
+        self._is_hung = False
         self._stopped = threading.Event()
         self.server = serving.serve(self._handle, port=port)
         threading.Thread(target=self._send_heartbeats, daemon=True).start()
@@ -129,17 +134,25 @@
         self.server.stop()
 
     def _crash_under(self, request_id: str) -> None:
-        """End as a process does: all connections close, none is accepted."""
+        """End as a process does: all connections close, none is accepted.
+
+        Or fall silent as a machine does, if crashes are to be silent.
+        """
         with self._lock:
-            if self._stopped.is_set():
+            if self._stopped.is_set() or self._is_hung:
                 return
-            self._stopped.set()
+            self._is_hung = self.crashing.is_silent
+            if not self._is_hung:
+                self._stopped.set()
             exchanges = list(self._exchanges)
-        self.fault = 'reset'
-        serving.stop_listening(self.server)
         self._recorder.record_crash(
             recorder_module.CrashRecord(request_id, self.id, time.monotonic())
         )
+        if self._is_hung:
+            self.on_crash(self)
+            return
+        self.fault = 'reset'
+        serving.stop_listening(self.server)
         for exchange in exchanges:
             serving.close_without_response(exchange)
         threading.Thread(target=self.server.stop, daemon=True).start()
@@ -157,7 +170,7 @@
     def _send_heartbeats(self) -> None:
         missed = 0
         while not self._stopped.is_set():
-            if self._store.is_away_for_upstreams:
+            if self._store.is_away_for_upstreams or self._is_hung:
                 missed += 1
                 if missed == MAX_MISSED_HEARTBEATS:
                     self._deregister()
@@ -192,6 +205,9 @@
 
     def _handle(self, exchange: server.Exchange) -> None:
         body = exchange.read_body()
+        if self._is_hung:
+            self._hang(exchange)
+            return
         path = serving.query(exchange).path
         self._recorder.record_arrival(
             recorder_module.Arrival(
@@ -217,6 +233,11 @@
         elif self.spoiler is None or not self.spoiler.spoil(exchange):
             self._handle_request(exchange, body)
 
+    def _hang(self, exchange: server.Exchange) -> None:
+        """Keep a connection without an answer until the server stops."""
+        self._stopped.wait()
+        serving.close_without_response(exchange)
+
     def _handle_report(self, exchange: server.Exchange) -> None:
         with self._lock:
             report = {
@@ -344,14 +365,21 @@
                 request_id, self.id, 0, time.monotonic(), []
             )
         )
+        is_failing = self.fault == 'error' or body == FAILING_BODY
         if body == CRASHING_BODY:
             time.sleep(EVENT_INTERVAL_S)
-            self._crash_under(request_id)
+            if self.crashing.next_run_fails():
+                is_failing = True
+            else:
+                self._crash_under(request_id)
         else:
             time.sleep(EVENT_INTERVAL_S * self.slow_factor)
+        if self._is_hung:
+            self._hang(exchange)
+            return
         if self._stopped.is_set() and self.fault == 'reset':
             return
-        if self.fault == 'error' or body == FAILING_BODY:
+        if is_failing:
             exchange.send_response(500, 'Failed', common_headers, b'failed')
             return
         if self.fault == 'answer_lost':
