Log what an upstream's end is judged from, and attempts whose caller left

No logic changes. The line 'upstream examined after a cut' names the request, its digest, the outcome of the probe, what each asked instance says and how old its connection is; 'caller left' has the digest and the attempts; 'request cleared' has the status. Instances state the age of their evidence in find_reached (an optional field; older builds skip it).

--- a/baobabpond/crashes/components.py
+++ b/baobabpond/crashes/components.py
@@ -26,7 +26,7 @@
         directory: directory_module.UpstreamDirectory,
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
-        is_reached_elsewhere: detector.IsReachedElsewhere,
+        ask_peers: detector.AskPeers,
         metrics: metrics_module.Metrics,
     ) -> None:
         registry = registry_module.CrashRegistry()
@@ -39,9 +39,7 @@
         self.guard = guard_module.CrashGuard(
             registry,
             self._sharing,
-            detector.CrashDetector(
-                directory, connections, metrics, is_reached_elsewhere
-            ),
+            detector.CrashDetector(directory, connections, metrics, ask_peers),
             load_balancer,
             metrics,
         )
--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -111,7 +111,9 @@
             SUSPECT_RETRY_AFTER_S,
         )
 
-    def record_completion(self, digest: str, request_id: str) -> None:
+    def record_completion(
+        self, digest: str, request_id: str, status: int
+    ) -> None:
         """Clear a request of which an upstream sent a whole response."""
         crashes = self._registry.clear(digest)
         if not crashes:
@@ -121,6 +123,7 @@
             'request cleared, an upstream completed it',
             request=request_id,
             digest=digest,
+            status=status,
             crashes=len(crashes),
         )
         self._sharing.withdraw(crashes)
@@ -129,7 +132,7 @@
         self, digest: str, request_id: str, entry: catalogue.UpstreamEntry
     ) -> bool:
         """Record a crash if the upstream ended; return whether it did."""
-        if not self._has_ended(entry):
+        if not self._has_ended(digest, request_id, entry):
             return False
         crash = registry_module.Crash(digest, entry.incarnation)
         displaced = self._registry.add(crash)
@@ -154,13 +157,30 @@
         standing = self._registry.standing(digest)
         return standing is registry_module.Standing.REFUSED
 
-    def _has_ended(self, entry: catalogue.UpstreamEntry) -> bool:
+    def _has_ended(
+        self, digest: str, request_id: str, entry: catalogue.UpstreamEntry
+    ) -> bool:
         if self._registry.has_ended(entry.incarnation):
             return True
-        has_ended = self._detector.has_ended(entry)
-        if has_ended:
+        finding = self._detector.examine(entry)
+        LOG.info(
+            'upstream examined after a cut',
+            request=request_id,
+            digest=digest,
+            upstream=entry.id,
+            born=entry.born,
+            service=entry.service,
+            probe=finding.probe.value,
+            is_replaced=finding.is_replaced,
+            peers={
+                report.instance: report.ages_s.get(entry.id, 'not reached')
+                for report in finding.reports
+            },
+            has_ended=finding.has_ended,
+        )
+        if finding.has_ended:
             self._registry.record_end(entry.incarnation)
-        return has_ended
+        return finding.has_ended
 
     def _entries_for_suspect(
         self,
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -98,7 +98,12 @@
             refusal = self._attempt_until_answered(context, reasons)
         except CallerDisconnected:
             self._metrics.count('edge.callers_left')
-            LOG.info('caller left', request=call.request_id)
+            LOG.info(
+                'caller left',
+                request=call.request_id,
+                digest=context.digest,
+                attempts=reasons,
+            )
             exchange.abort()
             return
         took_s = time.monotonic() - received_at
@@ -159,11 +164,15 @@
             entry = placed.placement.entry
             tried.add(entry.id)
             has_alternatives = number < attempts and len(tried) < len(entries)
-            last = self._attempt(
-                context._replace(has_alternatives=has_alternatives),
-                placed,
-                stream,
-            )
+            try:
+                last = self._attempt(
+                    context._replace(has_alternatives=has_alternatives),
+                    placed,
+                    stream,
+                )
+            except CallerDisconnected:
+                reasons.append(f'{entry.id}: caller left')
+                raise
             reasons.append(f'{entry.id}: {last.reason if last else "ok"}')
             if last is None:
                 return None
@@ -243,8 +252,14 @@
         digest, request_id = context.digest, context.request.id
         try:
             failure = self._try_upstream(context, placed, stream)
-            if failure is None or failure.response is not None:
-                self._guard.record_completion(digest, request_id)
+            if failure is None:
+                self._guard.record_completion(
+                    digest, request_id, context.exchange.status
+                )
+            elif failure.response is not None:
+                self._guard.record_completion(
+                    digest, request_id, failure.response.status
+                )
             elif failure.was_cut:
                 has_crashed = self._guard.record_cut(digest, request_id, entry)
                 failure = failure._replace(has_crashed=has_crashed)
--- a/baobabpond/gen/peer/LogRelay.py
+++ b/baobabpond/gen/peer/LogRelay.py
@@ -1308,11 +1308,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.upstreams = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = UpstreamKey()
-                        _elem47.read(iprot)
-                        self.upstreams.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = UpstreamKey()
+                        _elem54.read(iprot)
+                        self.upstreams.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1329,8 +1329,8 @@
         if self.upstreams is not None:
             oprot.writeFieldBegin('upstreams', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
-            for iter48 in self.upstreams:
-                iter48.write(oprot)
+            for iter55 in self.upstreams:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/baobabpond/gen/peer/Peer.py
+++ b/baobabpond/gen/peer/Peer.py
@@ -261,11 +261,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Member()
-                        _elem33.read(iprot)
-                        self.members.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Member()
+                        _elem40.read(iprot)
+                        self.members.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -282,8 +282,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter34 in self.members:
-                iter34.write(oprot)
+            for iter41 in self.members:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -332,11 +332,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Member()
-                        _elem40.read(iprot)
-                        self.success.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Member()
+                        _elem47.read(iprot)
+                        self.success.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -353,8 +353,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter41 in self.success:
-                iter41.write(oprot)
+            for iter48 in self.success:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/baobabpond/gen/peer/ttypes.py
+++ b/baobabpond/gen/peer/ttypes.py
@@ -1543,13 +1543,15 @@
     Attributes:
      - reached
      - relay_port
+     - ages_ms
 
     """
 
 
-    def __init__(self, reached=None, relay_port=None,):
+    def __init__(self, reached=None, relay_port=None, ages_ms=None,):
         self.reached = reached
         self.relay_port = relay_port
+        self.ages_ms = ages_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1575,6 +1577,16 @@
                     self.relay_port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.ages_ms = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI64()
+                        self.ages_ms.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1588,14 +1600,21 @@
         if self.reached is not None:
             oprot.writeFieldBegin('reached', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.reached))
-            for iter27 in self.reached:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter33 in self.reached:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.relay_port is not None:
             oprot.writeFieldBegin('relay_port', TType.I32, 2)
             oprot.writeI32(self.relay_port)
             oprot.writeFieldEnd()
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.ages_ms))
+            for iter34 in self.ages_ms:
+                oprot.writeI64(iter34)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1737,6 +1756,7 @@
     None,  # 0
     (1, TType.LIST, 'reached', (TType.STRING, 'UTF8', False), None, ),  # 1
     (2, TType.I32, 'relay_port', None, None, ),  # 2
+    (3, TType.LIST, 'ages_ms', (TType.I64, None, False), None, ),  # 3
 )
 fix_spec(all_structs)
 del all_structs
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -241,7 +241,7 @@
             self._directory,
             self._connections,
             self._load_balancer,
-            self._reach.is_reached_elsewhere,
+            self._reach.ask_peers,
             self._metrics,
         )
         self._configuration_follower = self._make_follower(
--- a/baobabpond/reachability/components.py
+++ b/baobabpond/reachability/components.py
@@ -50,9 +50,11 @@
         """Start to share cuts."""
         self.records.start()
 
-    def is_reached_elsewhere(self, entry: catalogue.UpstreamEntry) -> bool:
-        """Ask other instances whether one can connect to an upstream."""
-        return any(each.reached for each in self._peer_query.ask([entry]))
+    def ask_peers(
+        self, entry: catalogue.UpstreamEntry
+    ) -> list[peers.ReachReport]:
+        """Ask other instances whether they can connect to an upstream."""
+        return self._peer_query.ask([entry])
 
     def peers_not_cut_off(self) -> list[roster_module.Member]:
         """Return the other instances that have no cut on record."""
--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -4,6 +4,7 @@
 import concurrent.futures
 import random
 import time
+import types
 import typing
 
 import structlog
@@ -29,6 +30,7 @@
 FRESH_WHILE_HEARD_S = 20.0
 # Upstreams about which one call asks.
 MAX_UPSTREAMS = 2
+MS_PER_S = 1000
 
 LOG = structlog.get_logger(__name__)
 
@@ -41,6 +43,9 @@
     # Where it takes requests to pass on to upstreams.
     relay_address: tuple[str, int]
     reached: frozenset[str]
+    # By upstream, how long ago a connection to it succeeded; none from
+    # instances that don't tell.
+    ages_s: collections.abc.Mapping[str, float] = types.MappingProxyType({})
 
 
 class PeerQuery:
@@ -93,6 +98,12 @@
             peer.data_centre,
             (host, answer.relay_port),
             frozenset(answer.reached),
+            {
+                upstream: age_ms / MS_PER_S
+                for upstream, age_ms in zip(
+                    answer.reached, answer.ages_ms or (), strict=False
+                )
+            },
         )
 
 
@@ -128,9 +139,15 @@
         unclear = [entry for entry in entries if entry not in reached]
         reached += self._prober.probe(unclear[:MAX_UPSTREAMS]).reached
         return ttypes.ReachedUpstreams(
-            [entry.id for entry in reached], self._relay_port
+            [entry.id for entry in reached],
+            self._relay_port,
+            [int(self._age_s(entry) * MS_PER_S) for entry in reached],
         )
 
+    def _age_s(self, entry: catalogue.UpstreamEntry) -> float:
+        """Return how long ago a connection to an upstream succeeded."""
+        return time.monotonic() - self._tracker.path_to(entry).connected_at
+
     def _is_reached(self, entry: catalogue.UpstreamEntry) -> bool:
         path = self._tracker.path_to(entry)
         if path.is_failing:
--- a/baobabpond/schema/peer.thrift
+++ b/baobabpond/schema/peer.thrift
@@ -131,6 +131,8 @@
   1: required list<string> reached
   // Where the instance takes requests to pass on to upstreams.
   2: required i32 relay_port
+  // For each of them, in the same order, how long ago a connection succeeded.
+  3: optional list<i64> ages_ms
 }
 
 // Calls between instances on a platform. Named after the first of them.
--- a/test/crashes/test_detector.py
+++ b/test/crashes/test_detector.py
@@ -8,6 +8,7 @@
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import detector as detector_module
 from baobabpond import metrics
+from baobabpond.reachability import peers
 from baobabpond.upstreams import connections as connections_module
 
 from . import examples
@@ -36,7 +37,7 @@
 
     def test_upstream_that_lives_on(self) -> None:
         """Its answer got lost; the probe's connection is put to use."""
-        self.assertFalse(self.detector.has_ended(self.entry))
+        self.assertFalse(self.detector.examine(self.entry).has_ended)
         pooled = self.connections.acquire((self.entry.host, self.entry.port))
         self.addCleanup(pooled.close)
         self.assertFalse(pooled.is_new)
@@ -44,7 +45,7 @@
     def test_upstream_that_ended(self) -> None:
         """Nothing listens at its address, though it is still registered."""
         self.listener.close()
-        self.assertTrue(self.detector.has_ended(self.entry))
+        self.assertTrue(self.detector.examine(self.entry).has_ended)
 
     def test_upstream_that_others_reach_has_not_ended(self) -> None:
         """It is this instance that is refused."""
@@ -53,14 +54,16 @@
             self.directory,
             self.connections,
             metrics.Metrics(),
-            lambda entry: entry == self.entry,
+            lambda entry: [
+                peers.ReachReport('b', 'a', ('h', 1), frozenset({entry.id}))
+            ],
         )
-        self.assertFalse(detector.has_ended(self.entry))
+        self.assertFalse(detector.examine(self.entry).has_ended)
 
     def test_successor_listens_at_the_address(self) -> None:
         """The directory shows another incarnation there."""
         self.directory.is_replaced.return_value = True
-        self.assertTrue(self.detector.has_ended(self.entry))
+        self.assertTrue(self.detector.examine(self.entry).has_ended)
         with contextlib.closing(
             self.connections.acquire((self.entry.host, self.entry.port))
         ):
@@ -74,6 +77,6 @@
             autospec=True,
             side_effect=connections_module.ConnectionFailed('timed out'),
         ):
-            self.assertFalse(self.detector.has_ended(self.entry))
+            self.assertFalse(self.detector.examine(self.entry).has_ended)
             self.directory.is_replaced.return_value = True
-            self.assertTrue(self.detector.has_ended(self.entry))
+            self.assertTrue(self.detector.examine(self.entry).has_ended)
--- a/test/crashes/test_guard.py
+++ b/test/crashes/test_guard.py
@@ -16,6 +16,8 @@
 
 # Long enough for any wait.
 REMAINING_S = 0.2
+ENDED = detector_module.Finding(True, detector_module.Probe.REFUSED, False)
+ALIVE = detector_module.Finding(False, detector_module.Probe.CONNECTED, False)
 
 
 class GuardTest(unittest.TestCase):
@@ -31,7 +33,7 @@
         self.detector = mock.create_autospec(
             detector_module.CrashDetector, instance=True
         )
-        self.detector.has_ended.return_value = True
+        self.detector.examine.return_value = ENDED
         self.guard = guard_module.CrashGuard(
             self.registry,
             self.sharing,
@@ -137,8 +139,8 @@
     def test_completed_run_clears(self) -> None:
         """The other instances are told, once."""
         self.crash('innocent', 1)
-        self.guard.record_completion('innocent', 'request-1')
-        self.guard.record_completion('innocent', 'request-2')
+        self.guard.record_completion('innocent', 'request-1', 200)
+        self.guard.record_completion('innocent', 'request-2', 200)
         self.sharing.withdraw.assert_called_with(
             [examples.crash('innocent', 'i-1')]
         )
@@ -147,7 +149,7 @@
 
     def test_cut_without_an_end_is_no_crash(self) -> None:
         """The answer got lost and the upstream lives on."""
-        self.detector.has_ended.return_value = False
+        self.detector.examine.return_value = ALIVE
         cut = self.guard.record_cut('innocent', 'r', self.entries[0])
         self.assertFalse(cut)
         self.assertFalse(self.choose('innocent').is_reserved)
@@ -157,4 +159,4 @@
         """Many requests are cut at once."""
         for number in range(5):
             self.crash(f'r{number}', 1)
-        self.detector.has_ended.assert_called_once()
+        self.detector.examine.assert_called_once()
