Connect anew when another instance asks which upstreams are reached

Callers saw a service without upstreams again and again: a request under which three had ended ran on at each that came back. Class: evidence about the past taken for evidence about now. A connection begun after the question is the only evidence that is younger than the failure; what arrived on an open connection may have been read late, so it does not count either. The same answer decided whether an instance is cut off, where a stale yes made it leave the list for callers.

--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -24,10 +24,6 @@
 # The peer may have to connect to the upstreams first.
 CALL_TIMEOUT_MS = 600
 MAX_ASKED = 4
-# An upstream to which a connection succeeded this recently is reached.
-FRESH_S = 2.0
-# As long as responses arrive, an older connection will do.
-FRESH_WHILE_HEARD_S = 20.0
 # Upstreams about which one call asks.
 MAX_UPSTREAMS = 2
 MS_PER_S = 1000
@@ -127,7 +123,11 @@
     def find_reached(
         self, keys: list[ttypes.UpstreamKey]
     ) -> ttypes.ReachedUpstreams:
-        """Return which of some upstreams this instance reaches."""
+        """Return which of some upstreams this instance reaches.
+
+        It connects to them: what it knows may be from before the failure for
+        which it is asked.
+        """
         self._metrics.count('reachability.asked_by_peers')
         wanted = {(key.upstream, key.born) for key in keys}
         entries = [
@@ -135,9 +135,7 @@
             for entry in self._directory.entries()
             if entry.incarnation in wanted
         ]
-        reached = [entry for entry in entries if self._is_reached(entry)]
-        unclear = [entry for entry in entries if entry not in reached]
-        reached += self._prober.probe(unclear[:MAX_UPSTREAMS]).reached
+        reached = self._prober.probe(entries[:MAX_UPSTREAMS]).reached
         return ttypes.ReachedUpstreams(
             [entry.id for entry in reached],
             self._relay_port,
@@ -147,15 +145,3 @@
     def _age_s(self, entry: catalogue.UpstreamEntry) -> float:
         """Return how long ago a connection to an upstream succeeded."""
         return time.monotonic() - self._tracker.path_to(entry).connected_at
-
-    def _is_reached(self, entry: catalogue.UpstreamEntry) -> bool:
-        path = self._tracker.path_to(entry)
-        if path.is_failing:
-            return False
-        now = time.monotonic()
-        if now - path.connected_at < FRESH_S:
-            return True
-        return (
-            now - path.connected_at < FRESH_WHILE_HEARD_S
-            and now - path.heard_at < FRESH_S
-        )
