Clear a request that crashes upstreams only after a success

Class: absence of a crash taken for innocence. Only a whole 2xx response shows that an upstream can run the request; the forwarder records it where it knows that.

--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -111,10 +111,8 @@
             SUSPECT_RETRY_AFTER_S,
         )
 
-    def record_completion(
-        self, digest: str, request_id: str, status: int
-    ) -> None:
-        """Clear a request of which an upstream sent a whole response."""
+    def record_completion(self, digest: str, request_id: str) -> None:
+        """Clear a request that an upstream has completed with success."""
         crashes = self._registry.clear(digest)
         if not crashes:
             return
@@ -123,7 +121,6 @@
             'request cleared, an upstream completed it',
             request=request_id,
             digest=digest,
-            status=status,
             crashes=len(crashes),
         )
         self._sharing.withdraw(crashes)
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -245,22 +245,14 @@
     ) -> FailedAttempt | None:
         """Try one upstream; return None if the caller got its response.
 
-        Records whether the upstream completed the request or crashed under
-        it. Raises CallerDisconnected.
+        Records whether the upstream crashed under the request. Raises
+        CallerDisconnected.
         """
         entry = placed.placement.entry
         digest, request_id = context.digest, context.request.id
         try:
             failure = self._try_upstream(context, placed, stream)
-            if failure is None:
-                self._guard.record_completion(
-                    digest, request_id, context.exchange.status
-                )
-            elif failure.response is not None:
-                self._guard.record_completion(
-                    digest, request_id, failure.response.status
-                )
-            elif failure.was_cut:
+            if failure is not None and failure.was_cut:
                 has_crashed = self._guard.record_cut(digest, request_id, entry)
                 failure = failure._replace(has_crashed=has_crashed)
             return failure
@@ -326,6 +318,8 @@
         if failure is None:
             attempt.record_response()
             attempt.failed = response.status >= SERVER_ERROR
+            if response.status in authenticity.SUCCESS:
+                self._record_completion(context)
             if not attempt.caller_disconnected:
                 self._send_response(context, response, body)
         return failure
@@ -349,8 +343,15 @@
             failure = FailedAttempt(
                 verdicts.Verdict.MAY_HAVE_RUN, reason, was_cut=stream.was_cut
             )
+        if failure is None:
+            self._record_completion(context)
         return failure
 
+    def _record_completion(
+        self, context: attempts_module.RequestContext
+    ) -> None:
+        self._guard.record_completion(context.digest, context.request.id)
+
     def _send_response(
         self,
         context: attempts_module.RequestContext,
--- a/test/crashes/test_guard.py
+++ b/test/crashes/test_guard.py
@@ -139,8 +139,8 @@
     def test_completed_run_clears(self) -> None:
         """The other instances are told, once."""
         self.crash('innocent', 1)
-        self.guard.record_completion('innocent', 'request-1', 200)
-        self.guard.record_completion('innocent', 'request-2', 200)
+        self.guard.record_completion('innocent', 'request-1')
+        self.guard.record_completion('innocent', 'request-2')
         self.sharing.withdraw.assert_called_with(
             [examples.crash('innocent', 'i-1')]
         )
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -26,6 +26,7 @@
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
+from standins.emulator import crashing as crashing_module
 from standins.emulator import deployment
 from standins.emulator import recorder as recorder_module
 from standins.emulator import serving
@@ -64,6 +65,7 @@
         self.store = store_module.Store()
         self.addCleanup(self.store.stop)
         self.recorder = recorder_module.Recorder()
+        self.crashing = crashing_module.Crashing()
         self.upstreams = [self.start_upstream() for _ in range(3)]
         directory = mock.create_autospec(
             directory_module.UpstreamDirectory, instance=True
@@ -109,6 +111,7 @@
             self.store, self.recorder, SERVICE, (MODEL,)
         )
         upstream.slow_factor = USUAL_FACTOR
+        upstream.crashing = self.crashing
         self.addCleanup(upstream.stop)
         return upstream
 
@@ -218,6 +221,15 @@
         self.assertEqual([502, 502, 503, 503, 503, 503], statuses)
         self.assertEqual(3, len(self.recorder.crashes))
 
+    def test_server_errors_do_not_clear_poison(self) -> None:
+        """Only success shows that an upstream can run it."""
+        self.crashing.failing_pattern = (False, True)
+        self.repeat_poison(catalogue.RouteKind.IDEMPOTENT)
+        self.repeat_poison(catalogue.RouteKind.NON_IDEMPOTENT)
+        self.assertLessEqual(
+            len(self.recorder.crashes), registry_module.MAX_CRASHES
+        )
+
     def test_poison_among_streams_is_refused(self) -> None:
         """Its stream was resumed at the second upstream."""
         statuses = self.repeat_poison(catalogue.RouteKind.STREAMING)
