Count the end of an upstream that shows only after the probe

Callers saw upstreams end on and on where each was back at its address within milliseconds, or where something accepts connections in its place: the probe after a cut connected, and that was taken for the upstream's survival. Class: the state now (something listens) taken for the fate of the incarnation that ran the request. A cut attempt whose upstream is not known to have ended is kept now until the directory tells: replaced at its id or address, lapsed and silent to a report (unless this instance is cut off), or ended by another instance's record is a crash; draining, announced shutdowns and upstreams that lost only their entry are none; after the time of a lapse it is dismissed.

--- a/baobabpond/catalogue/directory.py
+++ b/baobabpond/catalogue/directory.py
@@ -1,5 +1,6 @@
 """Track the upstreams that have registered themselves."""
 
+import enum
 import threading
 import time
 import typing
@@ -19,7 +20,7 @@
 # without a heartbeat, one of which may be over when the outage begins.
 # Intervals vary.
 MIN_LAPSE_INTERVALS = 1.5
-# Announced shutdowns that are remembered.
+# Announced shutdowns that are remembered, and registrations as draining.
 MAX_LEAVING = 1000
 LOG = structlog.get_logger(__name__)
 
@@ -27,6 +28,17 @@
 RemovalListener = typing.Callable[[tuple[str, int]], None]
 
 
+class Presence(enum.Enum):
+    """Tell what has become of an incarnation of an upstream."""
+
+    PRESENT = enum.auto()
+    # It has announced that it shuts down, whether it has done so or not.
+    LEAVING = enum.auto()
+    # Another incarnation has its id or listens at its address.
+    REPLACED = enum.auto()
+    GONE = enum.auto()
+
+
 class UpstreamDirectory:
     """Apply the records of the upstreams' topic."""
 
@@ -47,6 +59,8 @@
         # oldest first. This may precede their registration as draining, and
         # holds for entries that lapse and are registered again.
         self._leaving: dict[tuple[str, int], None] = {}
+        # Incarnations that registered as draining, oldest first.
+        self._drained: dict[tuple[str, int], None] = {}
         # When lapsed entries are removed unless they are registered again.
         self._removal_due: dict[str, float] = {}
 
@@ -89,6 +103,20 @@
             for other in others
         )
 
+    def presence(self, entry: catalogue.UpstreamEntry) -> Presence:
+        """Return what has become of an upstream that was registered."""
+        incarnation = entry.incarnation
+        with self._lock:
+            self._drop_overdue()
+            current = self._entries.get(entry.id)
+            if incarnation in self._leaving or incarnation in self._drained:
+                return Presence.LEAVING
+        if current is not None and current.incarnation != incarnation:
+            return Presence.REPLACED
+        if self.is_replaced(entry):
+            return Presence.REPLACED
+        return Presence.PRESENT if current is not None else Presence.GONE
+
     def observe(
         self, entry: catalogue.UpstreamEntry, head: upstream_port.ResponseHead
     ) -> None:
@@ -98,9 +126,7 @@
         with self._lock:
             if entry.incarnation in self._leaving:
                 return
-            self._leaving[entry.incarnation] = None
-            if len(self._leaving) > MAX_LEAVING:
-                del self._leaving[next(iter(self._leaving))]
+            _remember(self._leaving, entry.incarnation)
             current = self._entries.get(entry.id)
             if current is None or current.incarnation != entry.incarnation:
                 return
@@ -135,9 +161,15 @@
         former = self._entries.get(entry.id)
         if former is not None and former.incarnation != entry.incarnation:
             self._on_removed((former.host, former.port))
-            self._leaving.pop(former.incarnation, None)
+            if former.incarnation in self._leaving:
+                del self._leaving[former.incarnation]
+                _remember(self._drained, former.incarnation)
         if entry.incarnation in self._leaving:
             entry = entry._replace(draining=True)
+        if entry.draining:
+            _remember(self._drained, entry.incarnation)
+        else:
+            self._drained.pop(entry.incarnation, None)
         self._removal_due.pop(entry.id, None)
         self._entries[entry.id] = entry
         if former is None or former.draining != entry.draining:
@@ -209,3 +241,12 @@
         if entry is not None:
             LOG.info('upstream gone', upstream=upstream)
             self._on_removed((entry.host, entry.port))
+
+
+def _remember(
+    incarnations: dict[tuple[str, int], None], incarnation: tuple[str, int]
+) -> None:
+    """Add an incarnation; forget the oldest one if there are too many."""
+    incarnations[incarnation] = None
+    if len(incarnations) > MAX_LEAVING:
+        del incarnations[next(iter(incarnations))]
--- a/baobabpond/crashes/components.py
+++ b/baobabpond/crashes/components.py
@@ -3,14 +3,18 @@
 from .. import metrics as metrics_module
 from ..catalogue import directory as directory_module
 from ..ports import log as log_port
+from ..ports import upstreams as upstream_port
+from ..reachability import components as reach_components
 from ..store import follower as follower_module
 from ..upstreams import connections as connections_module
 from ..upstreams import load_balancer as load_balancer_module
 
-from . import detector
+from . import detector as detector_module
 from . import guard as guard_module
 from . import registry as registry_module
+from . import resolver as resolver_module
 from . import sharing as sharing_module
+from . import unresolved as unresolved_module
 
 TOPIC = 'keyed.crashes'
 PARTITION = 0
@@ -26,24 +30,46 @@
         directory: directory_module.UpstreamDirectory,
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
-        ask_peers: detector.AskPeers,
+        protocol: upstream_port.UpstreamProtocol,
+        reach: reach_components.ReachComponents,
+        heartbeat_s: float,
         metrics: metrics_module.Metrics,
     ) -> None:
         registry = registry_module.CrashRegistry()
+        unresolved = unresolved_module.UnresolvedAttempts()
         self._sharing = sharing_module.CrashSharing(
             instance, TOPIC, PARTITION, log, registry, metrics
         )
         self.follower = follower_module.Follower(
             log, TOPIC, PARTITION, self._sharing.apply, metrics
         )
+        detector = detector_module.CrashDetector(
+            directory,
+            connections,
+            protocol,
+            metrics,
+            reach.ask_peers,
+            lambda service: reach.monitor.cut_from(service) is not None,
+        )
         self.guard = guard_module.CrashGuard(
             registry,
             self._sharing,
-            detector.CrashDetector(directory, connections, metrics, ask_peers),
+            detector,
+            unresolved,
             load_balancer,
             metrics,
         )
+        self._resolver = resolver_module.CrashResolver(
+            unresolved,
+            registry,
+            directory,
+            detector,
+            self.guard.record_crash,
+            heartbeat_s,
+            metrics,
+        )
 
     def start(self) -> None:
-        """Start to append crashes to the log."""
+        """Start to append crashes to the log, and to look for late ones."""
         self._sharing.start()
+        self._resolver.start()
--- a/baobabpond/crashes/detector.py
+++ b/baobabpond/crashes/detector.py
@@ -7,17 +7,22 @@
 from .. import metrics as metrics_module
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
+from ..ports import upstreams as upstream_port
 from ..reachability import peers
 from ..upstreams import connections as connections_module
 
 # The retry of a request waits for the probe.
 PROBE_TIMEOUT_S = 0.15
+REPORT_TIMEOUT_S = 0.5
 
 # Asks other instances whether they can connect to an upstream.
 AskPeers = collections.abc.Callable[
     [catalogue.UpstreamEntry], list[peers.ReachReport]
 ]
 
+# Returns whether this instance is known to be cut off from a service.
+IsCutOff = collections.abc.Callable[[str], bool]
+
 
 class Probe(enum.Enum):
     """Tell what came of connecting; logs show the value."""
@@ -45,10 +50,14 @@
         self,
         directory: directory_module.UpstreamDirectory,
         connections: connections_module.ConnectionPool,
+        protocol: upstream_port.UpstreamProtocol,
         metrics: metrics_module.Metrics,
         ask_peers: AskPeers = lambda entry: [],
+        is_cut_off: IsCutOff = lambda service: False,
     ) -> None:
+        self._protocol = protocol
         self._ask_peers = ask_peers
+        self._is_cut_off = is_cut_off
         self._directory = directory
         self._connections = connections
         self._metrics = metrics
@@ -70,6 +79,43 @@
         is_replaced = self._directory.is_replaced(entry)
         return Finding(is_replaced, probe, is_replaced, reports)
 
+    def lives(self, entry: catalogue.UpstreamEntry) -> bool | None:
+        """Return whether an upstream whose entry was removed still answers.
+
+        None if another process may answer, or if this instance does not
+        reach the service at all.
+        """
+        connection = connections_module.Connection((entry.host, entry.port))
+        try:
+            connection.connect(PROBE_TIMEOUT_S)
+            born = self._read_born(connection, entry)
+        except (
+            connections_module.ConnectionFailed,
+            connections_module.ResponseFailed,
+        ):
+            return None if self._is_cut_off(entry.service) else False
+        except ValueError:
+            return None
+        finally:
+            connection.close()
+        return None if not born else born == entry.born
+
+    def _read_born(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+    ) -> int:
+        """Ask for a report; raise ResponseFailed or ValueError."""
+        response = connection.exchange(
+            'GET',
+            self._protocol.report_target,
+            [('Host', f'{entry.host}:{entry.port}')],
+            None,
+            REPORT_TIMEOUT_S,
+        )
+        body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+        return self._protocol.report(body).born
+
     def _probe(self, entry: catalogue.UpstreamEntry) -> Probe:
         self._metrics.count('crashes.probes')
         connection = connections_module.Connection((entry.host, entry.port))
--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -1,5 +1,6 @@
 """Decide where and whether a request that crashes upstreams may run."""
 
+import time
 import typing
 
 import structlog
@@ -13,6 +14,7 @@
 from . import isolation as isolation_module
 from . import registry as registry_module
 from . import sharing as sharing_module
+from . import unresolved as unresolved_module
 
 MAX_CRASHES_PER_SERIES = 2
 # Bounds the wait for an upstream without another suspect.
@@ -45,12 +47,14 @@
         registry: registry_module.CrashRegistry,
         sharing: sharing_module.CrashSharing,
         detector: detector_module.CrashDetector,
+        unresolved: unresolved_module.UnresolvedAttempts,
         load_balancer: load_balancer_module.LoadBalancer,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._registry = registry
         self._sharing = sharing
         self._detector = detector
+        self._unresolved = unresolved
         self._load_balancer = load_balancer
         self._metrics = metrics
         self._isolation = isolation_module.Isolation()
@@ -113,6 +117,7 @@
 
     def record_completion(self, digest: str, request_id: str) -> None:
         """Clear a request that an upstream has completed with success."""
+        self._unresolved.forget_request(digest)
         crashes = self._registry.clear(digest)
         if not crashes:
             return
@@ -128,10 +133,29 @@
     def record_cut(
         self, digest: str, request_id: str, entry: catalogue.UpstreamEntry
     ) -> bool:
-        """Record a crash if the upstream ended; return whether it did."""
-        if not self._has_ended(digest, request_id, entry):
-            return False
-        crash = registry_module.Crash(digest, entry.incarnation)
+        """Record a crash if the upstream ended; return whether it did.
+
+        Otherwise the crash is recorded once the end shows.
+        """
+        attempt = unresolved_module.UnresolvedAttempt(
+            digest,
+            request_id,
+            entry,
+            unresolved_module.Ending.CUT,
+            time.monotonic(),
+        )
+        if self._has_ended(digest, request_id, entry):
+            self.record_crash(attempt)
+            return True
+        self._keep(attempt)
+        return False
+
+    def record_crash(
+        self, attempt: unresolved_module.UnresolvedAttempt
+    ) -> None:
+        """Count the crash of an upstream under a request, everywhere."""
+        digest, request_id, entry, ending, _ = attempt
+        crash = attempt.crash
         displaced = self._registry.add(crash)
         self._sharing.publish(crash, request_id)
         self._sharing.withdraw(displaced)
@@ -145,10 +169,22 @@
             digest=digest,
             upstream=entry.id,
             service=entry.service,
+            ending=ending.value,
             crashes=crashes,
             standing=self._registry.standing(digest).value,
         )
-        return True
+
+    def _keep(self, attempt: unresolved_module.UnresolvedAttempt) -> None:
+        given_up = self._unresolved.add(attempt)
+        if given_up is None:
+            return
+        self._metrics.count('crashes.attempts_given_up')
+        LOG.warning(
+            'too many attempts without a response; one is given up',
+            request=given_up.request_id,
+            digest=given_up.digest,
+            upstream=given_up.entry.id,
+        )
 
     def _is_refused(self, digest: str) -> bool:
         standing = self._registry.standing(digest)
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -176,11 +176,14 @@
         self._current = current_module.CurrentConfiguration(decoder)
         self._connections = connections.ConnectionPool(self._metrics)
         self._load_balancer = load_balancer.LoadBalancer()
+        heartbeat_s = (
+            self._settings.get('upstream_heartbeat_ms', HEARTBEAT_MS)
+            / MS_PER_S
+        )
         self._directory = directory_module.UpstreamDirectory(
             decoder,
             self._last_upstreams_outage,
-            self._settings.get('upstream_heartbeat_ms', HEARTBEAT_MS)
-            / MS_PER_S,
+            heartbeat_s,
             self._connections.close_idle,
         )
         self._roster = roster_module.Roster(
@@ -241,7 +244,9 @@
             self._directory,
             self._connections,
             self._load_balancer,
-            self._reach.ask_peers,
+            self._platform.upstreams,
+            self._reach,
+            heartbeat_s,
             self._metrics,
         )
         self._configuration_follower = self._make_follower(
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -13,6 +13,7 @@
 
 OUTAGE_S = 5.0
 HEARTBEAT_S = 1.2
+Presence = directory_module.Presence
 
 
 class FakeOperator:
@@ -213,6 +214,34 @@
         self.apply_record('u2', 'h1 3')
         self.assertTrue(self.directory.is_replaced(first))
 
+    def test_presence_of_an_upstream(self) -> None:
+        """It is replaced under its id or at its address, or gone."""
+        self.apply_record('u1', 'h1 1')
+        entry = self.directory.entries()[0]
+        self.assertEqual(Presence.PRESENT, self.directory.presence(entry))
+        self.apply_record('u2', 'h1 2')
+        self.assertEqual(Presence.REPLACED, self.directory.presence(entry))
+        self.apply_record('u2', '')
+        self.apply_record('u1', 'h1 2')
+        self.assertEqual(Presence.REPLACED, self.directory.presence(entry))
+        self.apply_record('u1', '')
+        self.assertEqual(Presence.GONE, self.directory.presence(entry))
+
+    def test_planned_departures_are_remembered(self) -> None:
+        """Whether by registration or announcement, also once replaced."""
+        self.apply_record('u1', 'h1 1')
+        self.apply_record('u2', 'h2 1')
+        first, second = self.directory.entries()
+        self.apply_record('u1', 'h1 1 draining')
+        self.directory.observe(second, self.head())
+        for value in ('', 'h3 2'):
+            self.apply_record('u1', value)
+            self.apply_record('u2', value)
+            for entry in (first, second):
+                self.assertEqual(
+                    Presence.LEAVING, self.directory.presence(entry)
+                )
+
     def test_snapshot_removes_entries_that_it_lacks(self) -> None:
         """Keys that a snapshot lacks were removed before it."""
         self.apply_record('u1', 'h1 1')
--- a/test/crashes/test_detector.py
+++ b/test/crashes/test_detector.py
@@ -1,6 +1,7 @@
 """Test which upstreams count as ended after a cut connection."""
 
 import contextlib
+import pathlib
 import socket
 import unittest
 from unittest import mock
@@ -8,16 +9,21 @@
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import detector as detector_module
 from baobabpond import metrics
+from baobabpond.ports import platforms
 from baobabpond.reachability import peers
 from baobabpond.upstreams import connections as connections_module
+from standins.emulator import recorder
+from standins.emulator import store as store_module
+from standins.emulator import upstream as upstream_module
 
 from . import examples
 
 ADDRESS = '127.0.0.1'
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 
 
-class DetectorTest(unittest.TestCase):
-    """Probe an address."""
+class DetectorTestCase(unittest.TestCase):
+    """Create a detector and a listener."""
 
     def setUp(self) -> None:
         """Create a listener and a directory that knows the upstream."""
@@ -31,10 +37,20 @@
         )
         self.directory.is_replaced.return_value = False
         self.connections = connections_module.ConnectionPool(metrics.Metrics())
+        platforms.load('users_platform', ROOT / 'platform')
+        platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
+        self.protocol = platform.upstreams
         self.detector = detector_module.CrashDetector(
-            self.directory, self.connections, metrics.Metrics()
+            self.directory,
+            self.connections,
+            self.protocol,
+            metrics.Metrics(),
         )
 
+
+class DetectorTest(DetectorTestCase):
+    """Probe an address."""
+
     def test_upstream_that_lives_on(self) -> None:
         """Its answer got lost; the probe's connection is put to use."""
         self.assertFalse(self.detector.examine(self.entry).has_ended)
@@ -53,6 +69,7 @@
         detector = detector_module.CrashDetector(
             self.directory,
             self.connections,
+            self.protocol,
             metrics.Metrics(),
             lambda entry: [
                 peers.ReachReport('b', 'a', ('h', 1), frozenset({entry.id}))
@@ -80,3 +97,47 @@
             self.assertFalse(self.detector.examine(self.entry).has_ended)
             self.directory.is_replaced.return_value = True
             self.assertTrue(self.detector.examine(self.entry).has_ended)
+
+
+class RemovedUpstreamTest(DetectorTestCase):
+    """Ask an upstream whose registration is gone."""
+
+    def setUp(self) -> None:
+        """Start an upstream."""
+        super().setUp()
+        store = store_module.Store()
+        self.addCleanup(store.stop)
+        self.upstream = upstream_module.Upstream(
+            store, recorder.Recorder(), 'orders'
+        )
+        self.addCleanup(self.upstream.stop)
+        self.removed = examples.entry(
+            self.upstream.id, self.upstream.started_at_ms
+        )._replace(host=ADDRESS, port=self.upstream.port)
+
+    def test_it_lives(self) -> None:
+        """It reports the start that it had registered."""
+        self.assertTrue(self.detector.lives(self.removed))
+
+    def test_successor_answers(self) -> None:
+        """It reports another start."""
+        former = self.removed._replace(born=self.removed.born - 1)
+        self.assertFalse(self.detector.lives(former))
+
+    def test_it_answers_nobody(self) -> None:
+        """Its connections are accepted, and nothing comes."""
+        self.upstream.fault = 'silent'
+        self.assertFalse(self.detector.lives(self.removed))
+
+    def test_nothing_listens(self) -> None:
+        """It has ended, unless this instance is cut off."""
+        self.listener.close()
+        self.assertFalse(self.detector.lives(self.entry))
+        cut_off = detector_module.CrashDetector(
+            self.directory,
+            self.connections,
+            self.protocol,
+            metrics.Metrics(),
+            is_cut_off=lambda service: service == self.entry.service,
+        )
+        self.assertIsNone(cut_off.lives(self.entry))
--- a/test/crashes/test_guard.py
+++ b/test/crashes/test_guard.py
@@ -9,6 +9,7 @@
 from baobabpond.crashes import guard as guard_module
 from baobabpond.crashes import registry as registry_module
 from baobabpond.crashes import sharing as sharing_module
+from baobabpond.crashes import unresolved as unresolved_module
 from baobabpond import metrics
 from baobabpond.upstreams import load_balancer
 
@@ -34,10 +35,12 @@
             detector_module.CrashDetector, instance=True
         )
         self.detector.examine.return_value = ENDED
+        self.unresolved = unresolved_module.UnresolvedAttempts()
         self.guard = guard_module.CrashGuard(
             self.registry,
             self.sharing,
             self.detector,
+            self.unresolved,
             load_balancer.LoadBalancer(),
             metrics.Metrics(),
         )
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -13,6 +13,7 @@
 from baobabpond.crashes import guard as guard_module
 from baobabpond.crashes import registry as registry_module
 from baobabpond.crashes import sharing
+from baobabpond.crashes import unresolved
 from baobabpond.edge import forwarder as forwarder_module
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -81,7 +82,10 @@
         guard = guard_module.CrashGuard(
             self.registry,
             mock.create_autospec(sharing.CrashSharing, instance=True),
-            detector.CrashDetector(directory, pool, metrics.Metrics()),
+            detector.CrashDetector(
+                directory, pool, platform.upstreams, metrics.Metrics()
+            ),
+            unresolved.UnresolvedAttempts(),
             balancer,
             metrics.Metrics(),
         )
--- a/test/edge/test_placer.py
+++ b/test/edge/test_placer.py
@@ -8,6 +8,7 @@
 from baobabpond.crashes import guard as guard_module
 from baobabpond.crashes import registry
 from baobabpond.crashes import sharing
+from baobabpond.crashes import unresolved
 from baobabpond.edge import placer as placer_module
 from baobabpond import metrics
 from baobabpond.ratelimits import bucket as bucket_module
@@ -34,6 +35,7 @@
             registry.CrashRegistry(),
             mock.create_autospec(sharing.CrashSharing, instance=True),
             mock.create_autospec(detector.CrashDetector, instance=True),
+            unresolved.UnresolvedAttempts(),
             self.balancer,
             metrics.Metrics(),
         )
