Keep attempts that timed out until it shows whether their upstream ended

Callers saw upstreams fall silent one after the other under one request: a time-out was never counted, though the directory showed later that the upstream had lapsed or been replaced. Class: absence of evidence taken for innocence. Such attempts are kept like those that were cut, without a probe; a success of the same request ends the doubt.

--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -130,8 +130,12 @@
         )
         self._sharing.withdraw(crashes)
 
-    def record_cut(
-        self, digest: str, request_id: str, entry: catalogue.UpstreamEntry
+    def record_failure(
+        self,
+        digest: str,
+        request_id: str,
+        entry: catalogue.UpstreamEntry,
+        ending: unresolved_module.Ending,
     ) -> bool:
         """Record a crash if the upstream ended; return whether it did.
 
@@ -141,10 +145,10 @@
             digest,
             request_id,
             entry,
-            unresolved_module.Ending.CUT,
+            ending,
             time.monotonic(),
         )
-        if self._has_ended(digest, request_id, entry):
+        if self._has_ended(attempt):
             self.record_crash(attempt)
             return True
         self._keep(attempt)
@@ -190,16 +194,18 @@
         standing = self._registry.standing(digest)
         return standing is registry_module.Standing.REFUSED
 
-    def _has_ended(
-        self, digest: str, request_id: str, entry: catalogue.UpstreamEntry
-    ) -> bool:
+    def _has_ended(self, attempt: unresolved_module.UnresolvedAttempt) -> bool:
+        entry = attempt.entry
         if self._registry.has_ended(entry.incarnation):
             return True
+        if attempt.ending is not unresolved_module.Ending.CUT:
+            # A probe would tell nothing: the upstream may end any moment.
+            return False
         finding = self._detector.examine(entry)
         LOG.info(
             'upstream examined after a cut',
-            request=request_id,
-            digest=digest,
+            request=attempt.request_id,
+            digest=attempt.digest,
             upstream=entry.id,
             born=entry.born,
             service=entry.service,
--- a/baobabpond/crashes/unresolved.py
+++ b/baobabpond/crashes/unresolved.py
@@ -19,6 +19,7 @@
 
     # The upstream, or something on the way, closed the connection.
     CUT = 'cut'
+    TIMED_OUT = 'timed_out'
 
 
 class UnresolvedAttempt(typing.NamedTuple):
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -12,6 +12,7 @@
 from ..catalogue import directory as directory_module
 from ..crashes import guard as guard_module
 from ..crashes import identity
+from ..crashes import unresolved
 from ..ports import callers
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
@@ -47,8 +48,8 @@
     # Server error of the upstream; sent to the caller if no retry succeeds.
     response: urllib3.HTTPResponse | None = None
     body: bytes = b''
-    # The upstream broke the connection off before a whole response.
-    was_cut: bool = False
+    # How it ended, if the upstream sent no whole response to it.
+    ending: unresolved.Ending | None = None
     # The upstream has ended since.
     has_crashed: bool = False
 
@@ -252,8 +253,10 @@
         digest, request_id = context.digest, context.request.id
         try:
             failure = self._try_upstream(context, placed, stream)
-            if failure is not None and failure.was_cut:
-                has_crashed = self._guard.record_cut(digest, request_id, entry)
+            if failure is not None and failure.ending is not None:
+                has_crashed = self._guard.record_failure(
+                    digest, request_id, entry, failure.ending
+                )
                 failure = failure._replace(has_crashed=has_crashed)
             return failure
         finally:
@@ -282,9 +285,7 @@
             failure = FailedAttempt(
                 verdicts.Verdict.MAY_HAVE_RUN,
                 f'cut: {error}',
-                was_cut=not isinstance(
-                    error, connections_module.ResponseTimedOut
-                ),
+                ending=_ending_of(error),
             )
         if attempt.caller_disconnected:
             raise CallerDisconnected
@@ -341,7 +342,7 @@
         if failure is None and not stream.relay(attempt, response):
             reason = f'stream ended early after event {stream.last_event}'
             failure = FailedAttempt(
-                verdicts.Verdict.MAY_HAVE_RUN, reason, was_cut=stream.was_cut
+                verdicts.Verdict.MAY_HAVE_RUN, reason, ending=stream.ending
             )
         if failure is None:
             self._record_completion(context)
@@ -400,6 +401,14 @@
     )
 
 
+def _ending_of(
+    error: connections_module.ResponseFailed,
+) -> unresolved.Ending:
+    if isinstance(error, connections_module.ResponseTimedOut):
+        return unresolved.Ending.TIMED_OUT
+    return unresolved.Ending.CUT
+
+
 def _attempt_budget_s(context: attempts_module.RequestContext) -> float:
     return max(MIN_ATTEMPT_S, context.remaining_s - RESPONSE_MARGIN_S)
 
--- a/baobabpond/edge/streams.py
+++ b/baobabpond/edge/streams.py
@@ -3,6 +3,7 @@
 import urllib3
 
 from .. import decoding
+from ..crashes import unresolved
 from ..streams import records
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
@@ -30,8 +31,8 @@
         self.last_event = _requested_last_event(context)
         # Software version that began the stream; None before its first event.
         self.software: str | None = None
-        # Whether the upstream broke the last attempt off.
-        self.was_cut = False
+        # How the last attempt ended, if its upstream did not complete it.
+        self.ending: unresolved.Ending | None = None
 
     def relay(
         self, attempt: attempts.Attempt, response: urllib3.HTTPResponse
@@ -42,7 +43,7 @@
             response, self._event_timeout_s()
         )
         exchange = self._context.exchange
-        self.was_cut = False
+        self.ending = None
         try:
             for event, raw in reader.read_raw(chunks):
                 if not self._is_next(event.id) or not self._may_go_on(attempt):
@@ -55,12 +56,13 @@
                 if attempt.failed:
                     attempt.record_response()
         except connections_module.ResponseTimedOut:
+            self.ending = unresolved.Ending.TIMED_OUT
             return False
         except connections_module.ResponseFailed:
-            self.was_cut = True
+            self.ending = unresolved.Ending.CUT
             return False
         if reader.has_partial_event:
-            self.was_cut = True
+            self.ending = unresolved.Ending.CUT
             return False
         if not exchange.response_started:
             self._begin(response)
--- a/test/crashes/test_guard.py
+++ b/test/crashes/test_guard.py
@@ -11,6 +11,7 @@
 from baobabpond.crashes import sharing as sharing_module
 from baobabpond.crashes import unresolved as unresolved_module
 from baobabpond import metrics
+from baobabpond.ports import catalogue
 from baobabpond.upstreams import load_balancer
 
 from . import examples
@@ -57,7 +58,16 @@
         """Let upstreams crash under a request."""
         for number in numbers:
             entry = self.entries[number - 1]
-            self.assertTrue(self.guard.record_cut(digest, 'request-1', entry))
+            self.assertTrue(self.fail_attempt(digest, entry))
+
+    def fail_attempt(
+        self,
+        digest: str,
+        entry: catalogue.UpstreamEntry,
+        ending: unresolved_module.Ending = unresolved_module.Ending.CUT,
+    ) -> bool:
+        """Let an attempt end without a response."""
+        return self.guard.record_failure(digest, 'request-1', entry, ending)
 
     def test_clear_requests_share_upstreams(self) -> None:
         """Nothing is known against them."""
@@ -153,8 +163,7 @@
     def test_cut_without_an_end_is_no_crash(self) -> None:
         """The answer got lost and the upstream lives on."""
         self.detector.examine.return_value = ALIVE
-        cut = self.guard.record_cut('innocent', 'r', self.entries[0])
-        self.assertFalse(cut)
+        self.assertFalse(self.fail_attempt('innocent', self.entries[0]))
         self.assertFalse(self.choose('innocent').is_reserved)
         self.sharing.publish.assert_not_called()
 
@@ -163,3 +172,21 @@
         for number in range(5):
             self.crash(f'r{number}', 1)
         self.detector.examine.assert_called_once()
+
+    def test_silence_counts_once_the_end_shows(self) -> None:
+        """Nobody probes an upstream that is only slow."""
+        entry = self.entries[0]
+        ending = unresolved_module.Ending.TIMED_OUT
+        self.assertFalse(self.fail_attempt('poison', entry, ending))
+        self.detector.examine.assert_not_called()
+        [attempt] = self.unresolved.by_incarnation()[entry.incarnation]
+        self.guard.record_crash(attempt)
+        self.assertEqual(1, self.registry.crash_count('poison'))
+        self.assertTrue(self.fail_attempt('innocent', entry, ending))
+
+    def test_completed_run_ends_the_doubt(self) -> None:
+        """The attempt that failed elsewhere is forgotten."""
+        ending = unresolved_module.Ending.TIMED_OUT
+        self.fail_attempt('innocent', self.entries[0], ending)
+        self.guard.record_completion('innocent', 'request-1')
+        self.assertEqual({}, self.unresolved.by_incarnation())
