Count the end of an upstream under a request whose caller has left

Callers of other requests saw upstreams end one after the other under a request whose caller leaves before each end: such an attempt left no trace. Class: absence of evidence taken for innocence. It is kept like one that timed out, unless the upstream had answered or the request had not been sent.

--- a/baobabpond/crashes/unresolved.py
+++ b/baobabpond/crashes/unresolved.py
@@ -20,6 +20,8 @@
     # The upstream, or something on the way, closed the connection.
     CUT = 'cut'
     TIMED_OUT = 'timed_out'
+    # Nobody waits for the response, but the request may still run.
+    CALLER_LEFT = 'caller_left'
 
 
 class UnresolvedAttempt(typing.NamedTuple):
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -57,6 +57,11 @@
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
+    def __init__(self, may_run: bool) -> None:
+        super().__init__()
+        # The upstream has the request, and has not answered it.
+        self.may_run = may_run
+
 
 class Forwarder:
     """Forward requests; retry where the route's kind and attempts allow."""
@@ -246,8 +251,8 @@
     ) -> FailedAttempt | None:
         """Try one upstream; return None if the caller got its response.
 
-        Records whether the upstream crashed under the request. Raises
-        CallerDisconnected.
+        Records whether the upstream crashed under the request, or may do so
+        yet. Raises CallerDisconnected.
         """
         entry = placed.placement.entry
         digest, request_id = context.digest, context.request.id
@@ -259,6 +264,12 @@
                 )
                 failure = failure._replace(has_crashed=has_crashed)
             return failure
+        except CallerDisconnected as disconnect:
+            if disconnect.may_run:
+                self._guard.record_failure(
+                    digest, request_id, entry, unresolved.Ending.CALLER_LEFT
+                )
+            raise
         finally:
             self._guard.release(placed.placement)
 
@@ -288,7 +299,9 @@
                 ending=_ending_of(error),
             )
         if attempt.caller_disconnected:
-            raise CallerDisconnected
+            raise CallerDisconnected(
+                failure is not None and failure.ending is not None
+            )
         return failure
 
     def _exchange(
--- a/standins/emulator/crash_plays.py
+++ b/standins/emulator/crash_plays.py
@@ -15,6 +15,7 @@
 import structlog
 
 from . import clients
+from . import crashing
 from . import deployment as deployment_module
 from . import links
 from . import upstream as upstream_module
@@ -26,7 +27,6 @@
 # Runs that may still begin, once the news has had this time to spread.
 MAX_LATE_RUNS = 3
 NEWS_S = 3.0
-REPEAT_S = 0.2
 # Callers come back after a refusal, up to this many times.
 CALLER_ATTEMPTS = 4
 CRASH_REQUEST_PREFIX = 'crash-'
@@ -37,9 +37,12 @@
     """How a request is repeated, and what happens beside it."""
 
     seconds: float = 12.0
+    # Between the crashing requests.
+    repeat_s: float = 0.2
     innocent_callers: int = 6
     restart_s: float = deployment_module.RESTART_S
     is_silent: bool = False
+    crash_after_s: float = crashing.CRASH_AFTER_S
     failing_pattern: tuple[bool, ...] = (False,)
     # How long the callers of the crashing request wait for a response.
     caller_timeout_s: float = clients.TIMEOUT_S
@@ -60,6 +63,9 @@
     'failing': Setting(failing_pattern=(False, True, False, False, True)),
     'store-busy': Setting(store_busy_s=9.0, seconds=14.0),
     'leaving-callers': Setting(caller_timeout_s=0.008),
+    'slow-crashes': Setting(
+        repeat_s=0.5, crash_after_s=0.3, caller_timeout_s=0.1
+    ),
     'refused-cut': Setting(cut=links.Cut.REFUSED),
     'paused-peer': Setting(pause_s=4.0),
 }
@@ -99,6 +105,7 @@
         self.sent = 0
         deployment.restart_s = setting.restart_s
         deployment.crashing.is_silent = setting.is_silent
+        deployment.crashing.after_s = setting.crash_after_s
         deployment.crashing.failing_pattern = setting.failing_pattern
 
     def run(self) -> Outcome:
@@ -125,7 +132,7 @@
             addresses = self._deployment.addresses()
             with contextlib.suppress(IndexError):
                 self.send(addresses[self.sent % len(addresses)])
-            time.sleep(REPEAT_S)
+            time.sleep(self._setting.repeat_s)
 
     def send(self, address: str) -> clients.Response:
         """Send the crashing request under a new id."""
--- a/standins/emulator/crashing.py
+++ b/standins/emulator/crashing.py
@@ -3,6 +3,8 @@
 import itertools
 import threading
 
+CRASH_AFTER_S = 0.01
+
 
 class Crashing:
     """Let each run crash its upstream, or let some of them fail instead."""
@@ -10,6 +12,8 @@
     def __init__(self) -> None:
         # Crashed upstreams keep their connections and don't answer.
         self.is_silent = False
+        # How long a run lasts until it crashes its upstream.
+        self.after_s = CRASH_AFTER_S
         # Repeated for the runs one after the other: whether a run gets a
         # server error instead of crashing its upstream.
         self.failing_pattern: tuple[bool, ...] = (False,)
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -367,7 +367,7 @@
         )
         is_failing = self.fault == 'error' or body == FAILING_BODY
         if body == CRASHING_BODY:
-            time.sleep(EVENT_INTERVAL_S)
+            time.sleep(self.crashing.after_s)
             if self.crashing.next_run_fails():
                 is_failing = True
             else:
--- a/test/crashes/test_guard.py
+++ b/test/crashes/test_guard.py
@@ -173,16 +173,21 @@
             self.crash(f'r{number}', 1)
         self.detector.examine.assert_called_once()
 
-    def test_silence_counts_once_the_end_shows(self) -> None:
-        """Nobody probes an upstream that is only slow."""
-        entry = self.entries[0]
-        ending = unresolved_module.Ending.TIMED_OUT
-        self.assertFalse(self.fail_attempt('poison', entry, ending))
-        self.detector.examine.assert_not_called()
-        [attempt] = self.unresolved.by_incarnation()[entry.incarnation]
-        self.guard.record_crash(attempt)
-        self.assertEqual(1, self.registry.crash_count('poison'))
-        self.assertTrue(self.fail_attempt('innocent', entry, ending))
+    def test_silence_and_callers_that_left(self) -> None:
+        """They count once the end shows; nobody probes for them."""
+        for number, ending in enumerate(
+            (
+                unresolved_module.Ending.TIMED_OUT,
+                unresolved_module.Ending.CALLER_LEFT,
+            )
+        ):
+            entry = self.entries[number]
+            self.assertFalse(self.fail_attempt('poison', entry, ending))
+            self.detector.examine.assert_not_called()
+            [attempt] = self.unresolved.by_incarnation()[entry.incarnation]
+            self.guard.record_crash(attempt)
+            self.assertTrue(self.fail_attempt('innocent', entry, ending))
+        self.assertEqual(2, self.registry.crash_count('poison'))
 
     def test_completed_run_ends_the_doubt(self) -> None:
         """The attempt that failed elsewhere is forgotten."""
--- a/test/emulator/test_crashes_beside_traffic.py
+++ b/test/emulator/test_crashes_beside_traffic.py
@@ -63,6 +63,10 @@
         """They are gone before the upstream ends."""
         self.play('leaving-callers')
 
+    def test_callers_that_leave_long_before_the_crash(self) -> None:
+        """Nobody waits for the response any more when it is cut."""
+        self.play('slow-crashes')
+
     def test_paused_instance(self) -> None:
         """One instance answers nobody while upstreams crash."""
         self.play('paused-peer')
