Count a refused connection as an end only where a path to the service is shown

Callers of instances that were all cut off by refusals had their requests counted as crashing ones, and the upstreams marked as ended for everybody: nobody who was asked reached the upstream, and that was taken for its end; the silence of paused or slow instances as well. Class: absence of evidence taken for evidence. Now somebody who does not reach the upstream must reach another one of its service: an instance that is asked (both go into the one question), or this one. Without that, the attempt stays unresolved and the directory decides. The question takes 0.25 s at most while a retry waits, 0.6 s before.

--- a/baobabpond/crashes/components.py
+++ b/baobabpond/crashes/components.py
@@ -45,6 +45,7 @@
         )
         detector = detector_module.CrashDetector(
             directory,
+            registry,
             connections,
             protocol,
             metrics,
--- a/baobabpond/crashes/detector.py
+++ b/baobabpond/crashes/detector.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import enum
+import random
 import typing
 
 from .. import metrics as metrics_module
@@ -11,13 +12,15 @@
 from ..reachability import peers
 from ..upstreams import connections as connections_module
 
+from . import registry as registry_module
+
 # The retry of a request waits for the probe.
 PROBE_TIMEOUT_S = 0.15
 REPORT_TIMEOUT_S = 0.5
 
-# Asks other instances whether they can connect to an upstream.
+# Asks other instances which of some upstreams they reach.
 AskPeers = collections.abc.Callable[
-    [catalogue.UpstreamEntry], list[peers.ReachReport]
+    [list[catalogue.UpstreamEntry]], list[peers.ReachReport]
 ]
 
 # Returns whether this instance is known to be cut off from a service.
@@ -39,8 +42,10 @@
     probe: Probe
     # Another incarnation is registered at its address.
     is_replaced: bool
-    # Of the other instances that were asked.
+    # Of the other instances that answered.
     reports: tuple[peers.ReachReport, ...] = ()
+    # Another upstream of the service, that shows whether paths work.
+    sibling: str = ''
 
 
 class CrashDetector:
@@ -49,16 +54,18 @@
     def __init__(
         self,
         directory: directory_module.UpstreamDirectory,
+        registry: registry_module.CrashRegistry,
         connections: connections_module.ConnectionPool,
         protocol: upstream_port.UpstreamProtocol,
         metrics: metrics_module.Metrics,
-        ask_peers: AskPeers = lambda entry: [],
+        ask_peers: AskPeers = lambda entries: [],
         is_cut_off: IsCutOff = lambda service: False,
     ) -> None:
         self._protocol = protocol
         self._ask_peers = ask_peers
         self._is_cut_off = is_cut_off
         self._directory = directory
+        self._registry = registry
         self._connections = connections
         self._metrics = metrics
 
@@ -67,17 +74,50 @@
 
         A cut connection alone does not show it, nor does silence, nor a
         registration that has lapsed, nor a refused connection if others can
-        connect.
+        connect, or if nobody who is refused reaches the service at all.
         """
         probe = self._probe(entry)
-        reports: tuple[peers.ReachReport, ...] = ()
-        if probe is Probe.REFUSED:
-            reports = tuple(self._ask_peers(entry))
-            if not any(report.reached for report in reports):
-                return Finding(True, probe, False, reports)
-            self._metrics.count('crashes.refused_here_only')
         is_replaced = self._directory.is_replaced(entry)
-        return Finding(is_replaced, probe, is_replaced, reports)
+        if probe is not Probe.REFUSED or is_replaced:
+            return Finding(is_replaced, probe, is_replaced)
+        sibling = self._find_sibling(entry)
+        asked = [entry] if sibling is None else [entry, sibling]
+        reports = tuple(self._ask_peers(asked))
+        return Finding(
+            self._is_refused_for_all(entry, sibling, reports),
+            probe,
+            is_replaced,
+            reports,
+            sibling.id if sibling else '',
+        )
+
+    def _find_sibling(
+        self, entry: catalogue.UpstreamEntry
+    ) -> catalogue.UpstreamEntry | None:
+        """Return another upstream of the service that has not ended."""
+        siblings = [
+            other
+            for other in self._directory.usable(entry.service)
+            if other.id != entry.id
+            and not self._registry.has_ended(other.incarnation)
+        ]
+        return random.choice(siblings) if siblings else None
+
+    def _is_refused_for_all(
+        self,
+        entry: catalogue.UpstreamEntry,
+        sibling: catalogue.UpstreamEntry | None,
+        reports: tuple[peers.ReachReport, ...],
+    ) -> bool:
+        """Return whether it is the upstream that refuses, not a path."""
+        if any(entry.id in report.reached for report in reports):
+            self._metrics.count('crashes.refused_here_only')
+            return False
+        if sibling is None:
+            return False
+        if any(sibling.id in report.reached for report in reports):
+            return True
+        return self._probe(sibling) is Probe.CONNECTED
 
     def lives(self, entry: catalogue.UpstreamEntry) -> bool | None:
         """Return whether an upstream whose entry was removed still answers.
--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -211,6 +211,7 @@
             service=entry.service,
             probe=finding.probe.value,
             is_replaced=finding.is_replaced,
+            sibling=finding.sibling,
             peers={
                 report.instance: report.ages_s.get(entry.id, 'not reached')
                 for report in finding.reports
--- a/baobabpond/reachability/components.py
+++ b/baobabpond/reachability/components.py
@@ -51,10 +51,10 @@
         self.records.start()
 
     def ask_peers(
-        self, entry: catalogue.UpstreamEntry
+        self, entries: list[catalogue.UpstreamEntry]
     ) -> list[peers.ReachReport]:
-        """Ask other instances whether they can connect to an upstream."""
-        return self._peer_query.ask([entry])
+        """Ask other instances which upstreams they reach, while one waits."""
+        return self._peer_query.ask(entries, peers.SHORT_CALL_TIMEOUT_MS)
 
     def peers_not_cut_off(self) -> list[roster_module.Member]:
         """Return the other instances that have no cut on record."""
--- a/baobabpond/reachability/peers.py
+++ b/baobabpond/reachability/peers.py
@@ -21,8 +21,10 @@
 from . import tracker as tracker_module
 
 CONNECT_TIMEOUT_MS = 200
-# The peer may have to connect to the upstreams first.
+# The peer connects to the upstreams first.
 CALL_TIMEOUT_MS = 600
+# Where a request waits for the answers.
+SHORT_CALL_TIMEOUT_MS = 250
 MAX_ASKED = 4
 # Upstreams about which one call asks.
 MAX_UPSTREAMS = 2
@@ -56,7 +58,11 @@
             pool_module.ClientPool(LogRelay.Client, CONNECT_TIMEOUT_MS)
         )
 
-    def ask(self, entries: list[catalogue.UpstreamEntry]) -> list[ReachReport]:
+    def ask(
+        self,
+        entries: list[catalogue.UpstreamEntry],
+        call_timeout_ms: int = CALL_TIMEOUT_MS,
+    ) -> list[ReachReport]:
         """Return the reports of some that respond, drawn at random."""
         peers = self._list_peers()
         asked = random.sample(peers, min(MAX_ASKED, len(peers)))
@@ -69,17 +75,22 @@
         with concurrent.futures.ThreadPoolExecutor(
             len(asked), 'reach-query'
         ) as executor:
-            answers = executor.map(lambda peer: self._ask(peer, keys), asked)
+            answers = executor.map(
+                lambda peer: self._ask(peer, keys, call_timeout_ms), asked
+            )
             return [answer for answer in answers if answer is not None]
 
     def _ask(
-        self, peer: roster_module.Member, keys: list[ttypes.UpstreamKey]
+        self,
+        peer: roster_module.Member,
+        keys: list[ttypes.UpstreamKey],
+        call_timeout_ms: int,
     ) -> ReachReport | None:
         host, _ = peer.peer_address
         try:
             answer = self._pool.call(
                 peer.peer_address,
-                CALL_TIMEOUT_MS,
+                call_timeout_ms,
                 lambda client: client.find_reached(keys),
             )
         except pool_module.PeerError as error:
--- a/standins/emulator/links.py
+++ b/standins/emulator/links.py
@@ -54,11 +54,14 @@
         """Return where the instance connects to."""
         return f'{serving.ADDRESS}:{self._port}'
 
-    def cut(self, cut: Cut) -> None:
-        """Cut the link until it is restored."""
+    def cut_new(self, cut: Cut) -> None:
+        """Let no new connection through until the link is restored."""
         self._stop_listening()
         if cut not in REFUSING_CUTS:
             self._fill_queue()
+
+    def cut_open(self, cut: Cut) -> None:
+        """Cut the open connections."""
         if cut is Cut.SILENT:
             self._flows.clear()
         if cut in RESETTING_CUTS:
@@ -181,11 +184,13 @@
 
     def cut(self, cut: Cut) -> None:
         """Cut the instance off from all upstreams."""
+        cut_together([self], cut)
+
+    def begin_cut(self, cut: Cut) -> list[Link]:
+        """Record a cut; return the links that are to be cut now."""
         with self._lock:
             self._cut = cut
-            links = list(self._links.values())
-        for link in links:
-            link.cut(cut)
+            return list(self._links.values())
 
     def restore(self) -> None:
         """End the cut."""
@@ -209,5 +214,17 @@
                 host, port = address.rsplit(':', 1)
                 link = self._links[address] = Link((host, int(port)))
                 if self._cut is not None:
-                    link.cut(self._cut)
+                    link.cut_new(self._cut)
         return link
+
+
+def cut_together(instances: list[Links], cut: Cut) -> None:
+    """Cut instances off from all upstreams at the same moment.
+
+    No open connection ends before all new ones fail.
+    """
+    cut_links = [link for each in instances for link in each.begin_cut(cut)]
+    for link in cut_links:
+        link.cut_new(cut)
+    for link in cut_links:
+        link.cut_open(cut)
--- a/test/crashes/test_detector.py
+++ b/test/crashes/test_detector.py
@@ -8,7 +8,9 @@
 
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import detector as detector_module
+from baobabpond.crashes import registry as registry_module
 from baobabpond import metrics
+from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
 from baobabpond.reachability import peers
 from baobabpond.upstreams import connections as connections_module
@@ -36,12 +38,20 @@
             directory_module.UpstreamDirectory, instance=True
         )
         self.directory.is_replaced.return_value = False
+        self.registry = registry_module.CrashRegistry()
+        other = socket.create_server((ADDRESS, 0))
+        self.addCleanup(other.close)
+        self.sibling = examples.entry('i-2')._replace(
+            host=ADDRESS, port=other.getsockname()[1]
+        )
+        self.directory.usable.return_value = [self.entry, self.sibling]
         self.connections = connections_module.ConnectionPool(metrics.Metrics())
         platforms.load('users_platform', ROOT / 'platform')
         platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
         self.protocol = platform.upstreams
         self.detector = detector_module.CrashDetector(
             self.directory,
+            self.registry,
             self.connections,
             self.protocol,
             metrics.Metrics(),
@@ -65,17 +75,43 @@
 
     def test_upstream_that_others_reach_has_not_ended(self) -> None:
         """It is this instance that is refused."""
+        self.assertFalse(self.is_ended_by('i-1'))
+        self.assertFalse(self.is_ended_by('i-1', 'i-2'))
+
+    def test_others_reach_only_its_siblings(self) -> None:
+        """Neither is it this instance that is cut off, nor they are."""
+        self.directory.usable.return_value[1] = self.unreachable()
+        self.assertTrue(self.is_ended_by('i-2'))
+
+    def test_nobody_reaches_the_service(self) -> None:
+        """This instance is cut off, and so are those that answer, if any."""
+        self.directory.usable.return_value[1] = self.unreachable()
+        self.assertFalse(self.is_ended_by())
+        self.assertFalse(self.detector.examine(self.entry).has_ended)
+
+    def test_last_upstream_of_a_service(self) -> None:
+        """The directory will show whether it has ended."""
+        self.registry.record_end(self.sibling.incarnation)
+        self.assertFalse(self.is_ended_by())
+
+    def is_ended_by(self, *reached: str) -> bool:
+        """Return the finding if another instance reaches some upstreams."""
         self.listener.close()
+        report = peers.ReachReport('b', 'a', ('h', 1), frozenset(reached))
         detector = detector_module.CrashDetector(
             self.directory,
+            self.registry,
             self.connections,
             self.protocol,
             metrics.Metrics(),
-            lambda entry: [
-                peers.ReachReport('b', 'a', ('h', 1), frozenset({entry.id}))
-            ],
+            lambda entries: [report],
         )
-        self.assertFalse(detector.examine(self.entry).has_ended)
+        return detector.examine(self.entry).has_ended
+
+    def unreachable(self) -> catalogue.UpstreamEntry:
+        """Return a sibling at which nothing listens."""
+        with socket.create_server((ADDRESS, 0)) as server:
+            return self.sibling._replace(port=server.getsockname()[1])
 
     def test_successor_listens_at_the_address(self) -> None:
         """The directory shows another incarnation there."""
@@ -135,6 +171,7 @@
         self.assertFalse(self.detector.lives(self.entry))
         cut_off = detector_module.CrashDetector(
             self.directory,
+            self.registry,
             self.connections,
             self.protocol,
             metrics.Metrics(),
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -83,7 +83,11 @@
             self.registry,
             mock.create_autospec(sharing.CrashSharing, instance=True),
             detector.CrashDetector(
-                directory, pool, platform.upstreams, metrics.Metrics()
+                directory,
+                self.registry,
+                pool,
+                platform.upstreams,
+                metrics.Metrics(),
             ),
             unresolved.UnresolvedAttempts(),
             balancer,
--- a/test/emulator/test_cut_instances.py
+++ b/test/emulator/test_cut_instances.py
@@ -16,6 +16,8 @@
 ALLOWED_SHARE = 1 / 50
 MIN_SERVED_RATIO = 2 / 3
 SETTLE_S = 1.0
+# By then it is decided whether an upstream has ended.
+RESOLVED_S = 3.5
 MEASURED_S = 4.0
 DUE_S = 7.5
 # Callers then keep several connections to an upstream busy.
@@ -131,16 +133,24 @@
 
     def test_cut_is_not_taken_for_crashes_of_upstreams(self) -> None:
         """Requests are in flight when the connections are reset."""
-        owner = self.owner()
-        assert owner.links is not None
+        self.check_cut_of_busy([self.owner()])
+
+    def test_cut_of_all_is_not_taken_for_crashes_of_upstreams(self) -> None:
+        """Nobody is left who reaches the upstreams."""
+        self.check_cut_of_busy(self.deployment.instances)
+
+    def check_cut_of_busy(self, cut: list[deployment_module.Instance]) -> None:
+        """Cut instances off while requests are in flight."""
         for upstream in self.deployment.plain_services:
             upstream.slow_factor = BUSY_SLOW_FACTOR
+        cut_links = [each.links for each in cut if each.links is not None]
         timer = threading.Timer(
-            SETTLE_S, owner.links.cut, (links.Cut.REFUSED,)
+            SETTLE_S, links.cut_together, (cut_links, links.Cut.REFUSED)
         )
         timer.start()
         self.callers.run(2 * SETTLE_S)
         timer.join()
+        self.run_for(RESOLVED_S)
         self.check_nothing_crashed()
 
     def test_open_connections_do_not_hide_that_new_ones_are_refused(
