Forget the requests with the fewest crashes first

With room for 200 requests, in the order of their last crash, many that share one end would push out the one that caused it. The test is red without the change.

--- a/baobabpond/crashes/registry.py
+++ b/baobabpond/crashes/registry.py
@@ -14,8 +14,8 @@
 # run again like a suspect.
 REFUSAL_S = 300.0
 MEMORY_S = 600.0
-# Requests that are remembered; those without a crash for the longest time go
-# first.
+# Requests that are remembered; those with the fewest crashes go first, and of
+# them those without a crash for the longest time.
 MAX_REQUESTS = 200
 # Crashed incarnations that are remembered, and for how long: until their
 # registrations have lapsed. A partition that refuses connections looks like a
@@ -146,11 +146,18 @@
         self._requests.move_to_end(crash.digest)
         displaced: list[Crash] = []
         if len(self._requests) > MAX_REQUESTS:
-            displaced = list(next(iter(self._requests.values())))
+            displaced = list(self._requests[self._least_suspect(crash)])
         for other in displaced:
             self._remove(other)
         return displaced
 
+    def _least_suspect(self, added: Crash) -> str:
+        """Return the request to forget for one that was added."""
+        others = (
+            digest for digest in self._requests if digest != added.digest
+        )
+        return min(others, key=lambda digest: len(self._requests[digest]))
+
     def _remove(self, crash: Crash) -> None:
         self._unshared.discard(crash)
         crashes = self._requests.get(crash.digest)
--- a/test/crashes/test_registry.py
+++ b/test/crashes/test_registry.py
@@ -107,6 +107,13 @@
         self.assert_standing(Standing.SUSPECT, 'r0')
         self.assert_standing(Standing.SUSPECT, 'new')
 
+    def test_request_with_more_crashes_stays(self) -> None:
+        """Many that share an end with it do not push it out."""
+        self.add(2)
+        for number in range(2 * registry_module.MAX_REQUESTS):
+            self.add(1, f'r{number}')
+        self.assertEqual(2, self.registry.crash_count('poison'))
+
     def test_snapshot_keeps_what_the_log_does_not_have_yet(self) -> None:
         """Confirmed crashes that are gone from the log are forgotten."""
         self.registry.confirm(examples.crash('poison', 'i-old'))
