Close the connection after a response that is sent before the body is read

Class: a message boundary assumed, not kept. Now a response before the whole body announces the end of the connection, and one thread discards what still comes for up to 2 s, so that closing does not reset the connection before the caller has the response (413 of the library too). A chunk beyond max-body-bytes is answered 413, not a cut connection.

--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -13,10 +13,14 @@
 from ..ports import catalogue
 from ..upstreams import sockets
 
+from . import lingering
+
 LISTEN_BACKLOG = 512
 KEEP_ALIVE_CONNECTIONS = 4000
 SHUTDOWN_TIMEOUT_S = 1
 BODY_CHUNK_BYTES = 65536
+# Of the error that the library raises for a chunk beyond the size limit.
+CHUNK_TOO_LARGE = 'Request Entity Too Large'
 
 LOG = structlog.get_logger(__name__)
 
@@ -36,6 +40,7 @@
 
     def __init__(self, request: cheroot_server.HTTPRequest) -> None:
         self._request = request
+        self._is_body_read = not request.has_body
         self.response_started = False
         self.status = 0
 
@@ -63,7 +68,10 @@
         return self._request.conn.socket
 
     def read_body(self) -> bytes:
-        """Read the whole body; raise BodyError if it is invalid."""
+        """Read the whole body; raise BodyError if it is invalid.
+
+        The connection ends after a response that is sent before that.
+        """
         headers = self._request.inheaders
         if b'Content-Length' in headers and b'Transfer-Encoding' in headers:
             # Both together allow request smuggling.
@@ -76,9 +84,16 @@
             ) from error
         except ValueError as error:
             raise self._bad_body(BodyError(str(error), 400)) from error
+        except OSError as error:
+            if error.args != (CHUNK_TOO_LARGE,):
+                raise
+            raise self._bad_body(
+                BodyError('the body is too large', 413)
+            ) from error
         length = headers.get(b'Content-Length')
         if length is not None and len(body) < int(length):
             raise self._bad_body(BodyError('the body is cut', 400))
+        self._is_body_read = True
         return body
 
     def _bad_body(self, error: 'BodyError') -> 'BodyError':
@@ -133,6 +148,10 @@
         self.status = status
         if close:
             self._request.close_connection = True
+        if not self._is_body_read:
+            # What is left of the body would be taken for the next request.
+            self._request.close_connection = True
+            self._request.conn.lingers = True
         self._request.status = f'{status} {reason}'.encode('latin-1')
         self._request.outheaders = [
             (name.encode('latin-1'), value.encode('latin-1'))
@@ -143,11 +162,20 @@
 class Request(cheroot_server.HTTPRequest):
     """Respond with 431 instead of 413 if the headers are too large."""
 
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows the headers."""
+        length = int(self.inheaders.get(b'Content-Length', 0))
+        return self.chunked_read or length > 0
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Send a response that cheroot itself produces."""
         if str(status).startswith('413') and 'headers' in msg:
             self.close_connection = True
             status = '431 Request Header Fields Too Large'
+        if str(status).startswith(('413', '431')):
+            # The rest of the request is still to come.
+            self.conn.lingers = True
         super().simple_response(status, msg)
 
 
@@ -161,6 +189,16 @@
     ) -> None:
         super().__init__(server, sock, *arguments)
         sock.settimeout(server.request_timeout_s)
+        # Whether the caller may still send when the connection is closed.
+        self.lingers = False
+
+    def close(self) -> None:
+        """Close the connection, at once unless the caller may still send."""
+        # The library leaves the socket open then.
+        self.linger = self.linger or self.lingers
+        super().close()
+        if self.lingers:
+            self.server.closer.close(self.socket)
 
 
 Handler = collections.abc.Callable[[Exchange], None]
@@ -192,6 +230,7 @@
         super().__init__(address, Gateway, minthreads=threads)
         self.request_queue_size = LISTEN_BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
+        self.closer = lingering.LingeringCloser()
         self._handler = handler
         self._metrics = metrics
         self._in_flight = 0
