Read a body in chunks to its end

The trailers are read and dropped now.

Tests at a server with one thread: another caller is served at once after a body in chunks (3.0 s before), and the idle connection outlives the header timeout (408 before).

--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -1,5 +1,6 @@
 """Run the HTTP servers of an instance."""
 
+import collections
 import collections.abc
 import socket
 import threading
@@ -78,6 +79,11 @@
             raise self._bad_body(BodyError('two lengths are given', 400))
         try:
             body = self._request.rfile.read()
+            if self._request.chunked_read:
+                # The end of the trailers is the end of the request.
+                collections.deque(
+                    self._request.rfile.read_trailer_lines(), maxlen=0
+                )
         except cheroot_errors.MaxSizeExceeded as error:
             raise self._bad_body(
                 BodyError('the body is too large', 413)
--- a/test/edge/test_unread_bodies.py
+++ b/test/edge/test_unread_bodies.py
@@ -44,7 +44,8 @@
     """Return the bytes of a request."""
     if is_chunked:
         framing = b'Transfer-Encoding: chunked'
-        body = b'%x\r\n%s\r\n0\r\n\r\n' % (len(body), body)
+        chunk = b'%x\r\n%s\r\n' % (len(body), body) if body else b''
+        body = chunk + b'0\r\n\r\n'
     else:
         framing = b'Content-Length: %d' % len(body)
     return b'POST %s HTTP/1.1\r\nHost: a\r\n%s\r\n\r\n%s' % (
@@ -169,3 +170,30 @@
                 sock.sendall(request('/200', body, is_chunked))
                 self.assertEqual(413, read_response(sock).status)
                 self.assert_thread_is_free()
+
+    def test_read_bodies_keep_the_connection(self) -> None:
+        """The next request on it gets its own answer."""
+        sock = self.connect()
+        for size in (SMALL_BYTES, 0, LARGE_BYTES, SMALL_BYTES):
+            for is_chunked in (True, False):
+                with self.subTest(is_chunked=is_chunked, size=size):
+                    sock.sendall(request('/200', b'b' * size, is_chunked))
+                    response = read_response(sock)
+                    self.assertEqual(200, response.status)
+                    self.assertEqual(b'%d' % size, response.body)
+
+    def test_thread_is_free_after_a_body_in_chunks(self) -> None:
+        """Nothing of it is left that looks like the next request."""
+        sock = self.connect()
+        sock.sendall(request('/200', b'b' * SMALL_BYTES, True))
+        self.assertEqual(200, read_response(sock).status)
+        self.assert_thread_is_free()
+
+    def test_idle_connection_after_a_body_in_chunks(self) -> None:
+        """It stays open for longer than headers may take to arrive."""
+        sock = self.connect()
+        sock.sendall(request('/200', b'b' * SMALL_BYTES, True))
+        self.assertEqual(200, read_response(sock).status)
+        time.sleep(HEADER_TIMEOUT_S + 0.5)
+        sock.sendall(request('/200', b'b' * SMALL_BYTES, False))
+        self.assertEqual(200, read_response(sock).status)
