Bound the memory that bodies of requests and responses take up

Class: a limit for one, none for all.

A body is reserved for before it is read, and what cannot be held is answered 503 memory_full with Retry-After, as not run; others are served meanwhile. Responses have a memory of their own, for which they wait. The setting body_memory_mb has a default from memory_mb, gauges show limit and use, large blocks are mapped by themselves.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -20,6 +20,8 @@
 from . import server
 
 RETRY_AFTER_S = 0.3
+# Large bodies take about this long to pass.
+MEMORY_RETRY_AFTER_S = 0.5
 # A configuration that was confirmed longer ago may lack routes. A quiet log
 # confirms it two long polls late, each of 1 s.
 MAX_CONFIGURATION_STALENESS_S = 2.5
@@ -139,11 +141,43 @@
             match.route.is_repeatable,
         ):
             return
-        elif match.route.kind is catalogue.RouteKind.ROLLOUT:
+        else:
+            try:
+                self._serve(exchange, call, match)
+            except server.BodyMemoryFull as error:
+                self._refuse_for_memory(exchange, call, error)
+
+    def _serve(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        match: current_module.RouteMatch,
+    ) -> None:
+        if match.route.kind is catalogue.RouteKind.ROLLOUT:
             self._batch_handlers.submit(exchange, call, match)
         else:
             self._forwarder.forward(exchange, call, match)
 
+    def _refuse_for_memory(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        error: server.BodyMemoryFull,
+    ) -> None:
+        LOG.info(
+            'no memory for the body of a request',
+            request=call.request_id,
+            path=call.path,
+            size=error.size,
+            outcome='memory_full',
+        )
+        responses.send_refusal(
+            exchange,
+            verdicts.unavailable(
+                'memory_full', str(error), MEMORY_RETRY_AFTER_S
+            ),
+        )
+
     def _refuse_late(
         self,
         exchange: server.Exchange,
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -6,6 +6,7 @@
 import structlog
 import urllib3
 
+from .. import decoding
 from .. import metrics as metrics_module
 from .. import verdicts
 from ..catalogue import current as current_module
@@ -21,11 +22,13 @@
 from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
 from ..upstreams import authenticity
+from ..upstreams import bounded
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import attempts as attempts_module
+from . import body_memory
 from . import placer as placer_module
 from . import refusals
 from . import responses
@@ -77,10 +80,12 @@
         guard: guard_module.CrashGuard,
         permits: permits_module.Permits,
         origins: origins_module.StreamOrigins,
+        response_memory: body_memory.BodyMemory,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._guard = guard
         self._origins = origins
+        self._response_memory = response_memory
         self._placer = placer_module.Placer(
             directory, guard, load_balancer, permits
         )
@@ -322,10 +327,20 @@
         response_head: upstream_port.ResponseHead,
     ) -> FailedAttempt | None:
         """Read a whole response and send it unless it must be retried."""
-        chunks = attempt.connection.iter_body(
-            response, _attempt_budget_s(context)
-        )
-        body = b''.join(chunks)
+        with self._response_memory.reservation() as memory:
+            body = _read_body(context, attempt, response, memory)
+            return self._pass_on(
+                context, attempt, response, response_head, body
+            )
+
+    def _pass_on(
+        self,
+        context: attempts_module.RequestContext,
+        attempt: attempts_module.Attempt,
+        response: urllib3.HTTPResponse,
+        response_head: upstream_port.ResponseHead,
+        body: bytes,
+    ) -> FailedAttempt | None:
         failure = _check_response(context, response, response_head, body)
         if response_head.request_id in ('', context.request.id):
             attempt.reuse_after(response)
@@ -414,6 +429,40 @@
     )
 
 
+def _read_body(
+    context: attempts_module.RequestContext,
+    attempt: attempts_module.Attempt,
+    response: urllib3.HTTPResponse,
+    memory: body_memory.Reservation,
+) -> bytes:
+    """Read a body once there is memory for it; raise ResponseFailed."""
+    length = decoding.decimal(response.headers.get('Content-Length', '')) or 0
+    _reserve(context, memory, min(length, bounded.MAX_BODY_BYTES))
+    parts = []
+    read_bytes = 0
+    for chunk in attempt.connection.iter_body(
+        response, _attempt_budget_s(context)
+    ):
+        read_bytes += len(chunk)
+        if read_bytes > length:
+            _reserve(context, memory, len(chunk))
+        parts.append(chunk)
+    body = b''.join(parts)
+    memory.shrink(len(body))
+    return body
+
+
+def _reserve(
+    context: attempts_module.RequestContext,
+    memory: body_memory.Reservation,
+    size: int,
+) -> None:
+    # Those that hold memory already must not wait for one another.
+    wait_s = 0.0 if memory.is_held else _attempt_budget_s(context)
+    if not memory.try_add(size, wait_s):
+        raise connections_module.ResponseTimedOut('no memory for the response')
+
+
 def _ending_of(
     error: connections_module.ResponseFailed,
 ) -> unresolved.Ending:
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -14,6 +14,7 @@
 from ..ports import catalogue
 from ..upstreams import sockets
 
+from . import body_memory as body_memory_module
 from . import lingering
 
 LISTEN_BACKLOG = 512
@@ -36,11 +37,25 @@
         self.status = status
 
 
+class BodyMemoryFull(BodyError):
+    """There is no memory for the body now, or for the rest of it."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__('too many large bodies at once', 503)
+        # Of the body, or of its next chunk, in bytes.
+        self.size = size
+
+
 class Exchange:
     """An HTTP request and the means to write its response."""
 
-    def __init__(self, request: cheroot_server.HTTPRequest) -> None:
+    def __init__(
+        self,
+        request: cheroot_server.HTTPRequest,
+        body_memory: body_memory_module.Reservation | None = None,
+    ) -> None:
         self._request = request
+        self._body_memory = body_memory
         self._is_body_read = not request.has_body
         self.response_started = False
         self.status = 0
@@ -71,19 +86,25 @@
     def read_body(self) -> bytes:
         """Read the whole body; raise BodyError if it is invalid.
 
-        The connection ends after a response that is sent before that.
+        The connection ends after a response that is sent before that. Raises
+        BodyMemoryFull if it cannot be held.
         """
         headers = self._request.inheaders
         if b'Content-Length' in headers and b'Transfer-Encoding' in headers:
             # Both together allow request smuggling.
             raise self._bad_body(BodyError('two lengths are given', 400))
+        rfile = self._request.rfile
+        if self._request.chunked_read:
+            rfile.rfile = body_memory_module.ReservingReader(
+                rfile.rfile, self._reserve
+            )
+        else:
+            self._reserve(int(headers.get(b'Content-Length', 0)))
         try:
-            body = self._request.rfile.read()
+            body = rfile.read()
             if self._request.chunked_read:
                 # The end of the trailers is the end of the request.
-                collections.deque(
-                    self._request.rfile.read_trailer_lines(), maxlen=0
-                )
+                collections.deque(rfile.read_trailer_lines(), maxlen=0)
         except cheroot_errors.MaxSizeExceeded as error:
             raise self._bad_body(
                 BodyError('the body is too large', 413)
@@ -100,8 +121,15 @@
         if length is not None and len(body) < int(length):
             raise self._bad_body(BodyError('the body is cut', 400))
         self._is_body_read = True
+        if self._body_memory is not None:
+            self._body_memory.shrink(len(body))
         return body
 
+    def _reserve(self, size: int) -> None:
+        memory = self._body_memory
+        if memory is not None and not memory.try_add(size):
+            raise self._bad_body(BodyMemoryFull(size))
+
     def _bad_body(self, error: 'BodyError') -> 'BodyError':
         # The start of the next request on the connection is unknown.
         self._request.close_connection = True
@@ -216,7 +244,11 @@
     def respond(self) -> None:
         """Handle one request."""
         server = typing.cast(Server, self.req.server)
-        server.handle(Exchange(self.req))
+        if server.body_memory is None:
+            server.handle(Exchange(self.req))
+            return
+        with server.body_memory.reservation() as reservation:
+            server.handle(Exchange(self.req, reservation))
 
 
 class Server(cheroot_server.HTTPServer):
@@ -232,7 +264,9 @@
         threads: int,
         metrics: metrics_module.Metrics,
         limits: catalogue.Limits,
+        body_memory: body_memory_module.BodyMemory | None = None,
     ) -> None:
+        self.body_memory = body_memory
         super().__init__(address, Gateway, minthreads=threads)
         self.request_queue_size = LISTEN_BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
@@ -321,12 +355,16 @@
     def _run(self) -> None:
         stop = threading.Event()
         while not stop.wait(self.PERIOD_S):
-            with self._lock:
-                watches = list(self._watches.items())
-            for handle, (sock, on_disconnect) in watches:
-                if _is_disconnected(sock):
-                    self.remove(handle)
-                    on_disconnect()
+            self._poll()
+
+    def _poll(self) -> None:
+        """Call back for callers that are gone; keep nothing until the next."""
+        with self._lock:
+            watches = list(self._watches.items())
+        for handle, (sock, on_disconnect) in watches:
+            if _is_disconnected(sock):
+                self.remove(handle)
+                on_disconnect()
 
 
 def _is_disconnected(sock: socket.socket) -> bool:
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -32,4 +32,5 @@
     status_s: float
     longest_validity_s: float
     memory_mb: float
+    body_memory_mb: NotRequired[float]
     log_level: Literal['debug', 'info', 'warning', 'error']
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -17,6 +17,7 @@
 from .crashes import components as crash_components
 from .edge import app as app_module
 from .edge import batch_handlers
+from .edge import body_memory
 from .edge import forwarder
 from .edge import relay_handler
 from .edge import server
@@ -86,6 +87,15 @@
         self._validity_s = min(
             app_module.ADDRESS_LIST_TTL_S, settings['longest_validity_s']
         )
+        body_bytes = body_memory.BYTES_PER_MB * body_memory.limit_mb(
+            settings['memory_mb'], settings.get('body_memory_mb')
+        )
+        self._request_memory = body_memory.BodyMemory(
+            'requests', body_bytes, self._metrics
+        )
+        self._response_memory = body_memory.BodyMemory(
+            'responses', body_bytes, self._metrics
+        )
         self._build_catalogue()
         self._build_scheduler()
         self._build_servers()
@@ -405,6 +415,7 @@
                 self._crashes.guard,
                 self._limits.permits,
                 self._streams.origins,
+                self._response_memory,
                 self._metrics,
             ),
             self._metrics,
@@ -459,6 +470,7 @@
             threads,
             self._metrics,
             catalogue.Limits(),
+            self._request_memory,
         )
 
     def _join_when_ready(self) -> None:
--- a/baobabpond/ui/host.py
+++ b/baobabpond/ui/host.py
@@ -12,6 +12,7 @@
     # Until the handler is set, SIGHUP would terminate the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from .. import allocator  # noqa: E402
 from .. import errors  # noqa: E402
 from .. import host as host_module  # noqa: E402
 from .. import logs  # noqa: E402
@@ -33,6 +34,7 @@
     settings = check.load_host(path)
     output = logs.BoundedOutput(sys.stdout)
     logs.configure(settings['log_level'], settings['instance'], output)
+    allocator.map_large_blocks()
     try:
         instance = host_module.Host(settings)
         settings_file = watch.SettingsFile(str(path), instance.apply_settings)
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -104,6 +104,8 @@
         self.instances: list[Instance] = []
         self.crashing = crashing_module.Crashing()
         self.restart_s = RESTART_S
+        # Limit of the memory of each instance; 0 if there is none.
+        self.memory_mb = 0
         self._checks_fence = True
         self._has_links = False
         self._views: list[server_module.Server] = []
@@ -277,7 +279,7 @@
             'grace_s': GRACE_S,
             'status_s': 120,
             'longest_validity_s': 0.2,
-            'memory_mb': 0,
+            'memory_mb': self.memory_mb,
             'log_level': 'info',
         }
         folder = pathlib.Path(self._folder.name)
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -14,6 +14,7 @@
 from baobabpond.crashes import registry as registry_module
 from baobabpond.crashes import sharing
 from baobabpond.crashes import unresolved
+from baobabpond.edge import body_memory
 from baobabpond.edge import forwarder as forwarder_module
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -110,6 +111,7 @@
             guard,
             permits,
             mock.create_autospec(origins.StreamOrigins, instance=True),
+            body_memory.BodyMemory('responses', 1e9, metrics.Metrics()),
             metrics.Metrics(),
         )
 
--- a/test/edge/test_stream_resumption.py
+++ b/test/edge/test_stream_resumption.py
@@ -8,6 +8,7 @@
 from baobabpond.catalogue import current as current_module
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import guard
+from baobabpond.edge import body_memory
 from baobabpond.edge import forwarder as forwarder_module
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -51,6 +52,7 @@
             mock.create_autospec(guard.CrashGuard, instance=True),
             mock.create_autospec(permits.Permits, instance=True),
             self.origins,
+            mock.create_autospec(body_memory.BodyMemory, instance=True),
             metrics.Metrics(),
         )
         shares = tuple(
