--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -22,6 +22,9 @@
 # time for a retry on another one.
 TIMEOUT_TARGET_MULTIPLE = 4.0
 MIN_ATTEMPT_TIMEOUT_S = 0.3
+# Reserved for sending the response to the caller before the deadline.
+RESPONSE_MARGIN_S = 0.02
+MIN_ATTEMPT_S = 0.02
 
 
 def attempt_timeout_s(
@@ -60,6 +63,11 @@
         """Return the time until the deadline, negative once it has passed."""
         return self.deadline - time.monotonic()
 
+    @property
+    def budget_s(self) -> float:
+        """Return the time that an attempt may take, always some."""
+        return max(MIN_ATTEMPT_S, self.remaining_s - RESPONSE_MARGIN_S)
+
 
 class AttemptDependencies(typing.NamedTuple):
     """Objects that all attempts use."""
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -1,12 +1,10 @@
 """Forward ordinary requests to upstreams, with retries."""
 
 import time
-import typing
 
 import structlog
 import urllib3
 
-from .. import decoding
 from .. import metrics as metrics_module
 from .. import verdicts
 from ..catalogue import current as current_module
@@ -22,7 +20,6 @@
 from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
 from ..upstreams import authenticity
-from ..upstreams import bounded
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
@@ -34,29 +31,12 @@
 from . import responses
 from . import server
 from . import streams
+from . import upstream_responses
 
-# Reserved for sending the response to the caller before the deadline.
-RESPONSE_MARGIN_S = 0.02
-MIN_ATTEMPT_S = 0.02
-SERVER_ERROR = 500
 
 LOG = structlog.get_logger(__name__)
 
 
-class FailedAttempt(typing.NamedTuple):
-    """An attempt that produced no response for the caller."""
-
-    verdict: verdicts.Verdict
-    reason: str
-    # Server error of the upstream; sent to the caller if no retry succeeds.
-    response: urllib3.HTTPResponse | None = None
-    body: bytes = b''
-    # How it ended, if the upstream sent no whole response to it.
-    ending: unresolved.Ending | None = None
-    # The upstream has ended since.
-    has_crashed: bool = False
-
-
 class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
@@ -157,7 +137,7 @@
             return origin_refusal
         attempts = context.route.max_attempts
         for number in range(1, attempts + 1):
-            if context.remaining_s < MIN_ATTEMPT_S:
+            if context.remaining_s < attempts_module.MIN_ATTEMPT_S:
                 break
             entries = self._directory.usable(context.service)
             try:
@@ -197,7 +177,7 @@
         if last is not None and last.response is not None:
             self._send_response(context, last.response, last.body)
             return None
-        is_late = context.remaining_s < MIN_ATTEMPT_S
+        is_late = context.remaining_s < attempts_module.MIN_ATTEMPT_S
         return refusals.after_attempts(verdict, bool(tried), is_late)
 
     def _place(
@@ -215,7 +195,7 @@
                 context.digest,
                 context.service,
                 tried,
-                context.remaining_s - MIN_ATTEMPT_S,
+                context.remaining_s - attempts_module.MIN_ATTEMPT_S,
                 urgency,
                 software,
             )
@@ -253,7 +233,7 @@
         context: attempts_module.RequestContext,
         placed: placer_module.Placed,
         stream: streams.StreamRelay,
-    ) -> FailedAttempt | None:
+    ) -> upstream_responses.FailedAttempt | None:
         """Try one upstream; return None if the caller got its response.
 
         Records whether the upstream crashed under the request, or may do so
@@ -283,7 +263,7 @@
         context: attempts_module.RequestContext,
         placed: placer_module.Placed,
         stream: streams.StreamRelay,
-    ) -> FailedAttempt | None:
+    ) -> upstream_responses.FailedAttempt | None:
         attempt = attempts_module.Attempt(
             self._dependencies, context, placed.placement.entry, placed.permit
         )
@@ -294,14 +274,14 @@
                 else:
                     failure = self._exchange(context, attempt)
         except connections_module.ConnectionFailed as error:
-            failure = FailedAttempt(
+            failure = upstream_responses.FailedAttempt(
                 verdicts.Verdict.NOT_RUN, f'unreachable: {error}'
             )
         except connections_module.ResponseFailed as error:
-            failure = FailedAttempt(
+            failure = upstream_responses.FailedAttempt(
                 verdicts.Verdict.MAY_HAVE_RUN,
                 f'cut: {error}',
-                ending=_ending_of(error),
+                ending=upstream_responses.ending_of(error),
             )
         if attempt.caller_disconnected:
             raise CallerDisconnected(
@@ -313,9 +293,9 @@
         self,
         context: attempts_module.RequestContext,
         attempt: attempts_module.Attempt,
-    ) -> FailedAttempt | None:
+    ) -> upstream_responses.FailedAttempt | None:
         response, response_head = attempt.send(
-            _attempt_budget_s(context), timeout_s=_attempt_timeout_s(context)
+            context.budget_s, timeout_s=_attempt_timeout_s(context)
         )
         return self._read_response(context, attempt, response, response_head)
 
@@ -325,10 +305,12 @@
         attempt: attempts_module.Attempt,
         response: urllib3.HTTPResponse,
         response_head: upstream_port.ResponseHead,
-    ) -> FailedAttempt | None:
+    ) -> upstream_responses.FailedAttempt | None:
         """Read a whole response and send it unless it must be retried."""
         with self._response_memory.reservation() as memory:
-            body = _read_body(context, attempt, response, memory)
+            body = upstream_responses.read_body(
+                context, attempt, response, memory
+            )
             return self._pass_on(
                 context, attempt, response, response_head, body
             )
@@ -340,13 +322,15 @@
         response: urllib3.HTTPResponse,
         response_head: upstream_port.ResponseHead,
         body: bytes,
-    ) -> FailedAttempt | None:
-        failure = _check_response(context, response, response_head, body)
+    ) -> upstream_responses.FailedAttempt | None:
+        failure = upstream_responses.check(
+            context, response, response_head, body
+        )
         if response_head.request_id in ('', context.request.id):
             attempt.reuse_after(response)
         if failure is None:
             attempt.record_response()
-            attempt.failed = response.status >= SERVER_ERROR
+            attempt.failed = response.status >= upstream_responses.SERVER_ERROR
             if response.status in authenticity.SUCCESS:
                 self._record_completion(context)
             if not attempt.caller_disconnected:
@@ -358,18 +342,20 @@
         context: attempts_module.RequestContext,
         attempt: attempts_module.Attempt,
         stream: streams.StreamRelay,
-    ) -> FailedAttempt | None:
+    ) -> upstream_responses.FailedAttempt | None:
         response, response_head = attempt.send(
-            _attempt_budget_s(context), stream.last_event
+            context.budget_s, stream.last_event
         )
         if response.status not in authenticity.SUCCESS:
             return self._read_response(
                 context, attempt, response, response_head
             )
-        failure = _check_response(context, response, response_head, b'')
+        failure = upstream_responses.check(
+            context, response, response_head, b''
+        )
         if failure is None and not stream.relay(attempt, response):
             reason = f'stream ended early after event {stream.last_event}'
-            failure = FailedAttempt(
+            failure = upstream_responses.FailedAttempt(
                 verdicts.Verdict.MAY_HAVE_RUN, reason, ending=stream.ending
             )
         if failure is None:
@@ -429,92 +415,10 @@
     )
 
 
-def _read_body(
-    context: attempts_module.RequestContext,
-    attempt: attempts_module.Attempt,
-    response: urllib3.HTTPResponse,
-    memory: body_memory.Reservation,
-) -> bytes:
-    """Read a body once there is memory for it; raise ResponseFailed."""
-    length = decoding.decimal(response.headers.get('Content-Length', '')) or 0
-    _reserve(context, memory, min(length, bounded.MAX_BODY_BYTES))
-    parts = []
-    read_bytes = 0
-    for chunk in attempt.connection.iter_body(
-        response, _attempt_budget_s(context)
-    ):
-        read_bytes += len(chunk)
-        if read_bytes > length:
-            _reserve(context, memory, len(chunk))
-        parts.append(chunk)
-    body = b''.join(parts)
-    memory.shrink(len(body))
-    return body
-
-
-def _reserve(
-    context: attempts_module.RequestContext,
-    memory: body_memory.Reservation,
-    size: int,
-) -> None:
-    # Those that hold memory already must not wait for one another.
-    wait_s = 0.0 if memory.is_held else _attempt_budget_s(context)
-    if not memory.try_add(size, wait_s):
-        raise connections_module.ResponseTimedOut('no memory for the response')
-
-
-def _ending_of(
-    error: connections_module.ResponseFailed,
-) -> unresolved.Ending:
-    if isinstance(error, connections_module.ResponseTimedOut):
-        return unresolved.Ending.TIMED_OUT
-    return unresolved.Ending.CUT
-
-
-def _attempt_budget_s(context: attempts_module.RequestContext) -> float:
-    return max(MIN_ATTEMPT_S, context.remaining_s - RESPONSE_MARGIN_S)
-
-
 def _attempt_timeout_s(context: attempts_module.RequestContext) -> float:
     is_retryable = context.route.kind is catalogue.RouteKind.IDEMPOTENT
     return attempts_module.attempt_timeout_s(
-        _attempt_budget_s(context),
+        context.budget_s,
         context.route.target_latency_s,
         context.has_alternatives and is_retryable,
     )
-
-
-def _check_response(
-    context: attempts_module.RequestContext,
-    response: urllib3.HTTPResponse,
-    response_head: upstream_port.ResponseHead,
-    body: bytes,
-) -> FailedAttempt | None:
-    """Return why a response must not be sent yet, None if it may be."""
-    found = authenticity.of_response(
-        context.request.id, response.status, response_head
-    )
-    if found is authenticity.Authenticity.FOREIGN:
-        return FailedAttempt(
-            verdicts.Verdict.MAY_HAVE_RUN, 'response to another request'
-        )
-    if response_head.not_run:
-        return FailedAttempt(
-            verdicts.Verdict.NOT_RUN, f'refused {response.status}'
-        )
-    if (
-        response.status in authenticity.SUCCESS
-        and found is authenticity.Authenticity.UNMARKED
-    ):
-        return FailedAttempt(
-            verdicts.Verdict.MAY_HAVE_RUN,
-            'response without the mark of an upstream',
-        )
-    if response.status >= SERVER_ERROR and context.route.is_repeatable:
-        return FailedAttempt(
-            verdicts.Verdict.MAY_HAVE_RUN,
-            f'failed {response.status}',
-            response,
-            body,
-        )
-    return None
