Say in the log where an instance reaches an upstream without telling since when

The yes of an older build, which states no age, was shown as 'not reached' in the line 'upstream examined after a cut'. Nothing else changes.

--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -8,6 +8,7 @@
 from .. import metrics as metrics_module
 from .. import verdicts
 from ..ports import catalogue
+from ..reachability import peers
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import detector as detector_module
@@ -213,7 +214,7 @@
             is_replaced=finding.is_replaced,
             sibling=finding.sibling,
             peers={
-                report.instance: report.ages_s.get(entry.id, 'not reached')
+                report.instance: _describe(report, entry)
                 for report in finding.reports
             },
             has_ended=finding.has_ended,
@@ -252,3 +253,12 @@
             >= registry_module.NEAR_MAX_CRASHES
             and self._registry.last_crash_age_s(digest) < SPARE_REQUIRED_S
         )
+
+
+def _describe(
+    report: peers.ReachReport, entry: catalogue.UpstreamEntry
+) -> float | str:
+    """Return how long ago an instance connected to an upstream, if it did."""
+    if entry.id not in report.reached:
+        return 'not reached'
+    return report.ages_s.get(entry.id, 'reached, at an unknown time')
