Ask an upstream without a registration through the gateway

The report that tells a successor from the process itself was sent past the gateway, and so past the permits that limited upstreams require. It goes through the gateway now; without a permit the attempt stays in doubt. Green: test/crashes, test/upstreams, test_forwarder, test_placer.

--- a/baobabpond/crashes/components.py
+++ b/baobabpond/crashes/components.py
@@ -3,10 +3,10 @@
 from .. import metrics as metrics_module
 from ..catalogue import directory as directory_module
 from ..ports import log as log_port
-from ..ports import upstreams as upstream_port
 from ..reachability import components as reach_components
 from ..store import follower as follower_module
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
 
 from . import detector as detector_module
@@ -30,7 +30,7 @@
         directory: directory_module.UpstreamDirectory,
         connections: connections_module.ConnectionPool,
         load_balancer: load_balancer_module.LoadBalancer,
-        protocol: upstream_port.UpstreamProtocol,
+        gateway: gateway_module.Gateway,
         reach: reach_components.ReachComponents,
         heartbeat_s: float,
         metrics: metrics_module.Metrics,
@@ -47,7 +47,7 @@
             directory,
             registry,
             connections,
-            protocol,
+            gateway,
             metrics,
             reach.ask_peers,
             lambda service: reach.monitor.cut_from(service) is not None,
--- a/baobabpond/crashes/detector.py
+++ b/baobabpond/crashes/detector.py
@@ -8,15 +8,15 @@
 from .. import metrics as metrics_module
 from ..catalogue import directory as directory_module
 from ..ports import catalogue
-from ..ports import upstreams as upstream_port
+from ..ratelimits import permits as permits_module
 from ..reachability import peers
 from ..upstreams import connections as connections_module
+from ..upstreams import gateway as gateway_module
 
 from . import registry as registry_module
 
 # The retry of a request waits for the probe.
 PROBE_TIMEOUT_S = 0.15
-REPORT_TIMEOUT_S = 0.5
 
 # Asks other instances which of some upstreams they reach.
 AskPeers = collections.abc.Callable[
@@ -56,12 +56,12 @@
         directory: directory_module.UpstreamDirectory,
         registry: registry_module.CrashRegistry,
         connections: connections_module.ConnectionPool,
-        protocol: upstream_port.UpstreamProtocol,
+        gateway: gateway_module.Gateway,
         metrics: metrics_module.Metrics,
         ask_peers: AskPeers = lambda entries: [],
         is_cut_off: IsCutOff = lambda service: False,
     ) -> None:
-        self._protocol = protocol
+        self._gateway = gateway
         self._ask_peers = ask_peers
         self._is_cut_off = is_cut_off
         self._directory = directory
@@ -128,7 +128,9 @@
         connection = connections_module.Connection((entry.host, entry.port))
         try:
             connection.connect(PROBE_TIMEOUT_S)
-            born = self._read_born(connection, entry)
+            born = self._gateway.ask_start(connection, entry)
+        except (gateway_module.NoPermit, permits_module.RateLimited):
+            return None
         except (
             connections_module.ConnectionFailed,
             connections_module.ResponseFailed,
@@ -140,22 +142,6 @@
             connection.close()
         return None if not born else born == entry.born
 
-    def _read_born(
-        self,
-        connection: connections_module.Connection,
-        entry: catalogue.UpstreamEntry,
-    ) -> int:
-        """Ask for a report; raise ResponseFailed or ValueError."""
-        response = connection.exchange(
-            'GET',
-            self._protocol.report_target,
-            [('Host', f'{entry.host}:{entry.port}')],
-            None,
-            REPORT_TIMEOUT_S,
-        )
-        body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
-        return self._protocol.report(body).born
-
     def _probe(self, entry: catalogue.UpstreamEntry) -> Probe:
         self._metrics.count('crashes.probes')
         connection = connections_module.Connection((entry.host, entry.port))
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -254,7 +254,7 @@
             self._directory,
             self._connections,
             self._load_balancer,
-            self._platform.upstreams,
+            self._gateway,
             self._reach,
             heartbeat_s,
             self._metrics,
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -190,18 +190,38 @@
             )
             raise connections_module.ConnectionFailed('it was restarted')
 
-    def _read_born(
+    def ask_start(
         self,
         connection: connections_module.Connection,
         entry: catalogue.UpstreamEntry,
     ) -> int:
-        report = Outgoing(
+        """Return the start that a process without a registration reports.
+
+        Raises NoPermit, RateLimited, ResponseFailed or ValueError.
+        """
+        permit = self._permits.obtain(entry, REPORT_URGENCY)
+        if not self._permits.may_send(entry, permit):
+            raise NoPermit('no permit that is still valid')
+        report = self._report_request(entry)
+        response = self._send(connection, entry, report, REPORT_TIMEOUT_S)
+        body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+        return self._protocol.report(body).born
+
+    def _report_request(self, entry: catalogue.UpstreamEntry) -> Outgoing:
+        return Outgoing(
             '',
             'GET',
             self._protocol.report_target,
             [('Host', f'{entry.host}:{entry.port}')],
             None,
         )
+
+    def _read_born(
+        self,
+        connection: connections_module.Connection,
+        entry: catalogue.UpstreamEntry,
+    ) -> int:
+        report = self._report_request(entry)
         asked_at_boot_s = clock.since_boot_s()
         try:
             response, _ = self.exchange(
--- a/test/crashes/test_detector.py
+++ b/test/crashes/test_detector.py
@@ -12,8 +12,12 @@
 from baobabpond import metrics
 from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
+from baobabpond.ratelimits import issuer
+from baobabpond.ratelimits import permits as permits_module
+from baobabpond.ratelimits import tracker as limit_tracker
 from baobabpond.reachability import peers
 from baobabpond.upstreams import connections as connections_module
+from baobabpond.upstreams import gateway as gateway_module
 from standins.emulator import recorder
 from standins.emulator import store as store_module
 from standins.emulator import upstream as upstream_module
@@ -48,12 +52,21 @@
         self.connections = connections_module.ConnectionPool(metrics.Metrics())
         platforms.load('users_platform', ROOT / 'platform')
         platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
-        self.protocol = platform.upstreams
+        limits = limit_tracker.LimitTracker(metrics.Metrics())
+        permits = permits_module.Permits(
+            limits,
+            issuer.PermitIssuer(limits),
+            mock.create_autospec(permits_module.RemoteIssuer, instance=True),
+            metrics.Metrics(),
+        )
+        self.gateway = gateway_module.Gateway(
+            platform.upstreams, self.directory, limits, permits
+        )
         self.detector = detector_module.CrashDetector(
             self.directory,
             self.registry,
             self.connections,
-            self.protocol,
+            self.gateway,
             metrics.Metrics(),
         )
 
@@ -102,7 +115,7 @@
             self.directory,
             self.registry,
             self.connections,
-            self.protocol,
+            self.gateway,
             metrics.Metrics(),
             lambda entries: [report],
         )
@@ -173,7 +186,7 @@
             self.directory,
             self.registry,
             self.connections,
-            self.protocol,
+            self.gateway,
             metrics.Metrics(),
             is_cut_off=lambda service: service == self.entry.service,
         )
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -87,7 +87,7 @@
                 directory,
                 self.registry,
                 pool,
-                platform.upstreams,
+                mock.create_autospec(gateway.Gateway, instance=True),
                 metrics.Metrics(),
             ),
             unresolved.UnresolvedAttempts(),
