Print each failed check when it happens; keep passing tests silent

Twice a red test of a run that did not end stayed unnamed, as names were printed only at the end. Failures of unit tests and scenarios now print their name and message at once, and only failed tests print their logs. A test that was expected to fail and passes now counts as failed.

--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -1,6 +1,7 @@
 """Create and close a separate world for each scenario."""
 
 import os
+import sys
 import zlib
 
 from scenarios import world
@@ -16,6 +17,17 @@
     context.world = world.World(seed)
 
 
+def after_step(context, step):
+    """Print a failed step at once, past the output that behave captures."""
+    if step.status == 'failed':
+        print(
+            f'\nFAILED {context.scenario.name}: {step.name}: '
+            f'{step.error_message or step.exception!r}'[:1000],
+            file=sys.__stderr__,
+            flush=True,
+        )
+
+
 def after_scenario(context, scenario):
     """Print the logs of a failed scenario and stop its processes."""
     if scenario.status == 'failed':
--- a/test/tools/test_checks.py
+++ b/test/tools/test_checks.py
@@ -3,6 +3,7 @@
 import contextlib
 import io
 import pathlib
+import sys
 import tempfile
 import unittest
 from unittest import mock
@@ -49,5 +50,49 @@
         self.assertEqual(1, self.summarize('')[0])
 
 
+class ImmediateOutputTest(unittest.TestCase):
+    """Name each failure when it happens; keep passing tests silent.
+
+    Otherwise the failures of a run that does not end stay unknown.
+    """
+
+    class Example(unittest.TestCase):
+        """Log, and fail in one of the tests."""
+
+        def test_passes(self):
+            print('noise of a passing test')
+
+        def test_fails(self):
+            print('log of a failing test')
+            self.fail('the message')
+
+        def test_subtests(self):
+            with self.subTest(case=7):
+                self.fail('in a subtest')
+
+    def run_example(self, name):
+        output = io.StringIO()
+        with mock.patch.object(sys, 'stdout', output):
+            outcomes = checks.run_suite(
+                unittest.TestSuite([self.Example(name)])
+            )
+        return outcomes, output.getvalue()
+
+    def test_failure_is_named_before_the_summary(self):
+        outcomes, output = self.run_example('test_fails')
+        self.assertEqual([False], [o.passed for o in outcomes])
+        first = output.index('test_fails: the message')
+        self.assertLess(first, output.index('=' * 70))
+        self.assertIn('log of a failing test', output)
+
+    def test_failed_subtest_is_named_with_its_parameters(self):
+        _, output = self.run_example('test_subtests')
+        self.assertRegex(output, r'FAILED .*case=7.*in a subtest')
+
+    def test_passing_test_prints_nothing_of_its_own(self):
+        _, output = self.run_example('test_passes')
+        self.assertNotIn('noise', output)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -17,6 +17,8 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 BIN = pathlib.Path(sys.executable).parent
 SCENARIO_TIMEOUT_S = 1800
+# Of the message of a failed check, in characters.
+MAX_DETAIL = 300
 
 
 class Outcome(typing.NamedTuple):
@@ -28,7 +30,10 @@
 
 
 class CollectingResult(unittest.TextTestResult):
-    """Record the outcome of each unit test."""
+    """Record the outcome of each unit test, and print failures at once.
+
+    An unfinished run then still shows which tests have failed.
+    """
 
     def __init__(self, *args: typing.Any, **kwargs: typing.Any) -> None:
         super().__init__(*args, **kwargs)
@@ -42,12 +47,17 @@
     def addFailure(self, test: unittest.TestCase, err: typing.Any) -> None:
         """Record a failed test."""
         super().addFailure(test, err)
-        self.outcomes.append(Outcome(test.id(), False, str(err[1])))
+        self._add_failed(test, str(err[1]))
 
     def addError(self, test: unittest.TestCase, err: typing.Any) -> None:
         """Record a test that raised an unexpected exception."""
         super().addError(test, err)
-        self.outcomes.append(Outcome(test.id(), False, repr(err[1])))
+        self._add_failed(test, repr(err[1]))
+
+    def addUnexpectedSuccess(self, test: unittest.TestCase) -> None:
+        """Record a test that passed though it was expected to fail."""
+        super().addUnexpectedSuccess(test)
+        self._add_failed(test, 'unexpected success')
 
     def addSubTest(
         self,
@@ -58,7 +68,20 @@
         """Record a failed subtest under the name of its test."""
         super().addSubTest(test, subtest, err)
         if err is not None:
-            self.outcomes.append(Outcome(test.id(), False, str(err[1])))
+            self._add_failed(test, f'{subtest}: {err[1]}')
+
+    def _add_failed(self, test: unittest.TestCase, detail: str) -> None:
+        outcome = Outcome(test.id(), False, detail)
+        self.outcomes.append(outcome)
+        self.stream.write(f'\n{failure_line(outcome)}\n')
+        self.stream.flush()
+
+
+def failure_line(outcome: Outcome) -> str:
+    """Return the line that names a failed check and its message."""
+    is_known = outcome.name in read_known_failures()
+    kind = 'KNOWN RED' if is_known else 'FAILED'
+    return f'{kind} {outcome.name}: {outcome.detail[:MAX_DETAIL]}'
 
 
 def lint() -> list[Outcome]:
@@ -88,8 +111,17 @@
         suite = loader.loadTestsFromNames(names)
     else:
         suite = loader.discover(str(ROOT / 'test'), top_level_dir=str(ROOT))
+    return run_suite(suite)
+
+
+def run_suite(suite: unittest.TestSuite) -> list[Outcome]:
+    """Run tests, printing the name and message of each failure at once."""
+    # With a buffer, only failed tests print what they logged.
     runner = unittest.TextTestRunner(
-        resultclass=CollectingResult, verbosity=1, stream=sys.stdout
+        resultclass=CollectingResult,
+        verbosity=1,
+        stream=sys.stdout,
+        buffer=True,
     )
     result = typing.cast(CollectingResult, runner.run(suite))
     return result.outcomes
@@ -120,8 +152,8 @@
                 'scenarios',
             ],
             cwd=ROOT,
+            # Failed steps are printed at once, to standard error.
             stdout=self._output,
-            stderr=subprocess.STDOUT,
         )
 
     def finish(self) -> list[Outcome]:
@@ -184,8 +216,7 @@
     known_failures = read_known_failures()
     failed = [o for o in outcomes if not o.passed]
     for outcome in failed:
-        kind = 'KNOWN RED' if outcome.name in known_failures else 'FAILED'
-        print(f'{kind} {outcome.name}: {outcome.detail[:300]}')
+        print(failure_line(outcome))
     for name in sorted(known_failures):
         if any(o.name == name and o.passed for o in outcomes) and not any(
             o.name == name for o in failed
