End requests by the time-out of their route, whatever upstreams do

Steps of an attempt (connecting, sending, the head, each event) had time-outs of their own, and nothing bounded their sum: a stream waited 8 s for each event, and a request that was sent slowly had its time-out again for the response. A connection now has a deadline, which no time-out of a step passes, from its acquisition until its release. A connection that failed for lack of time says nothing about its path.

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -112,6 +112,10 @@
         self.connection = self._dependencies.paths.acquire(
             self.entry, self._context.request.id
         )
+        # Streams as well: their time-out is that of their route.
+        self.connection.set_deadline(
+            self._context.deadline - RESPONSE_MARGIN_S
+        )
         self._watch_handle = self._dependencies.watcher.add(
             self._context.exchange.socket, self._on_disconnect
         )
--- a/baobabpond/upstreams/bounded.py
+++ b/baobabpond/upstreams/bounded.py
@@ -39,8 +39,14 @@
         self._remaining_bytes = MAX_HEAD_BYTES
         self._read_timeout_s = float('inf')
         self._deadline = float('inf')
+        self._final_deadline = float('inf')
         self._body_time_s = float('inf')
 
+    @property
+    def remaining_s(self) -> float:
+        """Return the time until the final deadline, negative after it."""
+        return self._final_deadline - time.monotonic()
+
     @property
     def timeout_s(self) -> float:
         """Return the time-out of the next read; raise TimeoutError."""
@@ -67,8 +73,12 @@
         self.restart(MAX_BODY_BYTES, self._read_timeout_s, self._body_time_s)
 
     def restart_time(self, total_s: float) -> None:
-        """Allow a time in seconds from now on."""
-        self._deadline = time.monotonic() + total_s
+        """Allow a time in seconds from now on, up to the final deadline."""
+        self._deadline = min(time.monotonic() + total_s, self._final_deadline)
+
+    def set_final_deadline(self, deadline: float) -> None:
+        """Set the monotonic time that no further restart passes."""
+        self._final_deadline = deadline
 
     def consume(self, count: int) -> None:
         """Count bytes that were read; raise OversizedResponse."""
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -43,6 +43,10 @@
     """Raised when nothing listens at the address."""
 
 
+class DeadlinePassed(ConnectionFailed):
+    """Raised when too little time was left; says nothing about the path."""
+
+
 class ResponseFailed(Exception):
     """Raised when a response is missing or cut; the request may have run."""
 
@@ -93,15 +97,25 @@
         idle_s = time.monotonic() - self.idle_since
         return idle_s > self.idle_limit_s or sockets.is_readable(sock)
 
+    def set_deadline(self, deadline: float) -> None:
+        """Set the monotonic time that bounds all that follows.
+
+        Time-outs of single steps apply within it, up to the release of the
+        connection.
+        """
+        self._http.budget.set_final_deadline(deadline)
+
     def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         """Connect to the upstream; raise ConnectionFailed."""
-        self._http.timeout = timeout_s
+        self._http.timeout = self._limit(timeout_s)
         try:
             self._http.connect()
         except TRANSPORT_ERRORS as error:
             # urllib3 keeps the error of the socket as the cause.
             if isinstance(error.__cause__, ConnectionRefusedError):
                 raise ConnectionRefused(str(error)) from error
+            if self._http.timeout < timeout_s:
+                raise DeadlinePassed(str(error)) from error
             raise ConnectionFailed(str(error)) from error
         if self._aborted:
             self.close()
@@ -121,9 +135,12 @@
         """Send a request and return the response, its body unread.
 
         The time-out applies to sending, and to the head as a whole. Raises
-        ResponseFailed; the upstream may have run the request. A connection
-        that is not direct raises ConnectionFailed if nothing reached it.
+        ResponseFailed; the upstream may have run the request. Raises
+        DeadlinePassed if no time is left, and ConnectionFailed if a relay
+        reports that nothing reached the upstream.
         """
+        # A relay must respond before the deadline itself.
+        timeout_s = self._limit(timeout_s + self._hop_s) - self._hop_s
         fields = urllib3.HTTPHeaderDict()
         for name, value in (*headers, *self._own_headers(timeout_s)):
             fields.add(name, value)
@@ -141,6 +158,10 @@
                 decode_content=False,
             )
             self._sock = self._http.sock
+            # Sending may have taken most of the time.
+            self._set_timeout(
+                min(self._http.timeout, self._http.budget.remaining_s)
+            )
             response = self._http.getresponse()
             self._response = response
         except TRANSPORT_ERRORS as error:
@@ -232,6 +253,13 @@
             if name.lower() == 'timeout' and timeout_s is not None:
                 self.idle_limit_s = max(0.0, timeout_s - KEEP_ALIVE_MARGIN_S)
 
+    def _limit(self, timeout_s: float) -> float:
+        """Return a time-out within the deadline; raise DeadlinePassed."""
+        remaining_s = self._http.budget.remaining_s
+        if remaining_s <= 0:
+            raise DeadlinePassed('no time is left')
+        return min(timeout_s, remaining_s)
+
     def _set_timeout(self, timeout_s: float) -> None:
         sock = self._http.sock
         if sock is None:
@@ -280,6 +308,7 @@
 
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool."""
+        connection.set_deadline(float('inf'))
         connection.idle_since = time.monotonic()
         with self._lock:
             self._idle[connection.address].append(connection)
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -137,6 +137,8 @@
         started_at = time.monotonic()
         try:
             connection.connect()
+        except connections_module.DeadlinePassed:
+            raise
         except connections_module.ConnectionFailed:
             if connection.is_direct:
                 self._observer.record_failed(entry, started_at)
