--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -94,9 +94,12 @@
         worker: ShardWorker,
         metrics: metrics_module.Metrics,
         may_own: typing.Callable[[], bool] = lambda: True,
+        claim_delay_s: typing.Callable[[], float] = lambda: 0.0,
     ) -> None:
         # Whether the worker can do its work here.
         self._may_own = may_own
+        # How long others may claim a vacant shard first.
+        self._claim_delay_s = claim_delay_s
         self._instance = instance
         self._log = log
         self._topic = topic
@@ -167,9 +170,11 @@
         if self._is_from_previous_process(owner.record):
             # The previous process of this instance has exited.
             return True
+        delay_s = self._claim_delay_s()
         if owner.record.released:
-            return self._silence_s(owner) > self._release_delay_s()
+            return self._silence_s(owner) > self._release_delay_s() + delay_s
         wait_s = TAKEOVER_TIMEOUT_S + self._rng.uniform(0, CLAIM_JITTER_S)
+        wait_s += delay_s
         return (
             self._silence_s(owner) > wait_s
             and self._follower.contact_duration_s > wait_s
@@ -325,7 +330,7 @@
         if self._may_own():
             return False
         LOG.warning(
-            'the shard is given up to an instance that reaches the upstreams',
+            'the shard is given up to an instance that can own it better',
             partition=self._partition,
         )
         return True
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -33,4 +33,6 @@
     longest_validity_s: float
     memory_mb: float
     body_memory_mb: NotRequired[float]
+    processor_cores: NotRequired[float]
+    processor_speed: NotRequired[float]
     log_level: Literal['debug', 'info', 'warning', 'error']
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -10,6 +10,7 @@
 from . import metrics as metrics_module
 from . import readiness
 from . import shutdown
+from .batches import owner_preference
 from .batches import ownership
 from .batches import shard_state as state_module
 from .catalogue import current as current_module
@@ -82,6 +83,9 @@
         factory = platforms.platforms.get(settings['plugin'])
         self._platform = factory(settings['store_address'])
         self._log = relay.FailoverLog(self._platform.log, self._metrics)
+        self._cores = settings.get('processor_cores', 0.0) * settings.get(
+            'processor_speed', 1.0
+        )
         self._leave_requested = threading.Event()
         self._leaving = False
         self._validity_s = min(
@@ -203,6 +207,7 @@
                 f'{self._settings["address"]}:{self._settings["peer_port"]}',
                 self._settings['data_centre'],
                 False,
+                self._cores,
             ),
             self._log,
             lambda since: self._members_follower.silence_s(since),
@@ -382,13 +387,29 @@
             self._shard_follower,
             self._scheduler,
             self._metrics,
-            self._reach.may_own_shard,
+            self._may_own_shard,
+            lambda: owner_preference.claim_delay_s(
+                self._cores, self._cores_of_others()
+            ),
         )
         self._loader.set_ownership_check(
             lambda: self._ownership.has_owner_lease
         )
         self._limits.set_ownership(self._ownership)
 
+    def _may_own_shard(self) -> bool:
+        if not self._reach.may_own_shard():
+            return False
+        # With work it stays: a new owner would have to take up all runs.
+        if self._shard_state.open_batches():
+            return True
+        return not owner_preference.has_larger(
+            self._cores, self._cores_of_others()
+        )
+
+    def _cores_of_others(self) -> list[float]:
+        return [member.cores for member in self._reach.peers_not_cut_off()]
+
     def _build_servers(self) -> None:
         self._caller_watch = server.DisconnectWatcher()
         handlers = batch_handlers.BatchHandlers(
--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -29,6 +29,8 @@
     peer_listen: str
     data_centre: str
     leaving: bool
+    # Processor cores that the instance may use; 0 if it does not tell.
+    cores: float = 0.0
 
     @property
     def peer_address(self) -> tuple[str, int]:
@@ -171,4 +173,6 @@
     """Return the member of a heartbeat; raise MalformedData."""
     fields = decoding.load_json(value)
     decoding.address(fields['peer_listen'])
+    # Earlier builds don't tell their cores.
+    fields.setdefault('cores', 0.0)
     return Member(**{name: fields[name] for name in Member._fields})
--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -57,6 +57,7 @@
             self.log, 't', 0, self.shard_state.apply, metrics.Metrics()
         )
         self.may_own = True
+        self.claim_delay_s = 0.0
         self.ownership = self.make('a')
 
     def make(self, name: str) -> ownership.Ownership:
@@ -71,6 +72,7 @@
             self.worker,
             metrics.Metrics(),
             lambda: self.may_own,
+            lambda: self.claim_delay_s,
         )
 
     def start(self) -> None:
@@ -136,6 +138,16 @@
         self.may_own = True
         self.wait(lambda: self.ownership.tenure)
 
+    def test_small_instance_leaves_the_shard_to_larger_ones(self) -> None:
+        """Otherwise a small one that is first becomes a slow owner."""
+        self.claim_delay_s = TIMEOUT_S
+        self.add_owner('b', released=True)
+        self.start()
+        time.sleep(2 * ownership.MAX_RELEASE_DELAY_S)
+        self.assertIsNone(self.ownership.tenure)
+        self.claim_delay_s = 0.0
+        self.wait(lambda: self.ownership.tenure)
+
     def test_live_owner_keeps_the_shard(self) -> None:
         """No instance claims while heartbeats arrive."""
         self.add_owner('b')
--- a/test/members/test_roster.py
+++ b/test/members/test_roster.py
@@ -56,6 +56,15 @@
         self.apply_heartbeats(make_member('a'), make_member('b', leaving=True))
         self.assertEqual([('a', 2)], self.roster.peer_addresses())
 
+    def test_heartbeat_of_an_earlier_build(self) -> None:
+        """It lacks the cores; without it the instance would be unlisted."""
+        fields = make_member('a')._asdict()
+        del fields['cores']
+        self.roster.apply(
+            [log_port.Record('a', json.dumps(fields).encode())], False
+        )
+        self.assertEqual(['a'], self.usable())
+
     def test_silent_instance_is_removed_in_time(self) -> None:
         """A lost instance is removed within two heartbeats and a second."""
         with freezegun.freeze_time() as clock:
