Decode client accounts, keys of calls and the account of a request

Accounts are part of the configuration and are found by the digest of a key; public routes need none. The plugin reads the key from the bearer credentials, and where a request has an account it drops the caller's credentials and states the account itself. Nothing authenticates yet.

--- /dev/null
+++ b/baobabpond/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticate callers by the keys of their client accounts."""
--- a/baobabpond/decoding.py
+++ b/baobabpond/decoding.py
@@ -90,6 +90,20 @@
     return value
 
 
+def flag(value: typing.Any) -> bool:
+    """Return true or false; raise MalformedData."""
+    if not isinstance(value, bool):
+        raise MalformedData('neither true nor false')
+    return value
+
+
+def sequence(value: typing.Any) -> list[typing.Any]:
+    """Return a list; raise MalformedData."""
+    if not isinstance(value, list):
+        raise MalformedData(f'no list: {type(value).__name__}')
+    return value
+
+
 def number(
     value: typing.Any, low: float = 0.0, high: float = float(MAX_INTEGER)
 ) -> float:
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -57,6 +57,11 @@
     has_alternatives: bool = False
     # Id of the request whose stream the caller resumes; empty for a new one.
     resumed_stream: str = ''
+    # Name of the account that sent the request; empty for a public request
+    # without one, None if the deployment has no accounts.
+    account: str | None = None
+    # Of the account, or of the route if the account has none.
+    priority: int = 0
 
     @property
     def remaining_s(self) -> float:
--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -33,6 +33,9 @@
     # ID of the request that brought the first event of the stream that is
     # resumed; empty if none is.
     resumed_stream: str = ''
+    # Key of the caller's account; None if the request carries none. Never
+    # logged.
+    key: str | None = None
 
 
 class RewardCall(typing.NamedTuple):
--- a/baobabpond/ports/catalogue.py
+++ b/baobabpond/ports/catalogue.py
@@ -38,6 +38,8 @@
     due_s: float
     # Time from the submission of a batch until its items may be given up.
     give_up_after_s: float
+    # Requests need no key, even where the deployment has client accounts.
+    is_public: bool = False
 
     @property
     def is_repeatable(self) -> bool:
@@ -69,6 +71,22 @@
     idle_timeout_s: float = 15.0
 
 
+class Account(typing.NamedTuple):
+    """Describe a client account; its keys are known by digest only."""
+
+    name: str
+    key_digests: tuple[bytes, ...]
+    # Takes precedence over the route's; None if the account has none.
+    priority: int | None
+
+
+class Accounts(typing.NamedTuple):
+    """Hold the client accounts of a configuration."""
+
+    accounts: tuple[Account, ...]
+    by_digest: dict[bytes, Account]
+
+
 class Configuration(typing.NamedTuple):
     """Hold one version of the operators' configuration."""
 
@@ -76,6 +94,8 @@
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: Limits
+    # None if the deployment has no accounts; requests then need no key.
+    accounts: Accounts | None = None
 
 
 class UpstreamEntry(typing.NamedTuple):
--- a/baobabpond/ports/headers.py
+++ b/baobabpond/ports/headers.py
@@ -30,3 +30,19 @@
         if name.lower() == 'connection'
         for option in value.split(',')
     )
+
+
+def end_to_end(
+    headers: typing.Iterable[tuple[str, str]], dropped: typing.Container[str]
+) -> list[tuple[str, str]]:
+    """Return the headers that no Connection header lists, without some.
+
+    The names to drop are in lower case.
+    """
+    listed = list(headers)
+    options = connection_options(listed)
+    return [
+        (name, value)
+        for name, value in listed
+        if name.lower() not in dropped and name.lower() not in options
+    ]
--- a/baobabpond/ports/upstreams.py
+++ b/baobabpond/ports/upstreams.py
@@ -6,7 +6,7 @@
 
 
 class Request(typing.NamedTuple):
-    """Hold a caller's request, unchanged."""
+    """Hold a caller's request and the account that sent it."""
 
     id: str
     method: str
@@ -14,6 +14,8 @@
     host: str
     headers: Headers
     body: bytes
+    # None if the deployment has no accounts; empty for a request without one.
+    account: str | None = None
 
 
 class ResponseHead(typing.NamedTuple):
--- a/test/platform_plugin/test_plugin.py
+++ b/test/platform_plugin/test_plugin.py
@@ -7,6 +7,7 @@
 import sys
 import unittest
 
+from baobabpond.accounts import lookup
 from baobabpond import decoding
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
@@ -110,6 +111,79 @@
         self.assertEqual(1.5, route.timeout_s)
         self.assertEqual(5, decoded.limits.body_bytes)
 
+    def configuration(self, **fields: object) -> catalogue.Configuration:
+        """Decode a configuration with one route and further fields."""
+        route = {
+            'host': 'h',
+            'path-prefix': '/',
+            'route-type': 'idempotent',
+            'service': 's',
+        }
+        value = {
+            'version': 1,
+            'routes': [{**route, **fields.pop('route', {})}],
+            'services': [],
+            **fields,
+        }
+        decoded = self.decoder.configuration(
+            'config', json.dumps(value).encode()
+        )
+        assert decoded is not None
+        return decoded
+
+    def test_accounts(self) -> None:
+        """Accounts are found by key; without tenants there are none."""
+        decoded = self.configuration(
+            tenants=[
+                {'name': 'kea', 'keys': ['k-1', 'k-2'], 'priority': 3},
+                {'name': 'tui', 'keys': ['k-2']},
+                {'name': 'moa'},
+            ],
+            route={'public': True},
+        )
+        assert decoded.accounts is not None
+        self.assertEqual(
+            ['kea', 'tui', 'moa'],
+            [account.name for account in decoded.accounts.accounts],
+        )
+        for key in ('k-1', 'k-2'):
+            account = lookup.find(decoded.accounts, key)
+            assert account is not None
+            self.assertEqual(('kea', 3), (account.name, account.priority))
+        self.assertIsNone(lookup.find(decoded.accounts, 'k-3'))
+        self.assertIsNone(decoded.accounts.accounts[1].priority)
+        self.assertTrue(decoded.routes[0].is_public)
+        self.assertNotIn('k-1', repr(decoded))
+        self.assertIsNone(self.configuration().accounts)
+        self.assertIsNone(self.configuration(tenants=None).accounts)
+        self.assertFalse(self.configuration().routes[0].is_public)
+        empty = self.configuration(tenants=[]).accounts
+        assert empty is not None
+        self.assertIsNone(lookup.find(empty, ''))
+
+    def test_malformed_accounts_name_no_key(self) -> None:
+        """A configuration with one is refused as a whole.
+
+        A text in place of a flag would otherwise open a route.
+        """
+        cases = (
+            {'tenants': {'kea': ['SECRET']}},
+            {'tenants': ['SECRET']},
+            {'tenants': [{'keys': ['SECRET']}]},
+            {'tenants': [{'name': 'k e a', 'keys': ['SECRET']}]},
+            {'tenants': [{'name': 'kea', 'keys': 'SECRET'}]},
+            {'tenants': [{'name': 'kea', 'keys': ['SECRET key']}]},
+            {'tenants': [{'name': 'kea', 'keys': ['']}]},
+            {'tenants': [{'name': 'kea', 'keys': [['SECRET']]}]},
+            {'tenants': [{'name': 'kea', 'priority': 'SECRET'}]},
+            {'tenants': [], 'route': {'public': 'false'}},
+        )
+        for fields in cases:
+            with self.subTest(fields=fields):
+                with self.assertRaises(decoding.MalformedData) as raised:
+                    self.configuration(**fields)
+                self.assertNotIn('SECRET', str(raised.exception))
+
     def test_invalid_records_register_no_upstream(self) -> None:
         """Unknown states, wrong types and bytes raise or give None."""
         valid = {
@@ -181,6 +255,42 @@
         self.assertEqual('1500', sent['X-Deadline-Ms'])
         self.assertEqual('i-1', sent['X-Target-Instance'])
 
+    def account_headers(self, account: str | None) -> dict[str, str]:
+        """Return the headers of a request that states a key and an account."""
+        request = upstreams.Request(
+            'id-1',
+            'POST',
+            '/a',
+            'h',
+            [
+                ('Authorization', 'Bearer k-1'),
+                ('authorization', 'Bearer k-2'),
+                ('x-tenant', 'tui'),
+                ('X-Model', 'm'),
+            ],
+            b'',
+            account,
+        )
+        sent = self.protocol.request_headers(request, 'i-1', 1.5)
+        self.assertEqual('m', dict(sent)['X-Model'])
+        return {
+            name.title(): value
+            for name, value in sent
+            if name.title() in ('Authorization', 'X-Tenant')
+        }
+
+    def test_account_replaces_the_headers_of_the_caller(self) -> None:
+        """Upstreams see no key, and no account that a caller claims."""
+        self.assertEqual({'X-Tenant': 'kea'}, self.account_headers('kea'))
+        self.assertEqual({}, self.account_headers(''))
+
+    def test_without_accounts_the_headers_pass(self) -> None:
+        """Deployments without accounts may use the headers themselves."""
+        self.assertEqual(
+            {'Authorization': 'Bearer k-2', 'X-Tenant': 'tui'},
+            self.account_headers(None),
+        )
+
     def test_resumption_replaces_the_last_event_of_the_caller(self) -> None:
         """Only the event after which the run continues is sent."""
         self.assertEqual('5', self.headers(last_event=5)['Last-Event-Id'])
@@ -268,6 +378,25 @@
         self.assertEqual('signature', results[0]['score'])
         self.assertNotIn('score', results[1])
 
+    def test_key_of_a_call(self) -> None:
+        """Other schemes carry no key; a call on a batch has one as well."""
+        cases = {
+            'Bearer k-1': 'k-1',
+            'bearer  k-1 ': 'k-1',
+            'Bearer': '',
+            'Bearer ': '',
+            'Basic k-1': None,
+            'k-1': None,
+            '': None,
+        }
+        for text, key in cases.items():
+            with self.subTest(text=text):
+                headers = {'Authorization': text}
+                for target in ('/a', '/api/lots/b', '/api/items/b?id=i'):
+                    call = self.protocol.call('GET', target, headers)
+                    self.assertEqual(key, call.key)
+        self.assertIsNone(self.protocol.call('GET', '/a', {}).key)
+
     def test_calls(self) -> None:
         """The kind of a call follows from its method and path."""
         call = self.protocol.call(
