Authenticate requests, streams and batch calls by account

Where the configuration has accounts, requests without a known key are refused before their body is read and before a missing route is told; with a configuration that is not confirmed as recent the refusal is temporary. A batch belongs to the account that submitted it: others get 404 and neither results nor partial outputs of its items. With strict_revoke, an instance whose proof of the configuration is older than revoke_ms less a margin refuses keys; the proof is taken before the accounts are read.

--- a/baobabpond/accounts/lookup.py
+++ b/baobabpond/accounts/lookup.py
@@ -1,12 +1,16 @@
 """Find client accounts by the digests of their keys."""
 
 import hashlib
+import json
+import re
 import typing
 
 from .. import decoding
 from ..ports import catalogue
 
 BEARER = 'bearer'
+# In place of a key in a configuration: the digest of the key.
+DIGEST = re.compile(r'sha256:([0-9a-f]{64})')
 
 
 def digest_key(key: str) -> bytes:
@@ -35,7 +39,7 @@
     return catalogue.Account(
         decoding.name(name),
         tuple(
-            digest_key(decoding.name(key))
+            _digest_listed(decoding.name(key))
             for key in decoding.sequence(keys or [])
         ),
         priority,
@@ -55,3 +59,24 @@
 def find(accounts: catalogue.Accounts, key: str) -> catalogue.Account | None:
     """Return the account that holds a key, None if there is none."""
     return accounts.by_digest.get(digest_key(key))
+
+
+@decoding.decoder('configuration')
+def redact(value: bytes, accounts_field: str, keys_field: str) -> bytes:
+    """Replace the keys of accounts in JSON by their digests.
+
+    Raises MalformedData, never with a key.
+    """
+    fields = decoding.load_json(value)
+    for account in decoding.sequence(fields.get(accounts_field) or []):
+        account[keys_field] = [
+            f'sha256:{_digest_listed(decoding.name(key)).hex()}'
+            for key in decoding.sequence(account.get(keys_field) or [])
+        ]
+    return json.dumps(fields).encode()
+
+
+def _digest_listed(key: str) -> bytes:
+    """Return the digest of a key, which may be listed by its digest."""
+    match = DIGEST.fullmatch(key)
+    return bytes.fromhex(match[1]) if match else digest_key(key)
--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -41,6 +41,9 @@
     group_count: int
     # Newest weight version announced when the batch was submitted.
     newest_version: int
+    # Account that submitted the batch: empty for a public request without one,
+    # None in records of builds and deployments without accounts.
+    account: str | None = None
 
 
 class BatchPart(typing.NamedTuple):
@@ -94,6 +97,8 @@
     # Software version that wrote the events; None in records of builds that
     # did not note it.
     software: str | None = None
+    # Account of the batch of the item, as in BatchHead.
+    account: str | None = None
 
 
 class Failures(typing.NamedTuple):
@@ -125,7 +130,14 @@
     return [
         log_port.Record(
             batch_key(head.id, number),
-            _encode([list(head), len(parts), number, part]),
+            _encode(
+                [
+                    _without_absent_account(head, head.account),
+                    len(parts),
+                    number,
+                    part,
+                ]
+            ),
         )
         for number, part in enumerate(parts)
     ]
@@ -214,14 +226,7 @@
     """Encode events of an unfinished item."""
     return log_port.Record(
         progress_key(progress.item, progress.output_id, progress.first_event),
-        _encode(
-            [
-                progress.data,
-                progress.versions,
-                progress.is_last,
-                progress.software,
-            ]
-        ),
+        _encode(_without_absent_account(progress[3:], progress.account)),
     )
 
 
@@ -263,6 +268,17 @@
     return log_port.Record(key, b'')
 
 
+def _without_absent_account(
+    fields: typing.Iterable[typing.Any], account: str | None
+) -> list[typing.Any]:
+    """Leave out the last field, the account, where there is none.
+
+    Builds that know no accounts skip records with more fields.
+    """
+    listed = list(fields)
+    return listed[:-1] if account is None else listed
+
+
 def _encode(value: typing.Any) -> bytes:
     """Encode as JSON, compressed from MIN_COMPRESSED_BYTES on."""
     encoded = json.dumps(value, separators=(',', ':')).encode()
--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -52,6 +52,16 @@
     reward_call: callers.RewardCall | None
 
 
+class ItemKey(typing.NamedTuple):
+    """Identify an item in any batch of an account.
+
+    Accounts choose the ids of their items independently of one another.
+    """
+
+    account: str | None
+    item: str
+
+
 class Batch:
     """An accepted batch and its results so far."""
 
@@ -114,7 +124,7 @@
         self._orphan_results: dict[str, list[tuple[str, records.Results]]] = (
             collections.defaultdict(list)
         )
-        self._completed: dict[str, CompletedItem] = {}
+        self._completed: dict[ItemKey, CompletedItem] = {}
         self._failures: dict[tuple[str, str], records.Failures] = {}
         # Keys of end records that precede their batch on the log.
         self._orphan_ends: dict[str, list[str]] = {}
@@ -166,20 +176,26 @@
         with self._changed:
             return sorted(self._leftover_keys)
 
-    def completed(self, item: str) -> CompletedItem | None:
-        """Return the completed result of an item from any batch."""
-        return self._completed.get(item)
+    def completed(
+        self, item: str, account: str | None = None
+    ) -> CompletedItem | None:
+        """Return the completed result of an item of an account's batches."""
+        return self._completed.get(ItemKey(account, item))
 
     def failures(self, batch: str, item: str) -> records.Failures:
         """Return the failed attempts at an unfinished item."""
         none = records.Failures(batch, item, 0, 0)
         return self._failures.get((batch, item), none)
 
-    def partial_outputs(self, item: str) -> list[PartialOutput]:
-        """Return the partial outputs of an unfinished item."""
+    def partial_outputs(
+        self, item: str, account: str | None = None
+    ) -> list[PartialOutput]:
+        """Return the partial outputs of an account's unfinished item."""
         with self._changed:
             by_output: dict[str, list[records.Progress]] = {}
             for segment in self._progress.get(item, {}).values():
+                if segment.account != account:
+                    continue
                 by_output.setdefault(segment.output_id, []).append(segment)
         return [
             _join_segments(output_id, segments)
@@ -313,7 +329,8 @@
                 continue
             if result.completed:
                 item = batch.item(result.id)
-                self._completed[result.id] = CompletedItem(
+                key = ItemKey(batch.head.account, result.id)
+                self._completed[key] = CompletedItem(
                     result, item.reward_call if item else None
                 )
             self._progress.pop(result.id, None)
@@ -338,9 +355,10 @@
             if batch is not None:
                 self._leftover_keys |= batch.keys - {key}
             for result in batch.results if batch else ():
-                completed = self._completed.get(result.id)
+                item = ItemKey(batch.head.account, result.id)
+                completed = self._completed.get(item)
                 if completed is not None and completed.result is result:
-                    del self._completed[result.id]
+                    del self._completed[item]
         elif kind == records.FAILURES:
             self._failures.pop((parts[1], parts[2]), None)
         elif kind == records.PROGRESS:
--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -8,6 +8,8 @@
 
 from .. import metrics as metrics_module
 from .. import verdicts
+from ..accounts import decision
+from ..accounts import gate as gate_module
 from ..catalogue import current as current_module
 from ..members import roster as roster_module
 from ..ports import callers
@@ -54,8 +56,21 @@
         self._batch_handlers = batch_handlers
         self._forwarder = forwarder
         self._metrics = metrics
+        self._gate = gate_module.Gate(
+            current,
+            configuration_staleness_s,
+            batch_handlers.is_public,
+            decision.Limits(MAX_CONFIGURATION_STALENESS_S),
+            metrics,
+        )
         self._drain: draining.Drain | None = None
 
+    def set_key_staleness_s(self, max_s: float | None) -> None:
+        """Set the age of the configuration up to which keys are accepted."""
+        self._gate.set_limits(
+            decision.Limits(MAX_CONFIGURATION_STALENESS_S, max_s)
+        )
+
     def start_draining(self, drain: draining.Drain) -> None:
         """Close each connection after its next response from now on.
 
@@ -112,21 +127,37 @@
                 ),
             )
             return
-        if call.kind is not callers.CallKind.REQUEST and self._refuse_late(
+        admission = self._gate.admit(call)
+        if isinstance(admission, verdicts.Refusal):
+            responses.send_refusal(exchange, admission)
+            return
+        if call.kind is callers.CallKind.REQUEST:
+            self._route(exchange, call, admission)
+        elif not self._refuse_late(
             exchange, call, BATCH_CALL_LIMIT_S + call.wait_s, True
         ):
-            return
+            self._use_batch(exchange, call, admission)
+
+    def _use_batch(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        admission: gate_module.Admission,
+    ) -> None:
         if call.kind is callers.CallKind.READ_RESULTS:
-            self._batch_handlers.read_results(exchange, call)
+            self._batch_handlers.read_results(exchange, call, admission)
         elif call.kind is callers.CallKind.READ_ITEM:
-            self._batch_handlers.read_item(exchange, call)
-        elif call.kind is callers.CallKind.END_BATCH:
-            self._batch_handlers.end(exchange, call)
+            self._batch_handlers.read_item(exchange, call, admission)
         else:
-            self._route(exchange, call)
+            self._batch_handlers.end(exchange, call, admission)
 
-    def _route(self, exchange: server.Exchange, call: callers.Call) -> None:
-        match = self._current.match(call.host, call.path)
+    def _route(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        admission: gate_module.Admission,
+    ) -> None:
+        match = admission.match
         if match is None:
             self._refuse_unknown_route(exchange, call)
         elif not call.request_id:
@@ -143,7 +174,7 @@
             return
         else:
             try:
-                self._serve(exchange, call, match)
+                self._serve(exchange, call, match, admission)
             except server.BodyMemoryFull as error:
                 self._refuse_for_memory(exchange, call, error)
 
@@ -152,11 +183,12 @@
         exchange: server.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
+        admission: gate_module.Admission,
     ) -> None:
         if match.route.kind is catalogue.RouteKind.ROLLOUT:
-            self._batch_handlers.submit(exchange, call, match)
+            self._batch_handlers.submit(exchange, call, match, admission)
         else:
-            self._forwarder.forward(exchange, call, match)
+            self._forwarder.forward(exchange, call, match, admission)
 
     def _refuse_for_memory(
         self,
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -10,10 +10,13 @@
 from .. import clock
 from .. import metrics as metrics_module
 from .. import verdicts
+from ..accounts import decision
+from ..accounts import gate as gate_module
 from ..batches import records
 from ..batches import shard_state as state_module
 from ..catalogue import current as current_module
 from ..ports import callers
+from ..ports import catalogue
 from ..ports import log as log_port
 from ..store import follower as follower_module
 
@@ -72,6 +75,7 @@
         exchange: server.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
+        admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
         """Accept a batch; respond once its records are on the log."""
         received_at = time.monotonic()
@@ -86,13 +90,16 @@
                 verdicts.bad_request('bad_batch', str(error), error.status),
             )
             return
-        refusal = self._accept(call, submission, match)
+        refusal = admission.recheck()
+        if refusal is None:
+            refusal = self._accept(call, submission, match, admission.account)
         took_s = time.monotonic() - received_at
         self._metrics.record('batches.accept', took_s)
         LOG.info(
             'batch submitted',
             request=call.request_id,
             route=match.route.name,
+            account=admission.account,
             model=submission.model,
             step=submission.step,
             items=len(submission.items),
@@ -106,11 +113,14 @@
             responses.send_json(exchange, 202, b'{}')
 
     def read_results(
-        self, exchange: server.Exchange, call: callers.Call
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
         """Send the results from a position on, waiting for the first one."""
         asked_boot_s = clock.since_boot_s()
-        batch = self._find_or_refuse(exchange, call)
+        batch = self._find_or_refuse(exchange, call, admission.account)
         if batch is None:
             return
         state = self._shard.shard_state
@@ -128,6 +138,26 @@
         self._record_read(batch, page)
         responses.send_json(exchange, 200, self._protocol.result_page(page))
 
+    def is_public(self, call: callers.Call) -> bool | None:
+        """Return whether a request without a key submitted a batch.
+
+        None if the copy may lack the batch.
+        """
+        batch = self._shard.shard_state.get(call.batch)
+        if batch is None and self._has_public_submissions:
+            if not self._is_copy_complete(clock.since_boot_s()):
+                return None
+            batch = self._shard.shard_state.get(call.batch)
+        return batch is not None and batch.head.account == ''
+
+    @property
+    def _has_public_submissions(self) -> bool:
+        configuration = self._current.configuration
+        return configuration is not None and any(
+            route.is_public and route.kind is catalogue.RouteKind.ROLLOUT
+            for route in configuration.routes
+        )
+
     def _is_copy_complete(self, asked_boot_s: float) -> bool:
         """Wait until the copy has all that the log had at a time since boot.
 
@@ -170,9 +200,14 @@
             staleness_s=round(staleness_s, 3),
         )
 
-    def read_item(self, exchange: server.Exchange, call: callers.Call) -> None:
+    def read_item(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
+    ) -> None:
         """Send the body of an item as it was submitted."""
-        batch = self._find_or_refuse(exchange, call)
+        batch = self._find_or_refuse(exchange, call, admission.account)
         if batch is None:
             return
         item = batch.item(call.item)
@@ -186,9 +221,14 @@
             base64.b64decode(item.body),
         )
 
-    def end(self, exchange: server.Exchange, call: callers.Call) -> None:
+    def end(
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
+    ) -> None:
         """End a batch; respond once the end record is on the log."""
-        batch = self._find_or_refuse(exchange, call)
+        batch = self._find_or_refuse(exchange, call, admission.account)
         if batch is None:
             return
         refusal = None
@@ -211,9 +251,14 @@
         call: callers.Call,
         submission: callers.Submission,
         match: current_module.RouteMatch,
+        account: str | None,
     ) -> verdicts.Refusal | None:
-        if self._shard.shard_state.get(submission.id) is not None:
-            return None
+        known = self._shard.shard_state.get(submission.id)
+        if known is not None:
+            if decision.may_use_batch(known.head.account, account):
+                return None
+            _log_foreign(submission.id, known.head.account, account)
+            return _unknown('unknown_batch')
         newest = self._current.versions.get(submission.model, 1)
         head = records.BatchHead(
             submission.id,
@@ -225,8 +270,26 @@
             submission.min_version,
             submission.group_count,
             newest,
+            account,
+        )
+        items = submission.items
+        if account is not None:
+            items = tuple(self._without_credentials(item) for item in items)
+        return self._append_all(records.encode_batch(head, items))
+
+    def _without_credentials(self, item: callers.Item) -> callers.Item:
+        """Return an item without the headers that keys could stand in.
+
+        The log and the owner of the shard need no key.
+        """
+        dropped = self._protocol.credential_headers
+        return item._replace(
+            headers=tuple(
+                (name, value)
+                for name, value in item.headers
+                if name.lower() not in dropped
+            )
         )
-        return self._append_all(records.encode_batch(head, submission.items))
 
     def _append_all(
         self, new: list[log_port.Record]
@@ -280,9 +343,12 @@
         )
 
     def _find_or_refuse(
-        self, exchange: server.Exchange, call: callers.Call
+        self,
+        exchange: server.Exchange,
+        call: callers.Call,
+        account: str | None,
     ) -> state_module.Batch | None:
-        """Return a batch, or send a refusal and return None.
+        """Return a batch of an account, or send a refusal and return None.
 
         The batch is reported as unknown only if the copy is known to be
         complete; otherwise the refusal is temporary.
@@ -300,15 +366,18 @@
             )
             return None
         batch = self._shard.shard_state.get(call.batch)
-        if batch is not None:
-            return batch
-        if self._is_copy_complete(clock.since_boot_s()):
+        if batch is None:
+            if not self._is_copy_complete(clock.since_boot_s()):
+                responses.send_refusal(exchange, _log_away())
+                return None
             batch = self._shard.shard_state.get(call.batch)
-            if batch is None:
-                LOG.info('unknown batch', batch=call.batch)
-                _not_found(exchange, 'unknown_batch')
+        if batch is None:
+            LOG.info('unknown batch', batch=call.batch)
+        elif decision.may_use_batch(batch.head.account, account):
             return batch
-        responses.send_refusal(exchange, _log_away())
+        else:
+            _log_foreign(call.batch, batch.head.account, account)
+        _not_found(exchange, 'unknown_batch')
         return None
 
 
@@ -352,6 +421,18 @@
 
 
 def _not_found(exchange: server.Exchange, code: str) -> None:
-    responses.send_refusal(
-        exchange, verdicts.bad_request(code, code.replace('_', ' '), 404)
+    responses.send_refusal(exchange, _unknown(code))
+
+
+def _unknown(code: str) -> verdicts.Refusal:
+    return verdicts.bad_request(code, code.replace('_', ' '), 404)
+
+
+def _log_foreign(batch: str, owner: str | None, account: str | None) -> None:
+    LOG.info(
+        'batch of another account',
+        batch=batch,
+        submitted_by=owner,
+        account=account,
+        outcome='unknown_batch',
     )
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -7,6 +7,8 @@
 
 from .. import metrics as metrics_module
 from .. import verdicts
+from ..accounts import decision
+from ..accounts import gate as gate_module
 from ..catalogue import current as current_module
 from ..catalogue import directory as directory_module
 from ..crashes import guard as guard_module
@@ -80,13 +82,18 @@
         exchange: server.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
+        admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
         """Forward a request of an ordinary or a streaming route."""
         received_at = time.monotonic()
-        context = _make_context(exchange, call, match.route, received_at)
+        context = _make_context(
+            exchange, call, match.route, received_at, admission.authenticated
+        )
         reasons: list[str] = []
         try:
-            refusal = self._attempt_until_answered(context, reasons)
+            refusal = admission.recheck()
+            if refusal is None:
+                refusal = self._attempt_until_answered(context, reasons)
         except CallerDisconnected:
             self._metrics.count('edge.callers_left')
             LOG.info(
@@ -106,6 +113,7 @@
             request=call.request_id,
             digest=context.digest,
             route=match.route.name,
+            account=context.account,
             service=context.service,
             configuration=match.configuration.version,
             attempts=reasons,
@@ -189,7 +197,7 @@
     ) -> placer_module.Placed | None:
         urgency = bucket_module.RETRY
         if attempt_number == 1:
-            urgency = bucket_module.caller_urgency(context.route.priority)
+            urgency = bucket_module.caller_urgency(context.priority)
         return self._placer.place(
             placer_module.PlacementRequest(
                 context.digest,
@@ -390,6 +398,7 @@
     call: callers.Call,
     route: catalogue.Route,
     received_at: float,
+    authenticated: decision.Authenticated,
 ) -> attempts_module.RequestContext:
     limit_s = route.timeout_s
     if call.deadline_s is not None:
@@ -401,7 +410,9 @@
         call.host,
         list(exchange.headers.items()),
         exchange.read_body(),
+        authenticated.account,
     )
+    priority = authenticated.priority
     return attempts_module.RequestContext(
         exchange,
         request,
@@ -412,6 +423,8 @@
         ),
         received_at + limit_s,
         resumed_stream=call.resumed_stream,
+        account=authenticated.account,
+        priority=route.priority if priority is None else priority,
     )
 
 
--- a/baobabpond/edge/responses.py
+++ b/baobabpond/edge/responses.py
@@ -25,6 +25,8 @@
     headers = [JSON_TYPE]
     if refusal.retry_after_s is not None:
         headers.append(('Retry-After', f'{refusal.retry_after_s:g}'))
+    if refusal.status == http.HTTPStatus.UNAUTHORIZED:
+        headers.append(('WWW-Authenticate', 'Bearer'))
     body = {
         'verdict': refusal.verdict.value,
         'code': refusal.code,
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -28,6 +28,8 @@
     order_lease_ms: float
     upstream_heartbeat_ms: NotRequired[float]
     upstreams_check_fences: bool
+    revoke_ms: NotRequired[float]
+    strict_revoke: NotRequired[bool]
     grace_s: float
     status_s: float
     longest_validity_s: float
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -10,6 +10,8 @@
 from . import metrics as metrics_module
 from . import readiness
 from . import shutdown
+from .accounts import decision
+from .accounts import peers as account_peers
 from .batches import ownership
 from .batches import shard_state as state_module
 from .catalogue import current as current_module
@@ -61,6 +63,11 @@
 MS_PER_S = 1000
 # Of upstreams, where the settings do not tell it.
 HEARTBEAT_MS = 1200
+# Where strict_revoke is set and the settings do not tell it.
+REVOKE_MS = 5000
+# A quiet log confirms the accounts two long polls late, which must not come
+# near the age at which keys are refused.
+READS_PER_REVOCATION = 4
 # Pause between reads, so that one read returns many records.
 DIRECTORY_READ_PAUSE_S = 0.1
 # Shorter than the default, to detect early that the owner of the shard has
@@ -113,6 +120,9 @@
                         self._log,
                         self._metrics,
                         [self._shard_first_load],
+                        account_peers.KeyRedactor(
+                            self._platform.catalogue_decoder
+                        ).redact,
                     ),
                     self._limits.permit_handler,
                     self._reach.reach_handler,
@@ -150,6 +160,7 @@
             settings['upstreams_check_fences'],
         )
         self._scheduler.set_batch_retention_s(settings['status_s'])
+        self._caller_app.set_key_staleness_s(_key_staleness_s(settings))
 
     def run_until_stopped(self) -> bool:
         """Wait for the request to leave, then drain and stop.
@@ -259,8 +270,16 @@
             heartbeat_s,
             self._metrics,
         )
+        wait_s = follower_module.READ_WAIT_S
+        max_staleness_s = _key_staleness_s(self._settings)
+        if max_staleness_s is not None:
+            wait_s = min(wait_s, max_staleness_s / READS_PER_REVOCATION)
         self._configuration_follower = self._make_follower(
-            decoder.configuration_topic, 0, self._apply_configuration
+            decoder.configuration_topic,
+            0,
+            self._apply_configuration,
+            read_wait_s=wait_s,
+            renew_after_s=wait_s + follower_module.OVERDUE_MARGIN_S,
         )
         self._upstreams_follower = self._make_follower(
             decoder.upstreams_topic,
@@ -317,6 +336,7 @@
         pause_s: float = 0.0,
         read_wait_s: float = follower_module.READ_WAIT_S,
         first_load: first_load_module.FirstLoad | None = None,
+        renew_after_s: float | None = None,
     ) -> follower_module.Follower:
         return follower_module.Follower(
             self._log,
@@ -327,6 +347,7 @@
             pause_s,
             read_wait_s,
             first_load,
+            renew_after_s,
         )
 
     def _build_scheduler(self) -> None:
@@ -420,6 +441,7 @@
             ),
             self._metrics,
         )
+        self._caller_app.set_key_staleness_s(_key_staleness_s(self._settings))
         operator_app = app_module.OperatorApp(
             self._platform.callers,
             self._reach.members_for_callers,
@@ -482,3 +504,10 @@
         LOG.info('ready')
         self._roster.announce()
         self._ownership.allow_claims()
+
+
+def _key_staleness_s(settings: host_schema.HostSettings) -> float | None:
+    return decision.key_staleness_s(
+        settings.get('revoke_ms', REVOKE_MS),
+        settings.get('strict_revoke', False),
+    )
--- a/baobabpond/pool/intake.py
+++ b/baobabpond/pool/intake.py
@@ -109,7 +109,9 @@
         task.failures = failures.runs
         task.reward_failures = failures.reward_calls
         task.persisted_failures = (failures.runs, failures.reward_calls)
-        previous = self._shard_state.completed(task.id)
+        previous = self._shard_state.completed(
+            task.id, task.batch.head.account
+        )
         if previous is not None and _is_fresh(previous.result, task):
             self._reuse(task, previous)
         elif self._partial_outputs.resume(task):
--- a/baobabpond/pool/outbox.py
+++ b/baobabpond/pool/outbox.py
@@ -203,6 +203,7 @@
             [version for _, version in unpersisted],
             is_last,
             task.software,
+            task.batch.head.account,
         )
     )
     return record, is_last
--- a/baobabpond/pool/partial_outputs.py
+++ b/baobabpond/pool/partial_outputs.py
@@ -20,7 +20,9 @@
         self._epoch = 0
         self._last_output_number = 0
         # Events of items that were unfinished when their batch ended.
-        self._retained: dict[str, state_module.PartialOutput] = {}
+        self._retained: dict[
+            state_module.ItemKey, state_module.PartialOutput
+        ] = {}
 
     def set_epoch(self, epoch: int) -> None:
         """Set the epoch that prefixes the ids of new outputs."""
@@ -40,9 +42,11 @@
 
         Returns whether that output is complete.
         """
-        outputs = self._shard_state.partial_outputs(task.id)
+        outputs = self._shard_state.partial_outputs(
+            task.id, task.batch.head.account
+        )
         persisted = {output.output_id: output for output in outputs}
-        retained = self._retained.pop(task.id, None)
+        retained = self._retained.pop(_item_key(task), None)
         if retained is not None:
             outputs.append(retained)
         usable = [output for output in outputs if is_resumable(output, task)]
@@ -69,7 +73,7 @@
         """Retain the events of an item whose batch has ended."""
         if not task.events:
             return
-        self._retained[task.id] = state_module.PartialOutput(
+        self._retained[_item_key(task)] = state_module.PartialOutput(
             task.output_id,
             list(task.events),
             task.unscored is not None,
@@ -79,6 +83,10 @@
             self._retained.pop(next(iter(self._retained)))
 
 
+def _item_key(task: state.Task) -> state_module.ItemKey:
+    return state_module.ItemKey(task.batch.head.account, task.id)
+
+
 def _usefulness(output: state_module.PartialOutput) -> tuple[bool, int]:
     return output.is_complete, len(output.events)
 
--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -85,7 +85,7 @@
         connection: connections_module.Connection,
     ) -> RewardResponse:
         call = typing.cast(callers.RewardCall, attempt.task.item.reward_call)
-        request = _build_request(call)
+        request = _build_request(call, attempt.task.batch.head.account)
         response, head = self._gateway.exchange(
             connection,
             attempt.entry,
@@ -110,7 +110,9 @@
         return _evaluate(response, head)
 
 
-def _build_request(call: callers.RewardCall) -> upstream_port.Request:
+def _build_request(
+    call: callers.RewardCall, account: str | None
+) -> upstream_port.Request:
     return upstream_port.Request(
         id=call.id,
         method='POST',
@@ -118,6 +120,7 @@
         host=call.host,
         headers=[],
         body=base64.b64decode(call.body),
+        account=account,
     )
 
 
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -8,6 +8,7 @@
 import structlog
 
 from .. import metrics as metrics_module
+from ..accounts import decision
 from ..batches import records
 from ..catalogue import current as current_module
 from ..ports import catalogue
@@ -250,7 +251,12 @@
         upstream.runs.add(run)
         attempt = runner_module.Attempt(
             run,
-            runner_module.build_request(task),
+            runner_module.build_request(
+                task,
+                decision.item_account(
+                    task.batch.head.account, self._current.configuration
+                ),
+            ),
             permit,
             remaining_s,
             ITEM_PRIORITY,
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -251,8 +251,10 @@
     return RunOutcome.INTERRUPTED
 
 
-def build_request(task: state.Task) -> upstream_port.Request:
-    """Return the request for an item."""
+def build_request(
+    task: state.Task, account: str | None
+) -> upstream_port.Request:
+    """Return the request for an item of an account's batch."""
     return upstream_port.Request(
         id=task.id,
         method='POST',
@@ -260,4 +262,5 @@
         host=task.batch.head.host,
         headers=list(task.item.headers),
         body=base64.b64decode(task.item.body),
+        account=account,
     )
--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -110,6 +110,8 @@
 
     ready_target: str
     entries_target: str
+    # Names, in lower case, of the headers that state a key or an account.
+    credential_headers: frozenset[str]
 
     def call(
         self, method: str, target: str, headers: typing.Mapping[str, str]
--- a/baobabpond/ports/catalogue.py
+++ b/baobabpond/ports/catalogue.py
@@ -139,6 +139,13 @@
         """Return the configuration; None if the record is of another kind."""
         ...
 
+    def without_keys(self, key: str, value: bytes) -> bytes:
+        """Return a record with the keys of accounts replaced by digests.
+
+        Raises MalformedData.
+        """
+        ...
+
     def announcement(self, key: str, value: bytes) -> Announcement | None:
         """Return the announcement; None if the record is of another kind."""
         ...
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -45,6 +45,7 @@
         pause_s: float = 0.0,
         read_wait_s: float = READ_WAIT_S,
         first_load: first_load_module.FirstLoad | None = None,
+        renew_after_s: float | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
@@ -53,6 +54,9 @@
         self._metrics = metrics
         self._pause_s = pause_s
         self._read_wait_s = read_wait_s
+        # When the records passed on were known to be all longer ago, they are
+        # confirmed by a read that does not wait for new ones.
+        self._renew_after_s = renew_after_s
         self._lock = threading.Lock()
         self._position: int | None = None
         self._first_load = first_load
@@ -189,7 +193,13 @@
         return delay_s * random.uniform(0.5, 1.5)
 
     def _read_once(self) -> None:
-        self._read(self._read_wait_s)
+        is_urgent = (
+            self._renew_after_s is not None
+            and self.staleness_s > self._renew_after_s
+            # Reads confirm nothing then.
+            and not self._has_missed_records
+        )
+        self._read(0.0 if is_urgent else self._read_wait_s)
 
     def _read(self, wait_s: float) -> log_port.Page | None:
         """Read and deliver new records; return None if a reload is needed."""
--- a/baobabpond/store/handler.py
+++ b/baobabpond/store/handler.py
@@ -1,5 +1,7 @@
 """Serve log calls of other instances."""
 
+import typing
+
 from .. import metrics as metrics_module
 from ..gen.peer import ttypes
 from ..ports import log as log_port
@@ -9,6 +11,9 @@
 from . import relay
 from . import snapshots
 
+# Removes from the records of a topic what no other instance may be sent.
+Redactor = typing.Callable[[str, list[log_port.Record]], list[log_port.Record]]
+
 
 class RelayHandler:
     """Execute relayed log calls, over the direct path only; share snapshots.
@@ -22,10 +27,12 @@
         reachable: relay.FailoverLog,
         metrics: metrics_module.Metrics,
         first_loads: list[first_load.FirstLoad],
+        redact: Redactor = lambda topic, records: records,
     ) -> None:
         self._direct = direct
         self._reachable = reachable
         self._metrics = metrics
+        self._redact = redact
         self._shared = {
             (load.topic, load.partition): load.shared for load in first_loads
         }
@@ -76,9 +83,8 @@
             raise ttypes.LogUnavailable(str(error)) from error
         except log_port.OffsetExpired as error:
             raise ttypes.LogExpired(str(error)) from error
-        return ttypes.LogPage(
-            page.end, codec.encode_records(page.records), False
-        )
+        records = self._redact(topic, page.records)
+        return ttypes.LogPage(page.end, codec.encode_records(records), False)
 
     def newest(self, topic: str, partition: int, after: str) -> ttypes.LogPage:
         """Return newest records on behalf of another instance.
@@ -90,8 +96,9 @@
             page = self._direct.newest(topic, partition, after)
         except log_port.LogError as error:
             raise ttypes.LogUnavailable(str(error)) from error
+        records = self._redact(topic, page.records)
         return ttypes.LogPage(
-            page.end, codec.encode_records(page.records), page.has_more
+            page.end, codec.encode_records(records), page.has_more
         )
 
     def snapshot(
--- a/test/edge/test_app.py
+++ b/test/edge/test_app.py
@@ -11,6 +11,7 @@
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import callers
+from baobabpond.ports import catalogue
 from baobabpond.store import follower as follower_module
 
 from ..store import fakes
@@ -30,6 +31,9 @@
             current_module.CurrentConfiguration, instance=True
         )
         current.match.return_value = None
+        current.configuration = catalogue.Configuration(
+            1, (), {}, catalogue.Limits()
+        )
         self.app = app.CallerApp(
             protocol,
             current,
@@ -100,11 +104,13 @@
             raise RuntimeError('fails on purpose')
 
         failing.forward.side_effect = fail_in_stream
+        current = mock.create_autospec(
+            current_module.CurrentConfiguration, instance=True
+        )
+        current.match.return_value.configuration.accounts = None
         caller_app = app.CallerApp(
             protocol,
-            mock.create_autospec(
-                current_module.CurrentConfiguration, instance=True
-            ),
+            current,
             lambda: 0.0,
             mock.create_autospec(batch_handlers.BatchHandlers, instance=True),
             failing,
--- a/test/pool/test_partial_outputs.py
+++ b/test/pool/test_partial_outputs.py
@@ -20,7 +20,9 @@
     def __init__(self) -> None:
         self.outputs: list[state_module.PartialOutput] = []
 
-    def partial_outputs(self, item: str) -> list[state_module.PartialOutput]:
+    def partial_outputs(
+        self, item: str, account: str | None = None
+    ) -> list[state_module.PartialOutput]:
         """Return the partial outputs of an item."""
         return list(self.outputs)
 
