--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -70,20 +70,23 @@
         self,
         routes: list[dict[str, typing.Any]],
         services: list[dict[str, typing.Any]],
+        tenants: list[dict[str, typing.Any]] | None = None,
     ) -> int:
-        """Publish a configuration and return its version."""
+        """Publish a configuration and return its version.
+
+        Without tenants the deployment has no accounts.
+        """
         self.version += 1
+        configuration: dict[str, typing.Any] = {
+            'version': self.version,
+            'routes': routes,
+            'services': services,
+            'limits': {},
+        }
+        if tenants is not None:
+            configuration['tenants'] = tenants
         self._store.produce(
-            'keyed.op',
-            'config',
-            json.dumps(
-                {
-                    'version': self.version,
-                    'routes': routes,
-                    'services': services,
-                    'limits': {},
-                }
-            ).encode(),
+            'keyed.op', 'config', json.dumps(configuration).encode()
         )
         return self.version
 
@@ -185,6 +188,8 @@
         self.addresses = addresses
         self._host = host
         self._prefix = prefix
+        # Key of its account; requests carry none if it is empty.
+        self.key = ''
         self._client = Client()
         self._request_count = 0
 
@@ -253,9 +258,10 @@
             address
             or self.addresses[self._request_count % len(self.addresses)]
         )
-        return self._client.send(
-            address, method, target, {**headers, 'Host': self._host}, body
-        )
+        headers = {**headers, 'Host': self._host}
+        if self.key:
+            headers['Authorization'] = f'Bearer {self.key}'
+        return self._client.send(address, method, target, headers, body)
 
 
 def reward_id(item: str) -> str:
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -32,6 +32,8 @@
 LOOKUPS = '/orders/'
 ENTRIES = '/entries/'
 STREAMS = '/drafts/'
+# Begins the prefixes of routes whose requests need no key.
+PUBLIC = '/public'
 MODEL = 'peg-sizing'
 MODEL_SERVICE = 'juru-model'
 PLAIN_SERVICE = 'meja-pesanan'
@@ -104,6 +106,10 @@
         self.instances: list[Instance] = []
         self.crashing = crashing_module.Crashing()
         self.restart_s = RESTART_S
+        # Client accounts; None if the deployment has none.
+        self.tenants: list[dict[str, typing.Any]] | None = None
+        # Settings of each instance beyond the usual ones.
+        self.more_settings: dict[str, typing.Any] = {}
         # Limit of the memory of each instance; 0 if there is none.
         self.memory_mb = 0
         self._checks_fence = True
@@ -162,11 +168,18 @@
             self.add_sampler(checks_fence)
         for _ in range(plain_services):
             self._add_plain_service()
-        self.operator.publish(routes(), services())
+        self.publish()
         for number in range(instances):
             self.start_instance(f'entry-{number + 1}')
         self.wait_ready()
 
+    def publish(self) -> int:
+        """Publish the configuration and return its version."""
+        new_routes = routes()
+        if self.tenants is not None:
+            new_routes += public_routes()
+        return self.operator.publish(new_routes, services(), self.tenants)
+
     def add_sampler(
         self,
         checks_fence: bool = True,
@@ -281,6 +294,7 @@
             'longest_validity_s': 0.2,
             'memory_mb': self.memory_mb,
             'log_level': 'info',
+            **self.more_settings,
         }
         folder = pathlib.Path(self._folder.name)
         path = folder / f'{name}.json5'
@@ -409,6 +423,19 @@
     ]
 
 
+def public_routes() -> list[dict[str, typing.Any]]:
+    """Return a route of each kind whose requests need no key."""
+    return [
+        {
+            **route,
+            'name': f'public-{route["name"]}',
+            'path-prefix': f'{PUBLIC}{route["path-prefix"]}',
+            'public': True,
+        }
+        for route in routes()
+    ]
+
+
 def services() -> list[dict[str, typing.Any]]:
     """Return the services of the emulated deployment."""
     return [
--- a/standins/emulator/recorder.py
+++ b/standins/emulator/recorder.py
@@ -37,6 +37,10 @@
     arrived_at: float
     path: str
     request_id: str
+    # Name of the account; None if none is stated.
+    account: str | None = None
+    # The request carries credentials of its caller.
+    has_credentials: bool = False
 
 
 class CrashRecord(typing.NamedTuple):
@@ -71,6 +75,15 @@
         with self._lock:
             self.arrivals.append(arrival)
 
+    def arrivals_of(self, request_id: str) -> list[Arrival]:
+        """Return the arrivals of a request."""
+        with self._lock:
+            return [
+                arrival
+                for arrival in self.arrivals
+                if arrival.request_id == request_id
+            ]
+
     def arrivals_at(self, upstream: str, since: float) -> list[float]:
         """Return when requests reached an upstream from a moment on."""
         with self._lock:
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -215,6 +215,8 @@
                 time.monotonic(),
                 path,
                 exchange.headers.get('X-Request-Id', ''),
+                exchange.headers.get('X-Tenant'),
+                'Authorization' in exchange.headers,
             )
         )
         if self.closes_connections or self.announces_leaving:
