Measure the check of a key; test records, relayed reads and proofs

Records without an account are written as before and read. An instance that knows no other one yet cannot have its configuration confirmed by it; the test of a partition waits for that.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -6,6 +6,7 @@
 import sys
 import typing
 
+from measure import accounts  # noqa: F401  Registers measurements.
 from measure import control  # noqa: F401  Registers measurements.
 from measure import overload  # noqa: F401  Registers measurements.
 from measure import platform  # noqa: F401  Registers measurements.
--- a/test/batches/test_records.py
+++ b/test/batches/test_records.py
@@ -53,6 +53,29 @@
         )
         self.assertFalse(progress.is_last)
 
+    def test_accounts_of_batches(self) -> None:
+        """Earlier builds write none, and skip records that have one."""
+        item = callers.Item('j', '/t', (), '', 9, 'g', 0)
+        head = records.BatchHead('b', 'h', 'r', 0.0, 1, 'm', 1, 1, 1)
+        for account in (None, '', 'kea'):
+            expected = head._replace(account=account)
+            [record] = records.encode_batch(expected, (item,))
+            self.assertEqual(expected, records.decode_batch(record.value).head)
+        [record] = records.encode_batch(head, (item,))
+        self.assertIn(b'[["b","h","r",0.0,1,"m",1,1,1],', record.value)
+
+    def test_accounts_of_progress(self) -> None:
+        """Earlier builds write none, and skip records that have one."""
+        progress = records.Progress('i', '1.1', 1, ['a'], [1], False, 's')
+        for account in (None, '', 'kea'):
+            expected = progress._replace(account=account)
+            record = records.encode_progress(expected)
+            self.assertEqual(
+                expected, records.decode_progress(record.key, record.value)
+            )
+        record = records.encode_progress(progress)
+        self.assertEqual(b'[["a"],[1],false,"s"]', record.value)
+
     def test_corrupt_record_is_skipped(self) -> None:
         """A corrupt record must not prevent later ones from applying."""
         owner = records.encode_owner(records.OwnerRecord('a', 'x', 1, False))
--- a/test/batches/test_shard_state.py
+++ b/test/batches/test_shard_state.py
@@ -121,6 +121,36 @@
         self.assertEqual(['a', 'b', 'c', 'd'], [d for d, _ in outputs['1.1']])
         self.assertEqual(['A', 'B', 'C', 'D'], [d for d, _ in outputs['2.1']])
 
+    def test_outputs_of_another_account_are_not_found(self) -> None:
+        """Accounts choose the ids of items independently of one another.
+
+        An account would otherwise read the output of another one's item, or
+        have its own output listed for it.
+        """
+        item = callers.Item('i', '/t', (), '', 9, 'g', 0)
+        progress = records.Progress('i', '1.1', 1, ['a'], [1])
+        for account in ('kea', 'tui'):
+            head = make_head(f'b-{account}')._replace(account=account)
+            self.shard_state.apply(
+                with_offsets(
+                    *records.encode_batch(head, (item,)),
+                    records.encode_progress(
+                        progress._replace(output_id=account, account=account)
+                    ),
+                ),
+                False,
+            )
+        for account in ('kea', 'tui'):
+            (output,) = self.shard_state.partial_outputs('i', account)
+            self.assertEqual(account, output.output_id)
+        self.assertEqual([], self.shard_state.partial_outputs('i'))
+        self.shard_state.apply(
+            with_offsets(make_result('b-kea', 'i', '1.1')), False
+        )
+        self.assertIsNotNone(self.shard_state.completed('i', 'kea'))
+        self.assertIsNone(self.shard_state.completed('i', 'tui'))
+        self.assertIsNone(self.shard_state.completed('i'))
+
     def test_partial_output_ends_at_a_gap(self) -> None:
         """Events after a missing one are ignored."""
         segments = [
--- a/test/emulator/test_accounts.py
+++ b/test/emulator/test_accounts.py
@@ -23,6 +23,8 @@
 # Time in which a change of the configuration takes effect.
 APPLY_S = 3.0
 REVOKE_MS = 2000
+# A read of the configuration takes no longer.
+READ_S = 1.0
 # Requests that wait at a suspended instance.
 PARALLEL = 12
 ROUTES = (
@@ -398,6 +400,15 @@
         """Wait until a monotonic time has passed."""
         time.sleep(max(0.0, at - time.monotonic()))
 
+    def known_addresses(
+        self, instance: deployment_module.Instance
+    ) -> list[str]:
+        """Return the addresses that an instance lists for callers."""
+        response = self.client.send(
+            instance.entries_address, 'GET', '/api/resolve', {}
+        )
+        return response.json().get('addresses', [])
+
     def check_no_run(self, key: str, count: int = 20) -> None:
         """Check that no request with a removed key runs from now on."""
         for number in range(count):
@@ -418,6 +429,8 @@
         suspended = self.deployment.instances[0]
         suspended.pause()
         self.addCleanup(suspended.resume)
+        # By then the read in flight is answered, without the removal.
+        time.sleep(READ_S)
         self.wait_until(self.remove() + 0.1)
         answers: list[tuple[clients.Response, str]] = []
         threads = [
@@ -449,6 +462,8 @@
         self.silence_store()
         self.wait_until(end)
         self.check_no_run(REMOVED)
+        # Until then, a request without a key is refused for good.
+        self.wait_until(end + APPLY_S - REVOKE_MS / 1000)
         for key in (KEA, TUI, UNKNOWN, None):
             response, request_id = self.ask(deployment_module.LOOKUPS, key)
             self.assertEqual(503, response.status)
@@ -464,6 +479,10 @@
         """An instance that only they connect with the store serves on."""
         isolated = self.deployment.instances[0]
         assert isolated.store_relay is not None
+        # An instance that knows no others can ask none.
+        deployment_module.wait_for(
+            lambda: len(self.known_addresses(isolated)) == self.INSTANCES
+        )
         isolated.store_relay.cut()
         self.wait_status(200, REMOVED, isolated.address)
         self.wait_until(self.remove())
--- a/test/store/test_follower.py
+++ b/test/store/test_follower.py
@@ -43,6 +43,38 @@
         with self.assertRaises(log_port.LogError):
             self.follower.catch_up_fully()
 
+    def test_old_proof_is_renewed_without_waiting(self) -> None:
+        """A resumed process need not wait for a long poll to end.
+
+        Records that the listener failed on are never known to be complete;
+        then the log must not be asked without a pause.
+        """
+        follower = follower_module.Follower(
+            self.log,
+            'keyed.t',
+            0,
+            self.receive,
+            metrics.Metrics(),
+            read_wait_s=0.05,
+            renew_after_s=0.2,
+        )
+        self.log.before_read = lambda: time.sleep(self.log.waits[-1])
+        follower.start()
+        self.addCleanup(follower.stop)
+        time.sleep(0.3)
+        self.assertEqual({0.05}, set(self.log.waits[1:]))
+        self.log.read_error = log_port.LogError('out of reach')
+        time.sleep(0.5)
+        self.assertEqual(0.0, self.log.waits[-1])
+        self.log.read_error = None
+        time.sleep(0.5)
+        self.assertEqual(0.05, self.log.waits[-1])
+        self.failing_key = 'a'
+        self.log.add('a')
+        time.sleep(0.6)
+        self.assertGreater(follower.staleness_s, 0.2)
+        self.assertEqual(0.05, self.log.waits[-1])
+
     def test_snapshot_comes_first_then_appended_records(self) -> None:
         """Each key's newest record comes once, appended records in order."""
         self.log.add('a', b'1')
@@ -193,6 +225,16 @@
             self.follower.catch_up()
         self.assertFalse(self.follower.has_caught_up)
 
+    def test_staleness_includes_the_time_of_the_read(self) -> None:
+        """The log may have gained records since the read was sent.
+
+        A process that is suspended meanwhile gets the response much later.
+        """
+        self.follower.catch_up()
+        self.log.before_read = lambda: time.sleep(0.1)
+        self.follower.catch_up()
+        self.assertGreaterEqual(self.follower.staleness_s, 0.1)
+
     def test_staleness_includes_time_spent_suspended(self) -> None:
         """The steady clock stands still while the machine is suspended."""
         self.follower.catch_up()
--- a/test/store/test_relay.py
+++ b/test/store/test_relay.py
@@ -27,18 +27,31 @@
         self.peer_log = fakes.FakeLog()
         peer = relay.FailoverLog(self.peer_log, metrics.Metrics())
         port = serving.free_port()
+        self.redacted_topic = ''
         thrift_server.serve(
             serving.ADDRESS,
             port,
             LogRelay.Processor(
                 handler.RelayHandler(
-                    self.peer_log, peer, metrics.Metrics(), []
+                    self.peer_log,
+                    peer,
+                    metrics.Metrics(),
+                    [],
+                    self.redact,
                 )
             ),
         )
         self.log.set_peer_source(lambda: [(serving.ADDRESS, port)])
         self.record = log_port.Record('k', b'v')
 
+    def redact(
+        self, topic: str, records: list[log_port.Record]
+    ) -> list[log_port.Record]:
+        """Replace the values of one topic."""
+        if topic != self.redacted_topic:
+            return records
+        return [record._replace(value=b'redacted') for record in records]
+
     def append(self, **options: object) -> log_port.AppendOutcome:
         """Append a record."""
         return self.log.append('t', 0, [self.record], **options).outcome
@@ -83,6 +96,22 @@
         with self.assertRaises(log_port.OffsetExpired):
             self.log.read('t', 0, 0, 0.0)
 
+    def test_relayed_records_are_redacted(self) -> None:
+        """Keys of accounts would otherwise stand in messages of peers."""
+        self.redacted_topic = 't'
+        self.direct.read_error = log_port.LogError('cut')
+        self.peer_log.add('a', b'1')
+        with mock.patch.object(relay, 'LOAD_RELAY_DELAY_S', 0.0):
+            pages = (
+                self.log.read('t', 0, 0, 0.0),
+                self.log.newest('t', 0, ''),
+            )
+        for page in pages:
+            self.assertEqual(
+                [('a', b'redacted', 0)],
+                [tuple(record) for record in page.records],
+            )
+
     def test_snapshots_are_not_relayed_while_the_log_answers(self) -> None:
         """A log that is slow for all is not asked more often for it."""
         self.direct.read_error = log_port.LogError('timed out')
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -286,6 +286,40 @@
         'if True:',
         unit_test='test.edge.test_draining',
     ),
+    Mutant(
+        9,
+        'keys are refused while their removal may have been missed',
+        'baobabpond/accounts/decision.py',
+        'if max_s is not None and staleness_s > max_s:',
+        'if False:',
+        unit_test='test.emulator.test_accounts.RevocationTest'
+        '.test_store_is_away',
+    ),
+    Mutant(
+        9,
+        'a proof counts from when its read was sent',
+        'baobabpond/store/follower.py',
+        'self._record_complete(sent_boot_s)',
+        'self._record_complete(clock.since_boot_s())',
+        unit_test='test.store.test_follower.FollowerTest'
+        '.test_staleness_includes_the_time_of_the_read',
+    ),
+    Mutant(
+        9,
+        'a batch belongs to the account that submitted it',
+        'baobabpond/accounts/decision.py',
+        'return not batch_account or batch_account == account',
+        'return True',
+        unit_test='test.emulator.test_accounts.AccountsTest.test_batches',
+    ),
+    Mutant(
+        9,
+        'no key is forwarded',
+        'platform/users_platform/upstreams.py',
+        'dropped |= {KEY_HEADER.lower(), ACCOUNT_HEADER.lower()}',
+        'pass',
+        unit_test='test.emulator.test_accounts.AccountsTest.test_requests',
+    ),
 )
 
 
