--- a/baobabpond/ports/callers.py
+++ b/baobabpond/ports/callers.py
@@ -33,6 +33,9 @@
     # ID of the request that brought the first event of the stream that is
     # resumed; empty if none is.
     resumed_stream: str = ''
+    # Key of the caller's account; None if the request carries none. Never
+    # logged.
+    key: str | None = None
 
 
 class RewardCall(typing.NamedTuple):
@@ -107,6 +110,8 @@
 
     ready_target: str
     entries_target: str
+    # Names, in lower case, of the headers that state a key or an account.
+    credential_headers: frozenset[str]
 
     def call(
         self, method: str, target: str, headers: typing.Mapping[str, str]
