Count the requests of accounts, and report them as the shard's owner

Each instance counts a plain request when it is sent and a stream at its first event, and appends its counts to a topic of its own. The owner of the shard appends the report of a window on the condition that nobody else has, and sends it, after the lease has passed, until the platform acknowledges it. Nothing starts without the address of the API in the settings.

--- a/baobabpond/batches/ownership.py
+++ b/baobabpond/batches/ownership.py
@@ -53,6 +53,8 @@
 
     # Fencing token, higher than that of all earlier tenures.
     epoch: int
+    # When this instance knew of it, on the boot-time clock.
+    began_boot_s: float = 0.0
 
 
 class ShardWorker(typing.Protocol):
@@ -271,7 +273,7 @@
         self._lease_started_boot_s = sent_boot_s
         # The empty append that fenced the former owner used sequence 0.
         self._sequence = 1
-        self._tenure = Tenure(epoch)
+        self._tenure = Tenure(epoch, clock.since_boot_s())
         self._worker.start(self._tenure)
 
     def _run_tenure_safely(self) -> None:
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -11,8 +11,11 @@
 from ..ratelimits import permits as permits_module
 from ..relaying import paths as paths_module
 from ..streams import origins as origins_module
+from ..upstreams import authenticity
+from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
+from ..usage import request as request_usage
 
 from . import server
 
@@ -57,6 +60,11 @@
     has_alternatives: bool = False
     # Id of the request whose stream the caller resumes; empty for a new one.
     resumed_stream: str = ''
+    # Name of the account that sent the request; empty for a public request
+    # without one, None if the deployment has no accounts.
+    account: str | None = None
+    # Whether the request counts as used by its account.
+    usage: request_usage.RequestUsage = request_usage.RequestUsage()
 
     @property
     def remaining_s(self) -> float:
@@ -160,26 +168,49 @@
         Raises ConnectionFailed or ResponseFailed.
         """
         request = self._context.request
-        response, self._response_head = self._dependencies.gateway.exchange(
-            self.connection,
-            self.entry,
-            self._permit,
-            gateway_module.Outgoing(
-                request.id,
-                request.method,
-                request.target,
-                self._dependencies.protocol.request_headers(
-                    request, self.entry.id, remaining_s, last_event
+        usage = self._context.usage
+        usage.begin_attempt()
+        try:
+            response, head = self._dependencies.gateway.exchange(
+                self.connection,
+                self.entry,
+                self._permit,
+                gateway_module.Outgoing(
+                    request.id,
+                    request.method,
+                    request.target,
+                    self._dependencies.protocol.request_headers(
+                        request, self.entry.id, remaining_s, last_event
+                    ),
+                    request.body or None,
+                    is_for_incarnation=(
+                        self._context.route.kind
+                        is catalogue.RouteKind.STREAMING
+                        and self._context.route.resumable
+                    ),
                 ),
-                request.body or None,
-                is_for_incarnation=(
-                    self._context.route.kind is catalogue.RouteKind.STREAMING
-                    and self._context.route.resumable
-                ),
-            ),
-            remaining_s if timeout_s is None else timeout_s,
+                remaining_s if timeout_s is None else timeout_s,
+            )
+        except connections_module.ConnectionFailed:
+            usage.record_not_run()
+            raise
+        self._response_head = head
+        self._record_usage(response.status, head)
+        return response, head
+
+    def _record_usage(
+        self, status: int, head: upstream_port.ResponseHead
+    ) -> None:
+        """Record what a response tells about whether the request runs."""
+        found = authenticity.of_response(
+            self._context.request.id, status, head
         )
-        return response, self._response_head
+        if found is authenticity.Authenticity.FOREIGN:
+            return
+        if head.not_run:
+            self._context.usage.record_not_run()
+        elif status not in authenticity.SUCCESS:
+            self._context.usage.record_answer()
 
     def record_response(self) -> None:
         """Count the attempt as successful and measure its latency."""
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -23,6 +23,7 @@
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 from ..upstreams import load_balancer as load_balancer_module
+from ..usage import request as request_usage
 
 from . import attempts as attempts_module
 from . import body_memory
@@ -62,7 +63,11 @@
         origins: origins_module.StreamOrigins,
         response_memory: body_memory.BodyMemory,
         metrics: metrics_module.Metrics,
+        request_counter: request_usage.RequestCounter | None = None,
     ) -> None:
+        self._request_counter = (
+            request_counter or request_usage.RequestCounter()
+        )
         self._guard = guard
         self._origins = origins
         self._response_memory = response_memory
@@ -84,6 +89,7 @@
         """Forward a request of an ordinary or a streaming route."""
         received_at = time.monotonic()
         context = _make_context(exchange, call, match.route, received_at)
+        context = context._replace(usage=self._follow_usage(context))
         reasons: list[str] = []
         try:
             refusal = self._attempt_until_answered(context, reasons)
@@ -97,6 +103,8 @@
             )
             exchange.abort()
             return
+        finally:
+            context.usage.end()
         took_s = time.monotonic() - received_at
         outcome = refusal.code if refusal else 'answered'
         self._metrics.record('edge.requests', took_s)
@@ -120,6 +128,16 @@
         else:
             responses.send_refusal(exchange, refusal)
 
+    def _follow_usage(
+        self, context: attempts_module.RequestContext
+    ) -> request_usage.RequestUsage:
+        is_stream = context.route.kind is catalogue.RouteKind.STREAMING
+        return self._request_counter.follow(
+            context.account,
+            is_stream,
+            is_stream and streams.requested_last_event(context.request) > 0,
+        )
+
     def _attempt_until_answered(
         self, context: attempts_module.RequestContext, reasons: list[str]
     ) -> verdicts.Refusal | None:
--- a/baobabpond/edge/streams.py
+++ b/baobabpond/edge/streams.py
@@ -4,6 +4,7 @@
 
 from .. import decoding
 from ..crashes import unresolved
+from ..ports import upstreams as upstream_port
 from ..streams import records
 from ..upstreams import connections as connections_module
 from ..upstreams import events as events_module
@@ -28,7 +29,7 @@
     ) -> None:
         self._context = context
         self._dependencies = dependencies
-        self.last_event = _requested_last_event(context)
+        self.last_event = requested_last_event(context.request)
         # Software version that began the stream; None before its first event.
         self.software: str | None = None
         # How the last attempt ended, if its upstream did not complete it.
@@ -48,6 +49,7 @@
             for event, raw in reader.read_raw(chunks):
                 if not self._is_next(event.id) or not self._may_go_on(attempt):
                     return False
+                self._context.usage.record_event()
                 if not exchange.response_started:
                     self._begin(response)
                 exchange.write(raw)
@@ -102,9 +104,9 @@
         )
 
 
-def _requested_last_event(context: attempts.RequestContext) -> int:
+def requested_last_event(request: upstream_port.Request) -> int:
     """Return the id of the last event that the caller received, 0 if none."""
-    for name, value in context.request.headers:
+    for name, value in request.headers:
         if name.lower() == LAST_EVENT_HEADER.lower():
             return decoding.decimal(value) or 0
     return 0
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -28,6 +28,11 @@
     order_lease_ms: float
     upstream_heartbeat_ms: NotRequired[float]
     upstreams_check_fences: bool
+    control_address: NotRequired[str]
+    control_duties: NotRequired[list[str]]
+    control_calls_per_s: NotRequired[float]
+    usage_window_s: NotRequired[float]
+    usage_due_s: NotRequired[float]
     grace_s: float
     status_s: float
     longest_validity_s: float
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -15,6 +15,8 @@
 from .catalogue import current as current_module
 from .catalogue import directory as directory_module
 from .crashes import components as crash_components
+from .duties import caller as duty_caller
+from .duties import holder as duty_holder
 from .edge import app as app_module
 from .edge import batch_handlers
 from .edge import body_memory
@@ -53,6 +55,7 @@
 from .upstreams import connections
 from .upstreams import gateway
 from .upstreams import load_balancer
+from .usage import components as usage_components
 
 CALLER_THREADS = 48
 OPERATOR_THREADS = 4
@@ -61,6 +64,10 @@
 MS_PER_S = 1000
 # Of upstreams, where the settings do not tell it.
 HEARTBEAT_MS = 1200
+# Of calls to the control plane, and of the reports of usage.
+CONTROL_CALLS_PER_S = 50.0
+USAGE_WINDOW_S = 5.0
+USAGE_DUE_S = 10.0
 # Pause between reads, so that one read returns many records.
 DIRECTORY_READ_PAUSE_S = 0.1
 # Shorter than the default, to detect early that the owner of the shard has
@@ -98,6 +105,7 @@
         )
         self._build_catalogue()
         self._build_scheduler()
+        self._build_duties()
         self._build_servers()
 
     def start(self) -> None:
@@ -127,6 +135,8 @@
         self._streams.start()
         self._reach.start()
         self._ownership.start()
+        if self._usage is not None:
+            self._usage.start()
         for http_server in (*self._request_servers, *self._operator_servers):
             http_server.start_thread('http')
         threading.Thread(
@@ -149,6 +159,7 @@
             settings['order_lease_ms'] / MS_PER_S,
             settings['upstreams_check_fences'],
         )
+        self._duty_holder.update_lease(settings['order_lease_ms'] / MS_PER_S)
         self._scheduler.set_batch_retention_s(settings['status_s'])
 
     def run_until_stopped(self) -> bool:
@@ -389,6 +400,34 @@
         )
         self._limits.set_ownership(self._ownership)
 
+    def _build_duties(self) -> None:
+        """Build the duties that the settings list, if any."""
+        settings = self._settings
+        self._duty_holder = duty_holder.DutyHolder(
+            settings['instance'],
+            self._ownership,
+            settings['order_lease_ms'] / MS_PER_S,
+        )
+        self._usage: usage_components.UsageComponents | None = None
+        duties = settings.get('control_duties', [])
+        if 'control_address' not in settings or 'usage_report' not in duties:
+            return
+        self._usage = usage_components.UsageComponents(
+            settings['instance'],
+            self._log,
+            settings['parts'],
+            settings.get('usage_window_s', USAGE_WINDOW_S),
+            settings.get('usage_due_s', USAGE_DUE_S),
+            self._duty_holder,
+            duty_caller.DutyCaller(
+                self._duty_holder,
+                settings.get('control_calls_per_s', CONTROL_CALLS_PER_S),
+                self._metrics,
+            ),
+            self._platform.connect_control(settings['control_address']),
+            self._metrics,
+        )
+
     def _build_servers(self) -> None:
         self._caller_watch = server.DisconnectWatcher()
         handlers = batch_handlers.BatchHandlers(
@@ -417,6 +456,7 @@
                 self._streams.origins,
                 self._response_memory,
                 self._metrics,
+                self._usage and self._usage.counter,
             ),
             self._metrics,
         )
--- a/baobabpond/ports/platforms.py
+++ b/baobabpond/ports/platforms.py
@@ -10,6 +10,7 @@
 
 from . import callers
 from . import catalogue
+from . import control
 from . import log
 from . import upstreams
 
@@ -21,6 +22,8 @@
     catalogue_decoder: catalogue.CatalogueDecoder
     upstreams: upstreams.UpstreamProtocol
     callers: callers.CallerProtocol
+    # Takes the address of the API, which not all deployments have.
+    connect_control: typing.Callable[[str], control.ControlApi]
 
 
 Factory = typing.Callable[[str], Platform]
--- /dev/null
+++ b/baobabpond/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Count the requests of client accounts, and report them to the platform."""
--- /dev/null
+++ b/baobabpond/usage/sharing.py
@@ -0,0 +1,154 @@
+"""Append the counts of this instance to the log."""
+
+import threading
+import time
+import typing
+import uuid
+
+import structlog
+
+from .. import metrics as metrics_module
+from ..ports import log as log_port
+
+from . import recorder as recorder_module
+from . import records
+from . import shared_counts as shared_module
+from . import time_of_day as time_module
+
+# Shortest time between two appends. A change after a pause is appended at
+# once, so that few counts are lost with an instance that is killed.
+INTERVAL_S = 0.5
+RETRY_S = 0.2
+CHECK_S = 1.0
+NONE = recorder_module.WindowCounts(-1, {})
+# Counts are appended again if they were not read back after this time.
+REPEAT_S = 1.0
+
+LOG = structlog.get_logger(__name__)
+
+
+def differences(
+    counts: dict[str, int], others: dict[str, int]
+) -> dict[str, int]:
+    """Return by how much counts exceed others, where they differ."""
+    accounts = sorted({*counts, *others})
+    found = {a: counts.get(a, 0) - others.get(a, 0) for a in accounts}
+    return {account: count for account, count in found.items() if count}
+
+
+class CountSharing:
+    """Append what the log lacks; give up what came too late."""
+
+    def __init__(
+        self,
+        instance: str,
+        log: log_port.Log,
+        recorder: recorder_module.UsageRecorder,
+        shared: shared_module.SharedCounts,
+        time_of_day: time_module.TimeOfDay,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = uuid.uuid4().hex[:8]
+        self._log = log
+        self._recorder = recorder
+        self._shared = shared
+        self._time_of_day = time_of_day
+        self._metrics = metrics
+        # By window, the counts that the log has confirmed last, and when.
+        self._appended: dict[
+            int, tuple[recorder_module.WindowCounts, float]
+        ] = {}
+        self._changed = threading.Event()
+        recorder.set_listener(self._changed.set)
+        shared.set_listener(self._changed.set)
+
+    def start(self) -> None:
+        """Append in a background thread."""
+        threading.Thread(target=self._run, name='usage', daemon=True).start()
+
+    def pending(self) -> list[log_port.Record]:
+        """Return the records of counts that the log lacks."""
+        now = time.monotonic()
+        unix_s = time.time()
+        pending = []
+        for window, counts in self._recorder.counts().items():
+            key = self._key(window)
+            if self._shared.newest_revision(key) >= counts.revision:
+                self._appended[window] = (counts, now)
+                continue
+            appended, at = self._appended.get(window, (NONE, now))
+            is_sent = appended.revision >= counts.revision
+            if is_sent and now - at < REPEAT_S:
+                continue
+            value = records.CountsValue(counts, unix_s)
+            pending.append(records.encode_counts(key, value))
+        return pending
+
+    def append_pending(self) -> bool:
+        """Append what the log lacks; return whether it has it now."""
+        self.drop_closed()
+        pending = self.pending()
+        if not pending:
+            return True
+        result = self._log.append(
+            records.TOPIC, records.COUNTS_PARTITION, pending
+        )
+        self._metrics.count(f'usage.appends.{result.outcome.value}')
+        if result.outcome is not log_port.AppendOutcome.DONE:
+            LOG.info(
+                'counts not on the log yet',
+                outcome=result.outcome.value,
+                detail=result.detail,
+                windows=len(pending),
+            )
+            return False
+        now = time.monotonic()
+        for record in pending:
+            window = records.decode_counts_key(record.key).window
+            counts = records.decode_counts(record.value).counts
+            self._appended[window] = (counts, now)
+        return True
+
+    def drop_closed(self) -> None:
+        """Forget the windows that are closed; log what was not appended."""
+        closed = self._shared.closed
+        if closed is None:
+            return
+        for window, counts in self._recorder.counts().items():
+            if window > closed:
+                continue
+            self._recorder.drop(window)
+            appended, _ = self._appended.pop(window, (NONE, 0.0))
+            self._record_lost(
+                window, differences(counts.counts, appended.counts)
+            )
+
+    def _record_lost(self, window: int, lost: dict[str, int]) -> None:
+        """Count requests that are missing in the report of their window."""
+        if not lost:
+            return
+        self._metrics.count('usage.lost', sum(map(abs, lost.values())))
+        LOG.warning(
+            'counts came too late for their report',
+            window=window,
+            lost=lost,
+            clock_difference_s=round(self._time_of_day.difference_s, 3),
+        )
+
+    def _key(self, window: int) -> records.CountsKey:
+        return records.CountsKey(self._instance, self._incarnation, window)
+
+    def _run(self) -> typing.NoReturn:
+        while True:
+            self._changed.wait(CHECK_S)
+            self._changed.clear()
+            is_complete = False
+            try:
+                is_complete = self.append_pending()
+            except Exception:
+                # The thread must outlive a failure of one append.
+                LOG.exception('sharing counts failed')
+            if not is_complete:
+                self._changed.set()
+            time.sleep(INTERVAL_S if is_complete else RETRY_S)
