--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -63,6 +63,8 @@
     # Name of the account that sent the request; empty for a public request
     # without one, None if the deployment has no accounts.
     account: str | None = None
+    # Of the account, or of the route if the account has none.
+    priority: int = 0
     # Whether the request counts as used by its account.
     usage: request_usage.RequestUsage = request_usage.RequestUsage()
 
--- a/baobabpond/upstreams/single_call.py
+++ b/baobabpond/upstreams/single_call.py
@@ -36,7 +36,11 @@
     """
     connection = connections.Connection(address)
     timeout_s = context.timeout_s
-    headers = [('Host', f'{address[0]}:{address[1]}'), *call.headers]
+    headers = [
+        ('Host', f'{address[0]}:{address[1]}'),
+        ('Content-Type', 'application/json'),
+        *call.headers,
+    ]
     # The same bytes for the same call, whoever sends it.
     body = json.dumps(call.fields, sort_keys=True).encode()
     try:
