--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -18,6 +18,7 @@
 
 from . import builds
 from . import clients
+from . import control as control_module
 from . import crashing as crashing_module
 from . import links as links_module
 from . import outputs
@@ -39,6 +40,15 @@
 GRACE_S = 5
 # An upstream that has crashed is back after this time, with a new id.
 RESTART_S = 1.0
+LEASE_MS = 1500
+USAGE_WINDOW_S = 5.0
+# Runs an instance whose time of day is ahead.
+SHIFTED_CLOCK = """
+import runpy, sys, time
+real_time = time.time
+time.time = lambda: real_time() + float(sys.argv[1])
+runpy.run_module('baobabpond.ui.host', run_name='__main__')
+"""
 
 
 class Instance:
@@ -106,6 +116,10 @@
         self.restart_s = RESTART_S
         # Limit of the memory of each instance; 0 if there is none.
         self.memory_mb = 0
+        # The API for duties; None where the deployment has none.
+        self.control: control_module.ControlApi | None = None
+        # Minimum time between calls of two instances.
+        self.lease_ms = LEASE_MS
         self._checks_fence = True
         self._has_links = False
         self._views: list[server_module.Server] = []
@@ -141,6 +155,8 @@
             thread.start()
         for thread in stop_threads:
             thread.join()
+        if self.control is not None:
+            self.control.stop()
         self.store.stop()
         self._folder.cleanup()
 
@@ -250,8 +266,17 @@
             self.plain_services.remove(crashed)
             self._add_plain_service(crashed.port)
 
-    def start_instance(self, name: str) -> Instance:
-        """Start an instance whose connection to the store can be cut."""
+    def add_control(self, checks_fence: bool = True) -> None:
+        """Start the API; instances that start later report usage to it."""
+        self.control = control_module.ControlApi(checks_fence)
+
+    def start_instance(
+        self, name: str, clock_ahead_s: float = 0.0
+    ) -> Instance:
+        """Start an instance whose connection to the store can be cut.
+
+        Its time of day is ahead by some seconds.
+        """
         links = links_module.Links() if self._has_links else None
         store_relay = self._relay_to_store(links)
         listen_addresses = [
@@ -273,7 +298,7 @@
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
             'parts': 12,
-            'order_lease_ms': 1500,
+            'order_lease_ms': self.lease_ms,
             'upstream_heartbeat_ms': self._heartbeat_s * 1000,
             'upstreams_check_fences': self._checks_fence,
             'grace_s': GRACE_S,
@@ -282,13 +307,22 @@
             'memory_mb': self.memory_mb,
             'log_level': 'info',
         }
+        if self.control is not None:
+            settings |= {
+                'control_address': self.control.address,
+                'control_duties': ['usage_report'],
+                'usage_window_s': USAGE_WINDOW_S,
+            }
+        module = ['-m', 'baobabpond.ui.host']
+        if clock_ahead_s:
+            module = ['-c', SHIFTED_CLOCK, str(clock_ahead_s)]
         folder = pathlib.Path(self._folder.name)
         path = folder / f'{name}.json5'
         path.write_text(json.dumps(settings), encoding='utf-8')
         log_path = folder / f'{name}-{len(self.instances)}.log'
         with log_path.open('wb') as output:
             process = subprocess.Popen(
-                [sys.executable, '-m', 'baobabpond.ui.host'],
+                [sys.executable, *module],
                 cwd=self.build.root,
                 env={
                     **os.environ,
