--- /dev/null
+++ b/test/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Test the duties that one instance does for all."""
--- /dev/null
+++ b/test/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Test the counts of requests and their reports."""
