--- a/baobabpond/decoding.py
+++ b/baobabpond/decoding.py
@@ -140,6 +140,15 @@
     return min(int(digits), limit)
 
 
+def rate(value: str | None) -> float | None:
+    """Return a rate that is not negative, None if the text is none."""
+    try:
+        found = float(value or '')
+    except ValueError:
+        return None
+    return found if math.isfinite(found) and found >= 0 else None
+
+
 def _finite(digits: str) -> float:
     value = float(digits)
     if not math.isfinite(value):
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -33,6 +33,8 @@
     control_calls_per_s: NotRequired[float]
     usage_window_s: NotRequired[float]
     usage_due_s: NotRequired[float]
+    revoke_ms: NotRequired[float]
+    strict_revoke: NotRequired[bool]
     grace_s: float
     status_s: float
     longest_validity_s: float
