--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -143,14 +143,16 @@
                 lambda: self._complete_boot_s >= since_boot_s, timeout_s
             )
 
-    def catch_up_fully(self) -> None:
+    def catch_up_fully(self) -> int:
         """Read to the end, so that what is not there was never appended.
 
-        Raises LogError, also if the listener has failed on earlier records.
+        Returns the offset of the end. Raises LogError, also if the listener
+        has failed on earlier records.
         """
-        self.catch_up()
+        end = self.catch_up()
         if self._has_missed_records:
             raise log_port.LogError('records were missed before')
+        return end
 
     def catch_up(self) -> int:
         """Read to the end of the partition and return its offset.
--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -70,20 +70,23 @@
         self,
         routes: list[dict[str, typing.Any]],
         services: list[dict[str, typing.Any]],
+        tenants: list[dict[str, typing.Any]] | None = None,
     ) -> int:
-        """Publish a configuration and return its version."""
+        """Publish a configuration and return its version.
+
+        Without tenants the deployment has no accounts.
+        """
         self.version += 1
+        configuration: dict[str, typing.Any] = {
+            'version': self.version,
+            'routes': routes,
+            'services': services,
+            'limits': {},
+        }
+        if tenants is not None:
+            configuration['tenants'] = tenants
         self._store.produce(
-            'keyed.op',
-            'config',
-            json.dumps(
-                {
-                    'version': self.version,
-                    'routes': routes,
-                    'services': services,
-                    'limits': {},
-                }
-            ).encode(),
+            'keyed.op', 'config', json.dumps(configuration).encode()
         )
         return self.version
 
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -41,7 +41,8 @@
 # An upstream that has crashed is back after this time, with a new id.
 RESTART_S = 1.0
 LEASE_MS = 1500
-USAGE_WINDOW_S = 5.0
+# Shorter than usual, so that tests see several.
+USAGE_WINDOW_S = 3.0
 # Runs an instance whose time of day is ahead.
 SHIFTED_CLOCK = """
 import runpy, sys, time
--- a/test/usage/test_reporter.py
+++ b/test/usage/test_reporter.py
@@ -207,6 +207,7 @@
 
     def test_former_holder_records_no_second_report(self) -> None:
         """It still believes in its lease, and knows other counts."""
+        self.recorded_by: list[str] = []
         self.cluster.run(6.0)
         self.second.ownership.take(2)
         self.third.recorder.record('kea', examples.START_S)
@@ -214,14 +215,23 @@
         # append of the second one.
         self.cluster.run(1.4)
         self.log.before_append = self._append_by_former_holder
+        self.cluster.time.advance(0.4)
         self.second.step()
+        self.assertEqual([self.first.name], self.recorded_by)
         self.cluster.run(5.0)
         self.assertIn(FIRST, self.api.reported)
+        appended = [
+            record.key
+            for record in self.log.partitions[1].records
+            if record.key == records.encode_report_key(FIRST) and record.value
+        ]
+        self.assertEqual(1, len(appended))
 
     def _append_by_former_holder(self, partition: int) -> None:
         if partition == 1:
             self.log.before_append = lambda _: None
             self.first.step()
+            self.recorded_by.append(self.first.name)
 
     def test_nothing_is_sent_while_the_lease_has_not_passed(self) -> None:
         """Holders alternate: A, B, A; calls of a return are late enough."""
