--- a/baobabpond/usage/sharing.py
+++ b/baobabpond/usage/sharing.py
@@ -85,12 +85,15 @@
             pending.append(records.encode_counts(key, value))
         return pending
 
-    def append_pending(self) -> bool:
-        """Append what the log lacks; return whether it has it now."""
+    def append_pending(self) -> float:
+        """Append what the log lacks; return the pause until the next append.
+
+        It is RETRY_S if the log may lack something yet.
+        """
         self.drop_closed()
         pending = self.pending()
         if not pending:
-            return True
+            return 0.0
         result = self._log.append(
             records.TOPIC, records.COUNTS_PARTITION, pending
         )
@@ -102,13 +105,13 @@
                 detail=result.detail,
                 windows=len(pending),
             )
-            return False
+            return RETRY_S
         now = time.monotonic()
         for record in pending:
             window = records.decode_counts_key(record.key).window
             counts = records.decode_counts(record.value).counts
             self._appended[window] = (counts, now)
-        return True
+        return INTERVAL_S
 
     def drop_closed(self) -> None:
         """Forget the windows that are closed; log what was not appended."""
@@ -143,12 +146,12 @@
         while True:
             self._changed.wait(CHECK_S)
             self._changed.clear()
-            is_complete = False
+            pause_s = RETRY_S
             try:
-                is_complete = self.append_pending()
+                pause_s = self.append_pending()
             except Exception:
                 # The thread must outlive a failure of one append.
                 LOG.exception('sharing counts failed')
-            if not is_complete:
+            if pause_s == RETRY_S:
                 self._changed.set()
-            time.sleep(INTERVAL_S if is_complete else RETRY_S)
+            time.sleep(pause_s)
--- a/test/emulator/test_usage.py
+++ b/test/emulator/test_usage.py
@@ -13,6 +13,8 @@
 APPLIED_S = 1.0
 TAKEOVER_S = 6.0
 HEARD_S = 1.0
+# For the append that begins with a request.
+APPEND_S = 0.1
 
 
 class UsageTestCase(base.DeploymentTestCase):
@@ -117,6 +119,7 @@
                 if instance is not self.owner()
             )
             self.assertIn(self.load.send(victim.address), (200, 500))
+            time.sleep(APPEND_S)
             victim.kill()
         self.check_reports()
 
--- a/test/usage/test_sharing.py
+++ b/test/usage/test_sharing.py
@@ -45,17 +45,23 @@
 
     def test_change_is_announced_at_once(self) -> None:
         """Few counts are lost with an instance that is killed."""
+        self.assertEqual(0.0, self.first.sharing.append_pending())
         self.first.sharing._changed.clear()
         self.count()
         self.assertTrue(self.first.sharing._changed.is_set())
+        self.assertEqual(
+            sharing_module.INTERVAL_S, self.first.sharing.append_pending()
+        )
 
     def test_counts_are_kept_while_the_log_is_away(self) -> None:
         """They are appended when it is back."""
         self.log.is_away = True
         self.count(3)
-        self.assertFalse(self.first.sharing.append_pending())
+        self.assertEqual(
+            sharing_module.RETRY_S, self.first.sharing.append_pending()
+        )
         self.log.is_away = False
-        self.assertTrue(self.first.sharing.append_pending())
+        self.first.sharing.append_pending()
         self.assertEqual({'kea': 3}, self.read_total())
 
     def test_late_append_of_older_counts_is_mended(self) -> None:
