--- a/standins/emulator/clients.py
+++ b/standins/emulator/clients.py
@@ -188,6 +188,8 @@
         self.addresses = addresses
         self._host = host
         self._prefix = prefix
+        # Key of its account; requests carry none if it is empty.
+        self.key = ''
         self._client = Client()
         self._request_count = 0
 
@@ -256,9 +258,10 @@
             address
             or self.addresses[self._request_count % len(self.addresses)]
         )
-        return self._client.send(
-            address, method, target, {**headers, 'Host': self._host}, body
-        )
+        headers = {**headers, 'Host': self._host}
+        if self.key:
+            headers['Authorization'] = f'Bearer {self.key}'
+        return self._client.send(address, method, target, headers, body)
 
 
 def reward_id(item: str) -> str:
