Decode how the upstreams of a service may be ordered

Services may state limits, prices and the boot time of their upstreams; registrations tell whether an upstream may be reclaimed and when it leaves.

--- a/baobabpond/ports/catalogue.py
+++ b/baobabpond/ports/catalogue.py
@@ -49,6 +49,22 @@
         return self.kind is not RouteKind.NON_IDEMPOTENT
 
 
+class Scaling(typing.NamedTuple):
+    """Limit how many upstreams of a service may be ordered, and price them.
+
+    The limits apply to each data centre, and to both kinds together.
+    """
+
+    min_count: int
+    max_count: int
+    # Time from an order until new upstreams serve.
+    boot_s: float
+    # Of an upstream that may be reclaimed, relative to the others.
+    spot_price: float
+    # By data centre: the price of an upstream.
+    prices: dict[str, float]
+
+
 class Service(typing.NamedTuple):
     """Describe a service, i.e. a group of upstreams."""
 
@@ -60,6 +76,8 @@
     models: tuple[str, ...]
     # Tokens that fit into the KV cache of one upstream; 0 if not given.
     kv_capacity_tokens: int
+    # None if its upstreams can't be ordered.
+    scaling: Scaling | None = None
 
 
 class Limits(typing.NamedTuple):
@@ -115,6 +133,10 @@
     versions: dict[str, int]
     # Version of the upstream's own software, not of its weights.
     software: str = ''
+    # The platform may reclaim it.
+    is_spot: bool = False
+    # Time from the registration until it leaves; None if not stated.
+    leaves_s: float | None = None
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/test/platform_plugin/test_plugin.py
+++ b/test/platform_plugin/test_plugin.py
@@ -131,6 +131,50 @@
         assert decoded is not None
         return decoded
 
+    def test_scaling(self) -> None:
+        """Limits and prices of upstreams; services without are not scaled."""
+        scaling = {
+            'min': 1,
+            'max': 15,
+            'boot-s': 4.0,
+            'spot-price': 0.18,
+            'zone-prices': {'gdansk': 1.0, 'gdynia': 0.8},
+        }
+        decoded = self.configuration(
+            services=[{'name': 's', 'scaling': scaling}, {'name': 't'}]
+        )
+        self.assertEqual(
+            catalogue.Scaling(
+                1, 15, 4.0, 0.18, {'gdansk': 1.0, 'gdynia': 0.8}
+            ),
+            decoded.services['s'].scaling,
+        )
+        self.assertIsNone(decoded.services['t'].scaling)
+        with self.assertRaises(decoding.MalformedData):
+            self.configuration(
+                services=[{'name': 's', 'scaling': {**scaling, 'max': -1}}]
+            )
+
+    def test_spot_upstream_that_is_reclaimed(self) -> None:
+        """Its registration states the time that is left."""
+        value = {
+            'service': 's',
+            'address': '127.0.0.1:9',
+            'zone': 'gdynia',
+            'slots': 8,
+            'state': 'draining',
+            'use-spot': True,
+            'leaves_ms': 1500,
+        }
+        entry = self.decoder.upstream('i-1', json.dumps(value).encode())
+        self.assertEqual(
+            (True, True, 1.5), (entry.draining, entry.is_spot, entry.leaves_s)
+        )
+        for name in ('use-spot', 'leaves_ms'):
+            del value[name]
+        entry = self.decoder.upstream('i-1', json.dumps(value).encode())
+        self.assertEqual((False, None), (entry.is_spot, entry.leaves_s))
+
     def test_accounts(self) -> None:
         """Accounts are found by key; without tenants there are none."""
         decoded = self.configuration(
