Wait for the release of body memory in the test of its refusals

The memory of a request's body is given back after its response was sent, so that the client may send the next large body before that and is refused with 503, as it may be; the suspected bound of 1 s was never exceeded. Beside 16 busy processes (load 16 to 31) the test was red in 11 of 47 runs, each time for this reason. It now waits until nothing is held, which a leak would prevent, before the next large body: 0 of 208 runs red at a load of 24 to 36.

--- a/test/edge/test_body_memory.py
+++ b/test/edge/test_body_memory.py
@@ -9,6 +9,7 @@
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import catalogue
+from standins.emulator import deployment
 from standins.emulator import serving
 from test.edge import test_unread_bodies as wire
 
@@ -17,6 +18,7 @@
 SMALL_BYTES = 600
 RELEASE_S = 0.2
 WAIT_S = 5.0
+USED_BYTES = 'edge.body_memory.requests.used_bytes'
 
 
 class BodyMemoryTest(unittest.TestCase):
@@ -32,7 +34,7 @@
     def used_bytes(self) -> float:
         """Return the gauge of what is used."""
         gauges = self.metrics.snapshot()['gauges']
-        return gauges['edge.body_memory.requests.used_bytes']
+        return gauges[USED_BYTES]
 
     def test_large_bodies_share_the_limit(self) -> None:
         """What is released is free for others."""
@@ -92,13 +94,14 @@
         """Start the server."""
         self.goes_on = threading.Event()
         self.holds = threading.Event()
+        self.metrics = metrics.Metrics()
         self.server = server.Server(
             (serving.ADDRESS, serving.free_port()),
             self.handle,
             4,
             metrics.Metrics(),
             catalogue.Limits(),
-            body_memory.BodyMemory('requests', LIMIT_BYTES, metrics.Metrics()),
+            body_memory.BodyMemory('requests', LIMIT_BYTES, self.metrics),
         )
         self.server.start_thread('test')
         self.addCleanup(self.server.stop)
@@ -123,12 +126,25 @@
         sock.sendall(wire.request('/200', b'b' * size, is_chunked))
         return sock
 
+    def wait_until_released(self) -> None:
+        """Wait until no body is held; the response precedes the release."""
+        deployment.wait_for(
+            lambda: (
+                self.metrics.snapshot()['gauges'].get(USED_BYTES, 0.0) == 0.0
+            ),
+            WAIT_S,
+        )
+
     def test_what_cannot_be_held_is_refused(self) -> None:
-        """Small requests are served meanwhile, large ones afterwards."""
+        """Small requests are served meanwhile, large ones afterwards.
+
+        Guard against memory that is not given back after a request.
+        """
         for is_chunked in (False, True):
             with self.subTest(is_chunked=is_chunked):
                 self.goes_on.clear()
                 self.holds.clear()
+                self.wait_until_released()
                 held = self.send(LARGE_BYTES, is_chunked)
                 self.assertTrue(self.holds.wait(WAIT_S))
                 started = time.monotonic()
@@ -141,5 +157,6 @@
                 self.assertLess(time.monotonic() - started, wire.PROMPT_S)
                 self.goes_on.set()
                 self.assertEqual(200, wire.read_response(held).status)
+                self.wait_until_released()
                 again = wire.read_response(self.send(LARGE_BYTES, is_chunked))
                 self.assertEqual(200, again.status)
