Bound the work of a scheduling pass by what can start

Each pass looked at all waiting items at all upstreams and held the lock meanwhile; events of runs waited for it, sound runs looked slow or stalled and were moved, and their items waited again. Items are now put into order without the lock, in at most a tenth of the time; a pass starts them by requirements until nothing fits and reviews 100 others.

--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -60,6 +60,15 @@
             and not upstream.entry.draining
         ]
 
+    def has_free_slot(self, now: float) -> bool:
+        """Return whether an upstream may have room for a run."""
+        return any(
+            upstream.suspended_until <= now
+            and len(upstream.runs) < _usable_slots(upstream)
+            and not upstream.entry.draining
+            for upstream in self._upstreams.values()
+        )
+
     def candidates(
         self,
         service: str,
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -19,19 +19,44 @@
 from . import migrator as migrator_module
 from . import partial_outputs as partial_outputs_module
 from . import placement
-from . import queue
 from . import runner as runner_module
 from . import state
 from . import version_policy
+from . import waiting
 
 # A batch whose route is missing for longer than this fails.
 ROUTE_MISSING_TIMEOUT_S = 3.0
 # The middle of the scale, on which 0 is the most urgent.
 ITEM_PRIORITY = 5
+# Waiting items that one pass reviews, whether they can start or not. The lock
+# is held meanwhile.
+REVIEWED_ITEMS = 100
 
 LOG = structlog.get_logger(__name__)
 
 
+# By batch and item id.
+Tasks = collections.abc.Mapping[tuple[str, str], state.Task]
+
+
+class RankedItems(typing.NamedTuple):
+    """Waiting items in order, and how long it took to find it."""
+
+    order: waiting.Order
+    took_s: float
+
+
+class Room(typing.NamedTuple):
+    """Where an item with events could run now."""
+
+    # An upstream with the software version that wrote them takes it.
+    has_own: bool
+    # Any other takes it if it begins again.
+    has_other: bool
+    # An upstream with that version is registered, though it may be full.
+    is_in_service: bool
+
+
 class OutputListener(typing.Protocol):
     """Receive the end of runs."""
 
@@ -47,7 +72,7 @@
 class RunStage:
     """Start and migrate runs, and process their events and outcomes.
 
-    The scheduler's lock guards the calls, but that of on_event.
+    The scheduler's lock guards the calls, but those of on_event and rank.
     """
 
     def __init__(
@@ -69,41 +94,83 @@
         self._metrics = metrics
         self._route_missing_since: dict[str, float] = {}
         self._estimator = state.EventEstimator()
+        self._waiting = waiting.WaitingItems()
+        # In order of their start.
+        self._active: dict[state.Run, None] = {}
         self._migrator = migrator_module.Migrator(
             self._estimator, self._candidates, metrics
         )
 
-    def assign(self, tasks: collections.abc.Collection[state.Task]) -> None:
-        """Migrate runs and start waiting items in order of priority."""
+    def reset(self) -> None:
+        """Forget the items of the former tenure."""
+        self._waiting.clear()
+
+    def snapshot(
+        self, tasks: collections.abc.Collection[state.Task]
+    ) -> waiting.Snapshot | None:
+        """Return what to put into order, None if it is too early."""
+        if not self._waiting.is_order_due:
+            return None
+        return waiting.Snapshot(
+            list(tasks), self._estimator, self._fleet.limited_services()
+        )
+
+    def rank(self, snapshot: waiting.Snapshot) -> RankedItems:
+        """Put the waiting items into order, without the lock."""
+        started = time.monotonic()
+        order = waiting.rank(snapshot, self._find_service)
+        return RankedItems(order, time.monotonic() - started)
+
+    def assign(self, tasks: Tasks, ranked: RankedItems | None) -> None:
+        """Migrate runs and start waiting items in order of priority.
+
+        Looks at as many items as there are free slots, and at a few more that
+        wait.
+        """
         self._cancel_lost_runs()
-        self._migrator.check(tasks)
+        self._migrator.check([run.task for run in self._active])
         now = time.monotonic()
-        for task in self._ordered(tasks, now):
-            self._try_start(task, now)
-
-    def _ordered(
-        self, tasks: collections.abc.Collection[state.Task], now: float
-    ) -> list[state.Task]:
-        limited = self._fleet.limited_services()
 
-        def is_limited(task: state.Task) -> bool:
-            if not limited:
-                return False
-            route = self._route(task.batch.head, task.item.target)
+        def is_waiting(task: state.Task) -> bool:
             return (
-                route is not None
-                and self._pick_service(task, route) in limited
+                tasks.get((task.batch.head.id, task.id)) is task
+                and task.needs_events
+                and task.run is None
+                and task.not_before <= now
             )
 
-        return queue.ordered(
-            tasks, self._estimator, now, is_limited=is_limited
+        if ranked is not None:
+            self._waiting.set_order(ranked.order, ranked.took_s)
+            for task in ranked.order.overdue:
+                if is_waiting(task):
+                    self._update(task, now)
+        if self._fleet.has_free_slot(now):
+            self._waiting.start_in_order(
+                is_waiting, lambda task: self._try_start(task, now)
+            )
+        self._review(
+            [
+                task
+                for task in self._waiting.next_to_review(
+                    tasks.values(), REVIEWED_ITEMS
+                )
+                if is_waiting(task)
+            ],
+            now,
         )
 
+    def _find_service(self, task: state.Task) -> str | None:
+        route = self._route(task.batch.head, task.item.target)
+        return None if route is None else self._pick_service(task, route)
+
     def on_event(
         self, run: state.Run, event: upstream_port.StreamEvent
     ) -> bool:
         """Process the next event; return whether the run should continue."""
         now = time.monotonic()
+        gap_s = now - run.last_event_at
+        # A wait for the lock is no silence of the upstream.
+        run.last_event_at = now
         with self._lock:
             task = run.task
             if task.run is not run or run.cancel_reason:
@@ -115,9 +182,8 @@
                 run.cancel('weights changed')
                 return False
             if run.has_begun:
-                run.upstream.observe_gap(now - run.last_event_at)
+                run.upstream.observe_gap(gap_s)
             run.events += 1
-            run.last_event_at = now
             task.consecutive_refusals = 0
             task.add_event(
                 event.data, event.weight_version, run.upstream.entry.software
@@ -154,37 +220,76 @@
     def _pick_service(task: state.Task, route: catalogue.Route) -> str:
         return current_module.pick_service(route, task.id)
 
-    def _try_start(self, task: state.Task, now: float) -> None:
+    def _try_start(self, task: state.Task, now: float) -> bool:
+        """Start an item; return False if alike items can't start either."""
+        service = self._update(task, now)
+        if service is None:
+            # Given up, or without a route.
+            return True
+        chosen = self._choose(task, service)
+        if chosen is None and task.events:
+            room = self._room(task, service)
+            if self._restart_if_short(task, room, now):
+                chosen = self._choose(task, service)
+                if chosen is None:
+                    # It has other requirements now.
+                    return True
+        upstream = None if chosen is None else self._fleet.find(chosen)
+        if upstream is None:
+            task.wait_reason = self._fleet.wait_reason(service, task)
+            return False
+        return self._start_with_permit(task, upstream, task.give_up_at - now)
+
+    def _choose(self, task: state.Task, service: str) -> str | None:
+        return placement.choose(
+            self._fleet.candidates(
+                service, task, self._kv_capacity_tokens(service)
+            )
+        )
+
+    def _update(self, task: state.Task, now: float) -> str | None:
+        """Apply the route of an item; return its service.
+
+        Returns None if the item is given up, or has no route at present.
+        """
         route = self._route(task.batch.head, task.item.target)
         if route is None:
             self._handle_missing_route(task, now)
-            return
+            return None
         self._route_missing_since.pop(task.batch.head.id, None)
         # The route may have been missing or different when the item arrived.
         task.due_at = task.batch.submitted + route.due_s
         if route.single_version and not task.single_version:
             self._partial_outputs.require_single_version(task)
         task.give_up_at = task.batch.submitted + route.give_up_after_s
-        remaining_s = task.give_up_at - now
-        if remaining_s <= 0:
+        if task.give_up_at <= now:
             self._listener.fail(task, 'deadline exceeded')
-            return
-        service = self._pick_service(task, route)
-        tokens = self._kv_capacity_tokens(service)
-        chosen = placement.choose(
-            self._fleet.candidates(service, task, tokens)
-        )
-        if chosen is None and task.events:
-            chosen = self._choose_after_restart(task, service, tokens, now)
-        if chosen is not None:
-            upstream = self._fleet.find(chosen)
-            if upstream is not None:
-                self._start_with_permit(task, upstream, remaining_s)
-            return
-        task.wait_reason = self._fleet.wait_reason(service, task)
-        if task.required_version and task.wait_reason == fleet_module.WEIGHTS:
-            # No upstream serves the required version any more.
-            self._partial_outputs.restart(task)
+            return None
+        return self._pick_service(task, route)
+
+    def _review(
+        self, tasks: collections.abc.Iterable[state.Task], now: float
+    ) -> None:
+        """Apply routes and time limits to items that wait behind others."""
+        reasons: dict[waiting.Requirements, str] = {}
+        rooms: dict[waiting.Requirements, Room] = {}
+        for task in tasks:
+            service = self._update(task, now)
+            if service is None:
+                continue
+            needs = waiting.requirements(service, task)
+            if needs not in reasons:
+                reasons[needs] = self._fleet.wait_reason(service, task)
+            task.wait_reason = reasons[needs]
+            if needs.required_version and (
+                task.wait_reason == fleet_module.WEIGHTS
+            ):
+                # No upstream serves the required version any more.
+                self._partial_outputs.restart(task)
+            elif task.events:
+                if needs not in rooms:
+                    rooms[needs] = self._room(task, service)
+                self._restart_if_short(task, rooms[needs], now)
 
     def _handle_missing_route(self, task: state.Task, now: float) -> None:
         if self._current.configuration is None:
@@ -193,25 +298,35 @@
         if now - since > ROUTE_MISSING_TIMEOUT_S:
             self._listener.fail(task, 'route removed')
 
-    def _choose_after_restart(
-        self, task: state.Task, service: str, tokens: int, now: float
-    ) -> str | None:
-        """Drop the events if their software version is short, then choose.
+    def _room(self, task: state.Task, service: str) -> Room:
+        """Find out where an item could go on, or begin again."""
+        tokens = self._kv_capacity_tokens(service)
+        own = self._fleet.candidates(service, task, tokens)
+        other = self._fleet.candidates(
+            service, task, tokens, any_software=True
+        )
+        return Room(
+            placement.choose(own) is not None,
+            placement.choose(other) is not None,
+            self._fleet.has_software(service, task.software),
+        )
+
+    def _restart_if_short(
+        self, task: state.Task, room: Room, now: float
+    ) -> bool:
+        """Drop the events of an item if their software version is short.
 
-        Returns None if the output should rather wait, or if none is free.
+        Returns False if the output should rather wait.
         """
-        other = placement.choose(
-            self._fleet.candidates(service, task, tokens, any_software=True)
-        )
+        if room.has_own:
+            return False
         reason = version_policy.restart_reason(
             version_policy.WaitingOutput(
-                now - task.idle_since,
-                self._fleet.has_software(service, task.software),
-                other is not None,
+                now - task.idle_since, room.is_in_service, room.has_other
             )
         )
         if not reason:
-            return None
+            return False
         self._metrics.count(
             f'pool.outputs_restarted.{reason.replace(" ", "_")}'
         )
@@ -225,18 +340,19 @@
             waited_s=round(now - task.idle_since, 3),
         )
         self._partial_outputs.restart(task)
-        return placement.choose(self._fleet.candidates(service, task, tokens))
+        return True
 
     def _start_with_permit(
         self, task: state.Task, upstream: state.Upstream, remaining_s: float
-    ) -> None:
+    ) -> bool:
         try:
             permit = self._fleet.take_permit(upstream)
         except permits_module.RateLimited:
             # A caller of this instance has taken it.
             task.wait_reason = fleet_module.REQUEST_LIMITS
-            return
+            return False
         self._start(task, upstream, permit, remaining_s)
+        return True
 
     def _start(
         self,
@@ -248,6 +364,7 @@
         run = state.Run(task, upstream)
         task.run = run
         upstream.runs.add(run)
+        self._active[run] = None
         attempt = runner_module.Attempt(
             run,
             runner_module.build_request(task),
@@ -292,6 +409,7 @@
         task = run.task
         upstream = run.upstream
         upstream.runs.discard(run)
+        self._active.pop(run, None)
         self._metrics.count(f'pool.runs.{outcome.value}')
         if task.run is not run:
             return
--- a/baobabpond/pool/scheduler.py
+++ b/baobabpond/pool/scheduler.py
@@ -25,6 +25,7 @@
 from . import run_stage as run_stage_module
 from . import runner as runner_module
 from . import state
+from . import waiting
 
 TICK_S = 0.05
 RETENTION_INTERVAL_S = 5.0
@@ -87,6 +88,7 @@
             self._tasks.clear()
             self._intake.reset()
             self._outbox.reset(tenure.epoch)
+            self._runs.reset()
             self._rewards.reset()
             self._default_versions.reset()
         threading.Thread(
@@ -166,6 +168,7 @@
     def _run(self, tenure: ownership.Tenure) -> None:
         revision = -1
         while True:
+            snapshot = None
             with self._changed:
                 if self._tenure is not tenure:
                     return
@@ -173,13 +176,33 @@
                     if self._shard_state.revision != revision:
                         revision = self._shard_state.revision
                         self._intake.sync(self._tasks)
-                    self._runs.assign(self._tasks.values())
-                    self._rewards.assign(self._tasks.values())
+                    snapshot = self._runs.snapshot(self._tasks.values())
                 except Exception:
                     # An error in one item must not stop the others.
                     LOG.exception('scheduling pass failed')
+            ranked = self._rank(snapshot)
+            with self._changed:
+                if self._tenure is not tenure:
+                    return
+                try:
+                    self._runs.assign(self._tasks, ranked)
+                    self._rewards.assign(self._tasks.values())
+                except Exception:
+                    LOG.exception('scheduling pass failed')
                 self._changed.wait(TICK_S)
 
+    def _rank(
+        self, snapshot: waiting.Snapshot | None
+    ) -> run_stage_module.RankedItems | None:
+        """Put items into order while events of runs are processed."""
+        if snapshot is None:
+            return None
+        try:
+            return self._runs.rank(snapshot)
+        except Exception:
+            LOG.exception('waiting items could not be put into order')
+            return None
+
     def complete_output(self, task: state.Task) -> None:
         """Finish an item, or have its complete output scored first.
 
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -12,6 +12,7 @@
 from measure import registry
 from measure import relay  # noqa: F401  Registers measurements.
 from measure import rollout  # noqa: F401  Registers measurements.
+from measure import scheduling  # noqa: F401  Registers measurements.
 from measure import slopes  # noqa: F401  Registers measurements.
 
 GROUP_KEYS = ('variant', 'user', 'fault', 'instances')
