End items whose output exceeds a record of the log

The log refused the owner's append for one such record, the owner took that for the loss of the shard, and the next one did the same. The outbox now encodes within the limit: results that are too large together are split, and an item whose result or event alone is too large is listed as failed, its run ended. Looked at elsewhere: an item that is too large at its submission gets 413, other topics append small records.

--- a/baobabpond/batches/records.py
+++ b/baobabpond/batches/records.py
@@ -8,7 +8,11 @@
 from ..ports import callers
 from ..ports import log as log_port
 
-# Below the smallest record size limit of the known platforms.
+# Smallest limit of the size of a record among the known platforms; whether
+# they count the key is not stated.
+MAX_RECORD_BYTES = 262_144
+# Text that goes into one record; it grows as JSON and shrinks as it is
+# compressed.
 MAX_PART_BYTES = 200_000
 # Smaller values stay plain JSON. The others are compressed since all instances
 # that start read all records, and share the read rate of the log.
@@ -263,6 +267,11 @@
     return log_port.Record(key, b'')
 
 
+def is_too_large(record: log_port.Record) -> bool:
+    """Return whether the log would refuse a record, and all beside it."""
+    return len(record.key.encode()) + len(record.value) > MAX_RECORD_BYTES
+
+
 def _encode(value: typing.Any) -> bytes:
     """Encode as JSON, compressed from MIN_COMPRESSED_BYTES on."""
     encoded = json.dumps(value, separators=(',', ':')).encode()
--- a/baobabpond/pool/outbox.py
+++ b/baobabpond/pool/outbox.py
@@ -3,6 +3,9 @@
 import collections
 import collections.abc
 import time
+import typing
+
+import structlog
 
 from ..batches import records
 from ..batches import shard_state as state_module
@@ -17,6 +20,15 @@
 # Allowance per result or event for names, versions and JSON syntax.
 RECORD_OVERHEAD_BYTES = 300
 
+LOG = structlog.get_logger(__name__)
+
+
+class Segment(typing.NamedTuple):
+    """A record of events, and whether the output ends with them."""
+
+    record: log_port.Record
+    is_last: bool
+
 
 class Outbox:
     """Queue finished items until their results are appended to the log.
@@ -92,14 +104,14 @@
         new += self._drain_failures()
         if time.monotonic() >= self._next_progress_at:
             self._next_progress_at = time.monotonic() + PROGRESS_INTERVAL_S
-            new += _progress(tasks, MAX_APPEND_BYTES - _size(new))
+            new += self._progress(tasks, MAX_APPEND_BYTES - _size(new))
         return new
 
     def _drain_results(self) -> list[log_port.Record]:
         """Return records of results, within the record and append limits."""
         new: list[log_port.Record] = []
         batch = ''
-        results: list[callers.Result] = []
+        listed: list[state.Task] = []
         size = 0
         total = 0
         while self._finished and total < MAX_APPEND_BYTES:
@@ -108,19 +120,19 @@
                 continue
             length = len(task.result.output.encode()) + RECORD_OVERHEAD_BYTES
             is_full = size + length > records.MAX_PART_BYTES
-            if results and (task.batch.head.id != batch or is_full):
-                new.append(self._encode(batch, results))
-                results = []
+            if listed and (task.batch.head.id != batch or is_full):
+                new += self._encode(batch, listed)
+                listed = []
                 size = 0
             batch = task.batch.head.id
-            results.append(task.result)
+            listed.append(task)
             size += length
             total += length
             self._obsolete_keys += self._shard_state.temporary_keys(
                 task.batch.head.id, task.id
             )
-        if results:
-            new.append(self._encode(batch, results))
+        if listed:
+            new += self._encode(batch, listed)
         return new
 
     def _drain_outputs(self, remaining_bytes: int) -> list[log_port.Record]:
@@ -131,10 +143,14 @@
             if task.result is not None or task.unscored is None:
                 self._outputs.popleft()
                 continue
-            record, is_last = _next_segment(task)
-            new.append(record)
-            remaining_bytes -= len(record.value)
-            if is_last:
+            segment = _next_segment(task)
+            if segment is None:
+                self._outputs.popleft()
+                self._give_up(task)
+                continue
+            new.append(segment.record)
+            remaining_bytes -= len(segment.record.value)
+            if segment.is_last:
                 self._unconfirmed.append(self._outputs.popleft())
         return new
 
@@ -149,34 +165,79 @@
         return new
 
     def _encode(
-        self, batch: str, results: list[callers.Result]
-    ) -> log_port.Record:
+        self, batch: str, tasks: list[state.Task]
+    ) -> list[log_port.Record]:
+        """Return records of the results of items that the log accepts.
+
+        An item whose result alone exceeds the limit is given up: the log
+        would refuse it at any time, and all that is appended with it.
+        """
         self._record_number += 1
-        return records.encode_results(
-            records.Results(batch, results),
+        record = records.encode_results(
+            records.Results(
+                batch, [task.result for task in tasks if task.result]
+            ),
             f'{self._epoch}.{self._record_number}',
         )
+        if not records.is_too_large(record):
+            return [record]
+        if len(tasks) == 1:
+            _fail(tasks[0])
+            return self._encode(batch, tasks)
+        middle = len(tasks) // 2
+        return [
+            *self._encode(batch, tasks[:middle]),
+            *self._encode(batch, tasks[middle:]),
+        ]
+
+    def _progress(
+        self,
+        tasks: collections.abc.Iterable[state.Task],
+        remaining_bytes: int,
+    ) -> list[log_port.Record]:
+        """Return records of progress not persisted yet, within the limit.
 
+        Complete outputs are queued by themselves.
+        """
+        new = []
+        for task in tasks:
+            if task.result is not None:
+                continue
+            if task.needs_events and len(task.events) > task.persisted_events:
+                segment = _next_segment(task)
+                if segment is None:
+                    self._give_up(task)
+                    continue
+                new.append(segment.record)
+                remaining_bytes -= len(segment.record.value)
+            if (
+                task.failures,
+                task.reward_failures,
+            ) != task.persisted_failures:
+                new.append(_failures_record(task))
+            if remaining_bytes < 0:
+                break
+        return new
 
-def _progress(
-    tasks: collections.abc.Iterable[state.Task], remaining_bytes: int
-) -> list[log_port.Record]:
-    """Return records of progress not persisted yet, within the size limit.
+    def _give_up(self, task: state.Task) -> None:
+        """List an item as failed that has an event too large for a record."""
+        _fail(task)
+        if task.run is not None:
+            task.run.cancel('output too large')
+        self._finished.append(task)
 
-    Complete outputs are queued by themselves.
-    """
-    new = []
-    for task in tasks:
-        if task.result is not None:
-            continue
-        if task.needs_events and len(task.events) > task.persisted_events:
-            new.append(_next_segment(task)[0])
-            remaining_bytes -= len(new[-1].value)
-        if (task.failures, task.reward_failures) != task.persisted_failures:
-            new.append(_failures_record(task))
-        if remaining_bytes < 0:
-            break
-    return new
+
+def _fail(task: state.Task) -> None:
+    """Replace the result of an item whose output exceeds a record."""
+    LOG.warning(
+        'item given up',
+        request=task.id,
+        batch=task.batch.head.id,
+        reason='output too large for a record',
+        events=len(task.events),
+    )
+    task.result = callers.Result(task.id, False, '', ())
+    task.finished_at = time.monotonic()
 
 
 def _failures_record(task: state.Task) -> log_port.Record:
@@ -186,26 +247,36 @@
     )
 
 
-def _next_segment(task: state.Task) -> tuple[log_port.Record, bool]:
-    """Return a record of the next events, and whether it is the last one."""
+def _next_segment(task: state.Task) -> Segment | None:
+    """Return a record of the next events; None if one event exceeds it."""
     unpersisted = _first_part(task.events[task.persisted_events :])
-    first_event = task.persisted_events + 1
+    segment = _encode_segment(task, unpersisted)
+    while records.is_too_large(segment.record):
+        if len(unpersisted) < 2:
+            return None
+        unpersisted = unpersisted[: len(unpersisted) // 2]
+        segment = _encode_segment(task, unpersisted)
     task.persisted_events += len(unpersisted)
-    is_last = not task.needs_events and task.persisted_events == len(
-        task.events
-    )
+    return segment
+
+
+def _encode_segment(
+    task: state.Task, events: list[tuple[str, int]]
+) -> Segment:
+    end = task.persisted_events + len(events)
+    is_last = not task.needs_events and end == len(task.events)
     record = records.encode_progress(
         records.Progress(
             task.id,
             task.output_id,
-            first_event,
-            [data for data, _ in unpersisted],
-            [version for _, version in unpersisted],
+            task.persisted_events + 1,
+            [data for data, _ in events],
+            [version for _, version in events],
             is_last,
             task.software,
         )
     )
-    return record, is_last
+    return Segment(record, is_last)
 
 
 def _first_part(events: list[tuple[str, int]]) -> list[tuple[str, int]]:
--- a/standins/emulator/outputs.py
+++ b/standins/emulator/outputs.py
@@ -1,5 +1,7 @@
 """Define what emulated upstreams respond, so that it can be checked."""
 
+import random
+import string
 import zlib
 
 # Software version of upstreams that are not told another.
@@ -39,6 +41,12 @@
     return output == full_output(request_id, software_of(output))
 
 
+def random_text(length: int) -> str:
+    """Return text that compression makes little smaller."""
+    letters = string.ascii_letters + string.digits
+    return ''.join(random.Random(length).choices(letters, k=length))
+
+
 def plain_response(request_id: str, body: bytes) -> bytes:
     """Return the response body of a plain service."""
     return f'{request_id}/{len(body)}/{zlib.crc32(body)}'.encode()
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -17,6 +17,8 @@
 # End and start offset of the partition, sent ahead of the records.
 READ_HEADER = struct.Struct('>QQ')
 # Responses kept per producer; a repeated append gets the kept one.
+# Key and value.
+MAX_RECORD_BYTES = 262_144
 MAX_REMEMBERED_APPENDS = 5
 PAGE_ITEMS = 500
 # Each long-polling read occupies a thread.
@@ -218,7 +220,10 @@
             if early_response is not None:
                 return early_response
             offset = partition.end_offset
-            for record in _split_records(body):
+            new = _split_records(body)
+            if any(len(record) > MAX_RECORD_BYTES for record in new):
+                return 413, {}
+            for record in new:
                 partition.append(record)
             response = {'offset': offset, 'end': partition.end_offset}
             self._update_producer(partition, query, response)
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -77,6 +77,8 @@
         # If set, what answers a stream that is resumed; one of 'failed' (500),
         # 'rejected' (422), 'unmarked' (without a signature) and 'head_only'.
         self.resumption_fault: str | None = None
+        # Ids of items whose events have random text of this length appended.
+        self.long_events: dict[str, int] = {}
         # If set, weight orders are executed after this delay, and their
         # responses are never sent.
         self.order_delay_s: float | None = None
@@ -439,6 +441,7 @@
                 serving.close_without_response(exchange)
                 return
             data = outputs.event_data(stream, number, self.software)
+            data += outputs.random_text(self.long_events.get(request_id, 0))
             block = f'id: {number}\ndata: {data}\n\n'
             current_version = self.versions[model]
             if current_version != version:
--- a/test/emulator/test_batches.py
+++ b/test/emulator/test_batches.py
@@ -21,6 +21,32 @@
         self.assertEqual(200, self.trainer.end(batch).status)
         self.check_results(batch)
 
+    def test_outputs_too_large_for_the_log_end_their_items(self) -> None:
+        """Guard against a shard that is given up for a refused record.
+
+        One item has an event that exceeds a record; of the other, all events
+        together do.
+        """
+        batch = self.new_batch()
+        large = [batch.items[2][0], batch.items[9][0]]
+        for sampler in self.deployment.samplers:
+            sampler.long_events = {large[0]: 700_000, large[1]: 120_000}
+        self.submit(batch)
+        self.read_and_check(batch)
+        failed = [
+            result['id']
+            for result in batch.results.values()
+            if result['state'] != 'completed'
+        ]
+        self.assertEqual(sorted(large), sorted(failed))
+        events = [
+            line['event']
+            for instance in self.deployment.instances
+            for line in instance.log_entries()
+        ]
+        self.assertEqual(1, events.count('claimed the shard'))
+        self.assertNotIn('the shard was lost', events)
+
     def test_unknown_batch_is_not_found(self) -> None:
         """Requests for a batch that was never submitted get 404."""
         batch = self.new_batch()
--- a/test/pool/test_outbox.py
+++ b/test/pool/test_outbox.py
@@ -1,11 +1,16 @@
 """Test the records that the owner of a shard appends."""
 
+import random
+import string
 import unittest
+from unittest import mock
 
 from baobabpond.batches import records
 from baobabpond.batches import shard_state as state_module
 from baobabpond.pool import outbox as outbox_module
+from baobabpond.pool import state
 from baobabpond.ports import callers
+from baobabpond.ports import log as log_port
 from test.pool import examples
 
 # Limits of the log on the users' platform.
@@ -13,6 +18,13 @@
 CALL_BYTES = 2_097_152
 
 
+def incompressible(
+    length: int, alphabet: str = string.ascii_letters + string.digits
+) -> str:
+    """Return random text, which compression makes little smaller."""
+    return ''.join(random.Random(length).choices(alphabet, k=length))
+
+
 class OutboxTest(unittest.TestCase):
     """Collect records."""
 
@@ -44,6 +56,87 @@
                 listed += [result.id for result in decoded.results]
         self.assertEqual([f'i{number}' for number in range(120)], listed)
 
+    def drain_all(self) -> list[log_port.Record]:
+        """Return the records of all appends that are due; check each."""
+        drained: list[log_port.Record] = []
+        while self.outbox.has_results:
+            drained += self.outbox.drain([])
+        for record in drained:
+            self.assertLessEqual(len(record.value), RECORD_BYTES, record.key)
+        return drained
+
+    def results_in(
+        self, drained: list[log_port.Record]
+    ) -> dict[str, callers.Result]:
+        """Return the results in records by item."""
+        return {
+            result.id: result
+            for record in drained
+            if record.key.startswith(f'{records.RESULT}/')
+            for result in records.decode_results(
+                record.key, record.value
+            ).results
+        }
+
+    def test_result_too_large_for_a_record_is_final(self) -> None:
+        """Guard against an append that the log refuses each time.
+
+        The owner would give up the shard, and so would the next one.
+        """
+        for number in range(9):
+            task = examples.task(f'i{number}')
+            output = incompressible(700_000) if number == 4 else 'x' * 100
+            task.result = callers.Result(task.id, True, output, (1,))
+            self.outbox.add(task)
+        found = self.results_in(self.drain_all())
+        self.assertEqual({f'i{n}' for n in range(9)}, set(found))
+        self.assertEqual(
+            ['i4'], [r.id for r in found.values() if not r.completed]
+        )
+
+    def test_results_that_grow_when_encoded_are_split(self) -> None:
+        """Guard against a limit that only the text itself is kept to."""
+        for number in range(9):
+            task = examples.task(f'i{number}')
+            # JSON takes six bytes for each character.
+            output = incompressible(30_000, '\x01\x02\x03\u4e00\U0001f600')
+            task.result = callers.Result(task.id, True, output, (1,))
+            self.outbox.add(task)
+        with mock.patch.object(
+            records, 'MAX_RECORD_BYTES', 40_000, spec_set=True
+        ):
+            drained = self.drain_all()
+        for record in drained:
+            self.assertLessEqual(len(record.value), 40_000)
+        found = self.results_in(drained)
+        self.assertEqual(9, sum(result.completed for result in found.values()))
+
+    def test_event_too_large_for_a_record_ends_its_item(self) -> None:
+        """Guard against progress that the log refuses each time."""
+        large, other = examples.task('large'), examples.task('other')
+        large.events = [('y', 1), (incompressible(700_000), 1), ('y', 1)]
+        other.events = [('y', 1)]
+        run = large.run = mock.create_autospec(state.Run, instance=True)
+        drained = self.outbox.drain([large, other])
+        self.outbox.request_progress()
+        drained += self.outbox.drain([large, other])
+        drained += self.drain_all()
+        for record in drained:
+            self.assertLessEqual(len(record.value), RECORD_BYTES, record.key)
+        run.cancel.assert_called_once()
+        self.assertIn('progress/other//1', [each.key for each in drained])
+        self.assertFalse(self.results_in(drained)['large'].completed)
+
+    def test_output_too_large_for_a_record_gets_no_reward_call(self) -> None:
+        """Guard against a complete output that never is on the log."""
+        task = examples.task('large')
+        task.events = [(incompressible(700_000), 1)]
+        task.unscored = callers.Result('large', True, 'y', (1,))
+        self.outbox.add_output(task)
+        found = self.results_in(self.drain_all())
+        self.assertFalse(found['large'].completed)
+        self.assertEqual([], self.outbox.confirm())
+
     def test_result_keys_are_unique(self) -> None:
         """No record of results overwrites another by its key."""
         self.finish(40, 30_000)
