Keep complete batches readable until they are ended

A batch with all results was removed 150 s after its submission, whether or not its trainer had ended it: "closed" meant complete or ended.

--- a/test/batches/test_retention.py
+++ b/test/batches/test_retention.py
@@ -73,7 +73,11 @@
             test_shard_state.make_result('b', item, f'1.{number}')
             for number, item in enumerate(items)
         ]
-        on_log = [*test_shard_state.make_batch('b', *items), *results]
+        on_log = [
+            *test_shard_state.make_batch('b', *items),
+            *results,
+            records.encode_end('b'),
+        ]
         self.shard_state.apply(test_shard_state.with_offsets(*on_log), False)
         removed: set[str] = set()
         while keys := self.expired(RETENTION_S + 60):
@@ -86,6 +90,48 @@
             )
         self.assertEqual(set(), {record.key for record in on_log} - removed)
 
+    def complete(self, batch: str) -> None:
+        """List all results of a batch that its trainer does not end."""
+        self.shard_state.apply(
+            test_shard_state.with_offsets(
+                *test_shard_state.make_batch(batch, f'item-{batch}'),
+                test_shard_state.make_result(batch, f'item-{batch}', '1.1'),
+            ),
+            False,
+        )
+
+    def test_complete_batch_is_readable_until_it_ends(self) -> None:
+        """Guard against a removal before a slow trainer has read it."""
+        self.complete('b')
+        self.assertEqual([], self.expired(RETENTION_S + 600))
+        self.shard_state.apply(
+            test_shard_state.with_offsets(records.encode_end('b')), False
+        )
+        self.assertIn('batch/b/0', self.expired(RETENTION_S + 600))
+
+    def test_end_does_not_shorten_the_time_to_read(self) -> None:
+        """Guard against a removal before the guaranteed time is over."""
+        self.complete('b')
+        self.shard_state.apply(
+            test_shard_state.with_offsets(records.encode_end('b')), False
+        )
+        self.assertEqual([], self.expired(RETENTION_S))
+
+    def test_abandoned_batches_are_bounded(self) -> None:
+        """Guard against a log that fills as trainers end no batch."""
+        for number in range(3):
+            self.complete(f'b{number}')
+        self.assertEqual([], self.expired(retention.ABANDONED_S - 1.0))
+        size = retention.size_bytes(self.shard_state.all_batches()[0])
+        with mock.patch.object(
+            retention, 'MAX_UNENDED_BYTES', 2 * size, spec_set=True
+        ):
+            removed = self.expired(RETENTION_S + 600)
+            self.assertEqual([], self.expired(RETENTION_S))
+        self.assertEqual({'batch/b0/0', 'result/b0/1.1'}, set(removed))
+        keys = self.expired(retention.ABANDONED_S + 1.0)
+        self.assertEqual(6, len(keys))
+
     def test_wrong_time_of_day_does_not_expire_a_batch(self) -> None:
         """Times of day differ between instances, and may be stepped."""
         now = time.time()
