Tell short losses of the store from those in which entries lapse

The duration of a loss is the time between two reads, which were up to 1.1 s apart before it while nobody registered: a loss of 1 s then counted as one of 1.8 s, and an upstream that left within it was used for 2.7 s, as if its entry had lapsed. Registrations are now read with a wait of 0.3 s. A failure soon after a late read also took up the start of an outage long ago; it no longer does.

--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -63,6 +63,12 @@
 HEARTBEAT_MS = 1200
 # Pause between reads, so that one read returns many records.
 DIRECTORY_READ_PAUSE_S = 0.1
+# The duration of an outage is the time between two reads. Where registrations
+# are rare, longer waits made a loss of a second look as if entries could have
+# lapsed in it, and upstreams that left then were used for too long.
+UPSTREAMS_READ_WAIT_S = 0.3
+# Reads that succeed are not overdue sooner than those of other partitions.
+UPSTREAMS_OVERDUE_MARGIN_S = 1.0
 # Shorter than the default, to detect early that the owner of the shard has
 # stopped appending; owners append more often than this.
 OWNER_READ_WAIT_S = 0.5
@@ -267,6 +273,8 @@
             0,
             self._directory.apply,
             DIRECTORY_READ_PAUSE_S,
+            UPSTREAMS_READ_WAIT_S,
+            overdue_margin_s=UPSTREAMS_OVERDUE_MARGIN_S,
         )
         self._members_follower = self._make_follower(
             roster_module.TOPIC,
@@ -317,6 +325,7 @@
         pause_s: float = 0.0,
         read_wait_s: float = follower_module.READ_WAIT_S,
         first_load: first_load_module.FirstLoad | None = None,
+        overdue_margin_s: float = follower_module.OVERDUE_MARGIN_S,
     ) -> follower_module.Follower:
         return follower_module.Follower(
             self._log,
@@ -327,6 +336,7 @@
             pause_s,
             read_wait_s,
             first_load,
+            overdue_margin_s,
         )
 
     def _build_scheduler(self) -> None:
--- a/baobabpond/store/contact.py
+++ b/baobabpond/store/contact.py
@@ -106,8 +106,9 @@
                     )
                 return False
             started_at = self._last
-            if self._outage and self._last - self._started < MIN_CONTACT_S:
-                started_at = self._outage.started_at
+            outage = self._outage
+            if outage and self._last - outage.ended_at < MIN_CONTACT_S:
+                started_at = outage.started_at
             self._outage = Outage(started_at, tried_at, float('inf'))
             self._started = float('-inf')
             return True
--- a/baobabpond/store/follower.py
+++ b/baobabpond/store/follower.py
@@ -45,6 +45,7 @@
         pause_s: float = 0.0,
         read_wait_s: float = READ_WAIT_S,
         first_load: first_load_module.FirstLoad | None = None,
+        overdue_margin_s: float = OVERDUE_MARGIN_S,
     ) -> None:
         self._log = log
         self._topic = topic
@@ -59,7 +60,7 @@
         self._load = snapshots.SnapshotLoad()
         self._failed_loads = 0
         self._contact = contact_module.Contact(
-            read_wait_s + pause_s + OVERDUE_MARGIN_S
+            read_wait_s + pause_s + overdue_margin_s
         )
         self._complete_boot_s = float('-inf')
         self._completed = threading.Condition()
--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -6,10 +6,12 @@
 import freezegun
 
 from baobabpond.catalogue import directory as directory_module
+from baobabpond import host
 from baobabpond.ports import catalogue
 from baobabpond.ports import log as log_port
 from baobabpond.ports import upstreams
 from baobabpond.store import contact
+from baobabpond.store import follower
 
 OUTAGE_S = 5.0
 HEARTBEAT_S = 1.2
@@ -117,6 +119,21 @@
         self.apply_record('u1', '')
         self.assertEqual([], self.ids())
 
+    def test_reads_are_close_enough_to_tell_a_short_outage(self) -> None:
+        """Guard against a loss of a heartbeat that seems to be longer.
+
+        Its duration is the time between two reads, also where nothing is
+        registered meanwhile.
+        """
+        longest_s = (
+            host.UPSTREAMS_READ_WAIT_S
+            + host.DIRECTORY_READ_PAUSE_S
+            + HEARTBEAT_S
+            + follower.RETRY_S
+        )
+        min_lapse_s = directory_module.MIN_LAPSE_INTERVALS * HEARTBEAT_S
+        self.assertLess(longest_s, min_lapse_s)
+
     def test_lapsed_entry_outlasts_the_next_outage(self) -> None:
         """Its upstream had no time to register again in between."""
         with freezegun.freeze_time() as clock:
--- a/test/store/test_contact.py
+++ b/test/store/test_contact.py
@@ -77,6 +77,23 @@
         self.assertTrue(self.contact.record_success())
         self.assertIsNone(self.contact.last_outage)
 
+    def test_late_read_does_not_take_up_an_old_outage(self) -> None:
+        """Guard against an outage that seems to have lasted for hours.
+
+        A failure that follows a late read begins an outage of its own.
+        """
+        self.contact.record_success()
+        self.fail_for(1.0)
+        self.contact.record_success()
+        for _ in range(60):
+            self.clock.tick(1.0)
+            self.contact.record_success()
+        self.clock.tick(8.0)
+        self.contact.record_success()
+        self.fail_for(0.5)
+        self.contact.record_success()
+        self.assertEqual((69.0, 69.0, 69.5), self.outage())
+
     def test_other_calls_may_see_the_end_earlier(self) -> None:
         """Not before the start of the last read that failed."""
         outage = contact_module.Outage(10.0, 14.0, 16.0)
