--- a/baobabpond/batches/shard_state.py
+++ b/baobabpond/batches/shard_state.py
@@ -114,9 +114,10 @@
     def __init__(self) -> None:
         self._changed = threading.Condition()
         self._batches: dict[str, Batch] = {}
-        self._incomplete_parts: dict[str, dict[int, records.BatchPart]] = (
-            collections.defaultdict(dict)
-        )
+        # By id and account of the batch.
+        self._incomplete_parts: dict[
+            tuple[str, str | None], dict[int, records.BatchPart]
+        ] = collections.defaultdict(dict)
         # By item id, then by record key.
         self._progress: dict[str, dict[str, records.Progress]] = (
             collections.defaultdict(dict)
@@ -293,11 +294,12 @@
         batch_id = part.head.id
         if batch_id in self._batches:
             return
-        parts = self._incomplete_parts[batch_id]
+        key = (batch_id, part.head.account)
+        parts = self._incomplete_parts[key]
         parts[part.index] = part
         if len(parts) < part.part_count:
             return
-        del self._incomplete_parts[batch_id]
+        del self._incomplete_parts[key]
         items = tuple(
             item
             for _, batch_part in sorted(parts.items())
--- a/test/batches/test_shard_state.py
+++ b/test/batches/test_shard_state.py
@@ -91,6 +91,23 @@
         assert found is not None
         self.assertEqual(['x', 'y'], [item.id for item in found.items])
 
+    def test_parts_of_two_accounts_are_not_mixed(self) -> None:
+        """Both may have chosen the same id at the same time."""
+        big = callers.Item('x', '/t', (), 'A' * 150_000, 9, 'g', 0)
+        kea, tui = (
+            records.encode_batch(
+                make_head('b')._replace(account=account),
+                (big, big._replace(id='y')),
+            )
+            for account in ('kea', 'tui')
+        )
+        self.shard_state.apply(with_offsets(kea[0], tui[1]), False)
+        self.assertIsNone(self.shard_state.get('b'))
+        self.shard_state.apply(with_offsets(tui[0], kea[1]), False)
+        found = self.shard_state.get('b')
+        assert found is not None
+        self.assertEqual('tui', found.head.account)
+
     def test_end_before_its_batch_is_applied(self) -> None:
         """An end record that precedes its batch still ends it."""
         self.shard_state.apply(
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -23,6 +23,12 @@
 
 Given to `baobabpond serve --config FILE`.
 """
+HOST_SECTION = """
+## One instance on a platform
+
+Read from the file that `BAOBABPOND_CONFIG` names; the platform renders it from
+`deploy/settings.json5`.
+"""
 
 
 def allowed_values(rule: dict[str, typing.Any]) -> str:
@@ -31,6 +37,9 @@
         return ', '.join(map(str, rule['enum']))
     if 'minimum' in rule:
         return f'{rule["type"]}, {rule["minimum"]} to {rule["maximum"]}'
+    if 'exclusiveMinimum' in rule:
+        low = rule['exclusiveMinimum']
+        return f'{rule["type"]}, above {low}, to {rule["maximum"]}'
     if 'pattern' in rule:
         return f'{rule["type"]} matching `{rule["pattern"]}`'
     return str(rule['type'])
@@ -47,6 +56,22 @@
     return lines
 
 
+def host_table() -> list[str]:
+    """Return the Markdown table of the settings of a platform's instance.
+
+    The descriptions of those that are optional state their defaults.
+    """
+    schema = check.load_schema('host')
+    lines = ['', '| key | allowed | required | meaning |', '|---|---|---|---|']
+    for key, rule in schema['properties'].items():
+        is_required = 'yes' if key in schema['required'] else 'no'
+        lines.append(
+            f'| `{key}` | {allowed_values(rule)} '
+            f'| {is_required} | {rule["description"]} |'
+        )
+    return lines
+
+
 def render() -> str:
     """Render the whole page as Markdown."""
     tree = table('tree', check.default_tree())
@@ -58,6 +83,9 @@
         + INSTANCE_SECTION
         + '\n'.join(instance)
         + '\n'
+        + HOST_SECTION
+        + '\n'.join(host_table())
+        + '\n'
     )
 
 
