Test the priority of accounts and keys removed during a body

The account's priority decides the urgency of a permit before the route's, and a key that is removed while the body is sent is refused without a run. Items on the log hold no key.

--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -7,6 +7,8 @@
 import unittest
 from unittest import mock
 
+from baobabpond.accounts import decision
+from baobabpond.accounts import gate
 from baobabpond.catalogue import current as current_module
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import detector
@@ -21,6 +23,7 @@
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
 from baobabpond.ports import platforms
+from baobabpond.ratelimits import bucket
 from baobabpond.ratelimits import issuer
 from baobabpond.ratelimits import permits as permits_module
 from baobabpond.ratelimits import tracker
@@ -28,6 +31,7 @@
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import gateway
 from baobabpond.upstreams import load_balancer
+from baobabpond import verdicts
 from standins.emulator import crashing as crashing_module
 from standins.emulator import deployment
 from standins.emulator import recorder as recorder_module
@@ -46,6 +50,7 @@
 # Elsewhere they take 50 ms.
 USUAL_FACTOR = 5.0
 INNOCENTS = 5
+ROUTE_PRIORITY = 2
 
 
 def choose_first(
@@ -57,7 +62,7 @@
     return next((entry for entry in entries if entry.id not in tried), None)
 
 
-class CrashTest(unittest.TestCase):
+class ForwarderTestCase(unittest.TestCase):
     """Forward requests to three upstreams in this process."""
 
     def setUp(self) -> None:
@@ -146,6 +151,7 @@
         request_id: str,
         body: bytes,
         kind: catalogue.RouteKind = catalogue.RouteKind.IDEMPOTENT,
+        admission: gate.Admission = gate.WITHOUT_ACCOUNTS,
     ) -> tuple[int, dict[str, str]]:
         """Forward a request; return the status and headers of the answer."""
         exchange = mock.create_autospec(server.Exchange, instance=True)
@@ -166,7 +172,7 @@
             self.route(kind),
             catalogue.Configuration(1, (), {}, catalogue.Limits()),
         )
-        self.forwarder.forward(exchange, call, match)
+        self.forwarder.forward(exchange, call, match, admission)
         if exchange.abort.called:
             return CUT, {}
         arguments = exchange.send_response.call_args.args
@@ -184,6 +190,7 @@
             timeout_s=2.0,
             target_latency_s=0.2,
             max_attempts=2,
+            priority=ROUTE_PRIORITY,
             resumable=kind is catalogue.RouteKind.STREAMING,
         )
         return catalogue.Route(**fields)
@@ -195,6 +202,52 @@
             counts[run.request_id] = counts.get(run.request_id, 0) + 1
         return counts
 
+
+class AccountTest(ForwarderTestCase):
+    """Forward requests of accounts."""
+
+    def urgency_of(
+        self, admission: gate.Admission = gate.WITHOUT_ACCOUNTS
+    ) -> bucket.Urgency:
+        """Return how urgently a permit is asked for."""
+        with mock.patch.object(
+            permits_module.Permits,
+            'obtain',
+            autospec=True,
+            side_effect=permits_module.Permits.obtain,
+        ) as obtain:
+            status, _ = self.forward('r', b'', admission=admission)
+        self.assertEqual(200, status)
+        return obtain.call_args_list[0].args[2]
+
+    def test_priority_of_the_account_comes_first(self) -> None:
+        """The route's counts where the account has none."""
+        cases = ((None, ROUTE_PRIORITY), (0, 0), (4, 4))
+        for priority, expected in cases:
+            admission = gate.Admission(decision.Authenticated('kea', priority))
+            self.assertEqual(
+                bucket.caller_urgency(expected), self.urgency_of(admission)
+            )
+        self.assertEqual(
+            bucket.caller_urgency(ROUTE_PRIORITY), self.urgency_of()
+        )
+
+    def test_key_removed_while_the_body_was_sent(self) -> None:
+        """The request is refused as not run, and reaches no upstream."""
+        admission = gate.Admission(
+            decision.Authenticated('kea'),
+            None,
+            lambda: verdicts.bad_request('unknown_key', 'unknown', 401),
+        )
+        status, headers = self.forward('r', b'', admission=admission)
+        self.assertEqual(401, status)
+        self.assertEqual('Bearer', headers['WWW-Authenticate'])
+        self.assertEqual([], self.recorder.arrivals_of('r'))
+
+
+class CrashTest(ForwarderTestCase):
+    """Forward requests that end their upstreams."""
+
     def forward_together(self) -> dict[str, int]:
         """Send a crashing request amid innocent ones; return statuses."""
         bodies = {f'good-{n}': f'{n}'.encode() for n in range(INNOCENTS)}
--- a/test/emulator/test_accounts.py
+++ b/test/emulator/test_accounts.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from baobabpond.batches import records
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
 from standins.emulator import links
@@ -269,6 +270,10 @@
             json.dumps(submission).encode(),
         )
         self.assertEqual(202, response.status)
+        stored = self.deployment.store.newest_values('keyed.batches')
+        part = records.decode_batch(stored[records.batch_key(batch.id, 0)])
+        self.assertEqual('kea', part.head.account)
+        self.assertNotIn(SECRET, str(part))
         self.read_and_check(batch)
         self.check_account(batch.items[0][0], 'kea')
 
