Decode the fourth load figure of upstreams

Responses that state four figures lost all of them, as only three were known. The load is a typed value now, and the slowness a part of it; an unreadable fourth figure is dropped alone.

--- a/baobabpond/pool/reward_client.py
+++ b/baobabpond/pool/reward_client.py
@@ -26,8 +26,8 @@
     outcome: runner.RunOutcome
     # Signature of the response; empty unless the attempt completed.
     score: str = ''
-    # Running and waiting requests, and slots; None if not stated.
-    load: tuple[int, int, int] | None = None
+    # None if not stated.
+    load: upstream_port.ReportedLoad | None = None
     # Seconds after which the upstream asks to retry; 0 if it does not.
     retry_after_s: float = 0.0
     # The upstream may be sound, but slow.
--- a/baobabpond/ports/upstreams.py
+++ b/baobabpond/ports/upstreams.py
@@ -16,6 +16,22 @@
     body: bytes
 
 
+class ReportedLoad(typing.NamedTuple):
+    """Hold the load that an upstream reports itself; it may be false."""
+
+    running: int
+    waiting: int
+    slots: int
+    # Time that work takes there now, relative to the usual; None if not
+    # stated.
+    slowness: float | None = None
+
+    @property
+    def busy(self) -> int:
+        """Return the running and waiting requests."""
+        return self.running + self.waiting
+
+
 class ResponseHead(typing.NamedTuple):
     """Hold what the status and headers of an upstream's response state."""
 
@@ -25,8 +41,8 @@
     misdirected: bool
     # ID of the request that is answered; empty if the response has none.
     request_id: str
-    # Running and waiting requests, and slots; None if not stated.
-    load: tuple[int, int, int] | None
+    # None if not stated.
+    load: ReportedLoad | None
     # Weight version at the start of the response; 0 if not stated.
     weight_version: int
     # Signature that upstreams add to their responses; empty without one.
--- a/test/platform_plugin/test_plugin.py
+++ b/test/platform_plugin/test_plugin.py
@@ -191,10 +191,24 @@
         self.assertFalse(parse(503, {}).not_run)
         self.assertTrue(parse(503, {'X-Not-Executed': '1'}).not_run)
         self.assertTrue(parse(421, {}).not_run)
-        self.assertEqual(
-            (3, 0, 8), parse(200, {'X-Server-Load': '3,0,8'}).load
-        )
-        self.assertIsNone(parse(200, {'X-Server-Load': 'x'}).load)
+
+    def test_reported_load(self) -> None:
+        """A fourth figure must not make the other three unknown."""
+
+        def load(text: str) -> upstreams.ReportedLoad | None:
+            head = self.protocol.parse_response_head(
+                200, {'X-Server-Load': text}
+            )
+            return head.load
+
+        known = upstreams.ReportedLoad(3, 0, 8)
+        self.assertEqual(known, load('3,0,8'))
+        self.assertEqual(known._replace(slowness=2.5), load('3,0,8,250'))
+        self.assertEqual(known._replace(slowness=0.5), load('3, 0, 8, 50.0'))
+        for unreadable in ('x', '', '0', '-5', 'nan', 'inf'):
+            self.assertEqual(known, load(f'3,0,8,{unreadable}'))
+        for unreadable in ('x', '', '3,0', '3,0,x', '3,0,8,100,1', '-1,0,8'):
+            self.assertIsNone(load(unreadable))
 
     def test_request_limit(self) -> None:
         """A limit that is no rate is reported as unreadable."""
