Learn the speed and limit of samplers; migrate by persistent speed

The average of gaps had a memory of 12 events, so noise of 0.6 s moved it as much as a lasting difference, and runs were migrated off sound samplers. The pool now takes the median of a window, relative to the typical time of the model, and a migration must save more than it costs.

--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -6,6 +6,7 @@
 from ..catalogue import directory as directory_module
 from ..ratelimits import bucket as bucket_module
 from ..ratelimits import permits as permits_module
+from ..upstreams.capacity import estimator as capacity_module
 
 from . import placement
 from . import state
@@ -24,7 +25,9 @@
         self,
         directory: directory_module.UpstreamDirectory,
         permits: permits_module.PermitSource,
+        learner: capacity_module.CapacityLearner | None = None,
     ) -> None:
+        self._learner = learner or capacity_module.Learner(state.INITIAL_GAP_S)
         self._directory = directory
         self._permits = permits
         self._upstreams: dict[tuple[str, int], state.Upstream] = {}
@@ -37,7 +40,9 @@
             present.add(entry.incarnation)
             upstream = self._upstreams.get(entry.incarnation)
             if upstream is None:
-                self._upstreams[entry.incarnation] = state.Upstream(entry)
+                self._upstreams[entry.incarnation] = state.Upstream(
+                    entry, self._learner.track(entry.service, entry.slots)
+                )
             elif upstream.entry is not entry:
                 upstream.update_entry(entry)
         for incarnation in set(self._upstreams) - present:
@@ -76,12 +81,14 @@
         return [
             placement.Candidate(
                 upstream.id,
-                upstream.gap_s,
+                upstream.capacity.expected_s(task.model, now),
                 len(upstream.runs),
                 _usable_slots(upstream),
                 _has_cached_prefix(upstream, task),
                 _memory_usage(upstream, task, kv_capacity_tokens),
                 self._permits.is_limited(upstream.entry),
+                upstream.capacity.limit,
+                upstream.capacity.report_factor(now),
             )
             for upstream in self.schedulable(service)
             if upstream.suspended_until <= now
--- a/baobabpond/pool/migration_policy.py
+++ b/baobabpond/pool/migration_policy.py
@@ -3,14 +3,27 @@
 import typing
 
 FIRST_EVENT_LIMIT_S = 1.0
+# A run is stalled after this time beyond the usual time between events.
 STALL_LIMIT_S = 0.6
-# Runs leave an upstream that is slower than the best one by this factor.
-SLOW_FACTOR = 1.8
-# Minimum time saved for a migration to be worth its cost.
+# Silence that noise explains, relative to the usual time between events.
+NOISE_FACTOR = 4
+# Runs leave an upstream that is slower than the best one by this factor;
+# estimates that differ by less may be equal.
+SLOW_FACTOR = 1.4
+# Time saved beyond the cost for a migration to be worth the risk, and the same
+# for an item that is in time anyhow.
 MIN_SAVING_S = 0.4
+MIN_SAVING_IN_TIME_S = 1.5
+# Estimates of the remaining time are exceeded by up to this factor.
+ESTIMATE_MARGIN = 1.5
 MAX_MIGRATIONS = 3
-# Minimum samples before an upstream counts as slow.
-MIN_GAP_SAMPLES = 10
+# Noise lasts less than half as long.
+MIN_OBSERVED_S = 1.5
+# Reading a prompt again takes 2 to 10 ms for 1,000 tokens on an idle upstream.
+# The loss of the prefix that the group shares costs as much again.
+REREAD_S_PER_TOKEN = 2 * 0.010 / 1000
+# A new connection, and the wait for the first event.
+RESTART_S = 0.05
 
 STALLED = 'stalled'
 SLOW = 'slow'
@@ -22,13 +35,19 @@
     has_begun: bool
     # Seconds since the last event, or since the start if there is none.
     silence_s: float
+    # Usual time between events there.
     gap_s: float
-    gap_samples: int
+    # Time over which it was observed lately.
+    observed_s: float
     remaining_events: float
     migrations: int
-    # Mean time between events on the best upstream with a free slot, None
-    # if there is none.
+    # Usual time between events on the best upstream with a free slot that no
+    # waiting item needs, None if there is none.
     best_gap_s: float | None
+    # Prompt and output, which another upstream reads again.
+    tokens: int = 0
+    # Time until the item is due.
+    due_in_s: float = 0.0
 
 
 def decide(run_state: RunState) -> str:
@@ -40,18 +59,32 @@
 
 def is_stalled(run_state: RunState) -> bool:
     """Return whether a run counts as stalled."""
-    limit_s = STALL_LIMIT_S if run_state.has_begun else FIRST_EVENT_LIMIT_S
-    return run_state.silence_s > max(limit_s, 4 * run_state.gap_s)
+    limit_s = FIRST_EVENT_LIMIT_S
+    if run_state.has_begun:
+        limit_s = STALL_LIMIT_S + run_state.gap_s
+    return run_state.silence_s > max(limit_s, NOISE_FACTOR * run_state.gap_s)
 
 
 def should_migrate(run_state: RunState) -> bool:
-    """Return whether a run would finish sooner on another upstream."""
+    """Return whether a migration saves more time than it costs."""
     best_gap_s = run_state.best_gap_s
     if best_gap_s is None or run_state.migrations >= MAX_MIGRATIONS:
         return False
-    if run_state.gap_samples < MIN_GAP_SAMPLES:
+    if run_state.observed_s < MIN_OBSERVED_S:
         return False
     if run_state.gap_s < SLOW_FACTOR * best_gap_s:
         return False
     saving_s = run_state.remaining_events * (run_state.gap_s - best_gap_s)
-    return saving_s > MIN_SAVING_S
+    least_s = MIN_SAVING_IN_TIME_S if _is_in_time(run_state) else MIN_SAVING_S
+    return saving_s - cost_s(run_state) > least_s
+
+
+def cost_s(run_state: RunState) -> float:
+    """Return the time that a migration costs."""
+    return RESTART_S + REREAD_S_PER_TOKEN * run_state.tokens
+
+
+def _is_in_time(run_state: RunState) -> bool:
+    """Return whether the item will be complete in time where it is."""
+    remaining_s = run_state.remaining_events * run_state.gap_s
+    return ESTIMATE_MARGIN * remaining_s < run_state.due_in_s
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -2,8 +2,12 @@
 
 import typing
 
-# Relative slowdown of events on a full upstream compared with an idle one.
-FULL_SLOWDOWN = 0.25
+from ..upstreams.capacity import load_factor
+
+# What a run beyond the learnt limit costs, with what it costs other runs.
+OVERLOAD_FACTOR = 2.0
+# A reported slowness lasts for a part of a run only.
+REPORT_SHARE = 0.25
 # Cost factor of an upstream that has the group's prompt in its prefix cache.
 CACHED_PREFIX_FACTOR = 0.9
 
@@ -12,7 +16,7 @@
     """Describe the state of an upstream that placement depends on."""
 
     upstream: str
-    # Mean time between two events, in seconds.
+    # Usual time between two events on the idle upstream, in seconds.
     gap_s: float
     running: int
     slots: int
@@ -21,6 +25,10 @@
     memory_usage: float = 0.0
     # The upstream states a limit of requests.
     is_limited: bool = False
+    # Concurrent runs up to which it keeps its speed, as far as is known.
+    limit: float = float('inf')
+    # Slowness at this moment as the upstream reports it; 1 as usual.
+    report_factor: float = 1.0
 
     @property
     def has_free_slot(self) -> bool:
@@ -28,14 +36,23 @@
         return self.running < self.slots
 
 
+def gap_of_next_s(candidate: Candidate) -> float:
+    """Return the usual time between events beside one more run."""
+    running = candidate.running + 1
+    return candidate.gap_s * load_factor.of(running, candidate.slots)
+
+
 def cost(candidate: Candidate) -> float:
     """Return the expected time between events if one more item runs.
 
     When runs need more KV cache than there is, the upstream preempts some, so
     that they progress in turns.
     """
-    slot_usage = (candidate.running + 1) / candidate.slots
-    expected = candidate.gap_s * (1.0 + FULL_SLOWDOWN * slot_usage)
+    running = candidate.running + 1
+    expected = gap_of_next_s(candidate)
+    expected *= candidate.report_factor**REPORT_SHARE
+    if running > candidate.limit:
+        expected *= OVERLOAD_FACTOR
     if candidate.running:
         expected *= max(1.0, candidate.memory_usage)
     return (
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -115,7 +115,7 @@
                 run.cancel('weights changed')
                 return False
             if run.has_begun:
-                run.upstream.observe_gap(now - run.last_event_at)
+                run.upstream.observe_gap(task.model, now - run.last_event_at)
             run.events += 1
             run.last_event_at = now
             task.consecutive_refusals = 0
@@ -124,6 +124,13 @@
             )
             return True
 
+    def on_load(
+        self, run: state.Run, load: upstream_port.ReportedLoad
+    ) -> None:
+        """Process the load that the upstream of a run reports."""
+        with self._lock:
+            run.upstream.capacity.observe_report(load, time.monotonic())
+
     def _route(
         self, head: records.BatchHead, target: str
     ) -> catalogue.Route | None:
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -76,6 +76,12 @@
         """Process the next event; return whether the run should continue."""
         ...
 
+    def on_load(
+        self, run: state.Run, load: upstream_port.ReportedLoad
+    ) -> None:
+        """Process the load that the upstream of a run reports."""
+        ...
+
 
 class Runner:
     """Execute attempts over pooled connections."""
@@ -153,6 +159,8 @@
             self._log_doubt(attempt, response, response_head)
             connection.close()
             return RunOutcome.INTERRUPTED
+        if response_head.load is not None:
+            sink.on_load(run, response_head.load)
         if response.status != OK:
             return self._classify_refusal(connection, response, response_head)
         reader = events_module.EventReader(self._protocol)
--- a/baobabpond/pool/state.py
+++ b/baobabpond/pool/state.py
@@ -7,9 +7,10 @@
 from ..ports import callers
 from ..ports import catalogue
 from ..ratelimits import permits as permits_module
+from ..upstreams.capacity import estimator as capacity_module
+from ..upstreams.capacity import load_factor
 
-# Weight of the newest sample in the moving average of the time between events.
-GAP_EWMA_WEIGHT = 0.08
+# Time between events until the first were seen.
 INITIAL_GAP_S = 0.045
 # Estimated tokens per event until the first items have completed.
 INITIAL_EVENT_TOKENS = 50.0
@@ -182,11 +183,20 @@
 class Upstream:
     """Track one incarnation of an upstream."""
 
-    def __init__(self, entry: catalogue.UpstreamEntry) -> None:
+    def __init__(
+        self,
+        entry: catalogue.UpstreamEntry,
+        capacity: capacity_module.Capacity | None = None,
+    ) -> None:
         self.entry = entry
         self.runs: set[Run] = set()
-        self.gap_s = INITIAL_GAP_S
-        self.gap_samples = 0
+        # How fast it is, and how many runs it handles well.
+        self.capacity: capacity_module.Capacity = (
+            capacity
+            or capacity_module.Learner(INITIAL_GAP_S).track(
+                entry.service, entry.slots
+            )
+        )
         self.suspended_until = 0.0
         self.consecutive_failures = 0
         self.load: Load | None = None
@@ -220,10 +230,15 @@
         if version > self.versions.get(model, 0):
             self.versions[model] = version
 
-    def observe_gap(self, gap_s: float) -> None:
-        """Add the time between two events of a run to the average."""
-        self.gap_samples += 1
-        self.gap_s += GAP_EWMA_WEIGHT * (gap_s - self.gap_s)
+    def observe_gap(self, model: str, gap_s: float) -> None:
+        """Learn from the time between two events of a run of a model."""
+        self.capacity.observe(model, gap_s, len(self.runs), time.monotonic())
+
+    def gap_s(self, model: str, running: int) -> float:
+        """Return the usual time between events beside a number of runs."""
+        return self.capacity.expected_s(
+            model, time.monotonic()
+        ) * load_factor.of(running, self.entry.slots)
 
     def record_failure(self, now: float, suspend_s: float) -> None:
         """Count a failure and suspend the upstream for new runs."""
@@ -256,13 +271,17 @@
         self._tokens = self._tokens * DECAY + expected_tokens
         self._events = self._events * DECAY + events
 
+    @property
+    def event_tokens(self) -> float:
+        """Return the mean number of tokens of an event."""
+        if self._events > 0:
+            return self._tokens / self._events
+        return INITIAL_EVENT_TOKENS
+
     def remaining_events(self, task: Task) -> float:
         """Return how many more events an item is expected to emit."""
         total = DEFAULT_EVENTS
         if task.item.expected_tokens > 0:
-            tokens = INITIAL_EVENT_TOKENS
-            if self._events > 0:
-                tokens = self._tokens / self._events
-            total = task.item.expected_tokens / tokens
+            total = task.item.expected_tokens / self.event_tokens
         done = len(task.events)
         return max(total - done, OVERRUN_SHARE * done, 1.0)
--- /dev/null
+++ b/baobabpond/upstreams/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Learn how fast each upstream is and how much load it handles well."""
--- /dev/null
+++ b/baobabpond/upstreams/capacity/limiter.py
@@ -0,0 +1,79 @@
+"""Learn up to which number of concurrent requests an upstream is fast."""
+
+import math
+
+from . import window as window_module
+
+# Medians over this window are compared with the windowed minimum.
+CURRENT_S = 1.25
+BASE_S = 10.0
+# Share of the samples below the windowed minimum; the lowest bucket of all
+# would be an outlier.
+BASE_SHARE = 0.1
+MIN_SAMPLES = 12
+# An upstream is overloaded from this ratio of current to lowest slowness. The
+# usual effect of load is removed before, and noise before by the median.
+OVERLOAD_RATIO = 1.5
+CUT_FACTOR = 0.85
+UPDATE_INTERVAL_S = 0.25
+# Probes of a higher limit after a cut, per second.
+PROBES_PER_S = 0.5
+# Share of the slots that a new upstream begins with, and that no cut
+# goes below.
+INITIAL_SHARE = 0.5
+MIN_SHARE = 0.25
+
+
+class ConcurrencyLimit:
+    """Learn the limit of one upstream, from slowness against load."""
+
+    def __init__(self, slots: int) -> None:
+        self._slots = max(1, slots)
+        self.value = max(1.0, self._slots * INITIAL_SHARE)
+        self._has_been_cut = False
+        self._current = window_module.Window(CURRENT_S)
+        self._base = window_module.Window(BASE_S)
+        self._updated_at = -math.inf
+        self._peak_running = 0
+
+    def observe(self, log_slowness: float, running: int, now: float) -> None:
+        """Add the slowness of a unit of work, and the load at that time."""
+        self._current.add(log_slowness, now)
+        self._base.add(log_slowness, now)
+        self._peak_running = max(self._peak_running, running)
+        if now - self._updated_at < UPDATE_INTERVAL_S:
+            return
+        elapsed_s = min(now - self._updated_at, 1.0)
+        self._updated_at = now
+        self._update(self._peak_running, elapsed_s, now)
+        self._peak_running = running
+
+    def _update(self, running: int, elapsed_s: float, now: float) -> None:
+        if self._is_overloaded(now):
+            self._cut(running)
+        elif running + 1 >= self.value:
+            grown = (
+                self.value + PROBES_PER_S * elapsed_s
+                if self._has_been_cut
+                else self.value * 2
+            )
+            self.value = min(float(self._slots), grown)
+
+    def _is_overloaded(self, now: float) -> bool:
+        if self._current.evidence(now) < MIN_SAMPLES:
+            return False
+        current = self._current.quantile(0.5, now)
+        base = self._base.quantile(BASE_SHARE, now)
+        if current is None or base is None:
+            return False
+        return current - base > math.log(OVERLOAD_RATIO)
+
+    def _cut(self, running: int) -> None:
+        lowest = max(1.0, self._slots * MIN_SHARE)
+        if running <= lowest:
+            # It is slow with little load: its speed has changed.
+            self._base.clear()
+            self.value = float(self._slots)
+            return
+        self._has_been_cut = True
+        self.value = max(lowest, min(self.value, running) * CUT_FACTOR)
--- a/standins/experiment/samplers.py
+++ b/standins/experiment/samplers.py
@@ -138,7 +138,7 @@
         version = self.versions[model]
         run.upstream.update_version(model, version)
         if run.has_begun:
-            run.upstream.observe_gap(now - run.last_event_at)
+            run.upstream.observe_gap(model, now - run.last_event_at)
         run.events += 1
         run.last_event_at = now
         run.task.add_event('', version, run.upstream.entry.software)
--- a/test/pool/test_decisions.py
+++ b/test/pool/test_decisions.py
@@ -118,6 +118,21 @@
         )
         self.assertEqual('fast', chosen)
 
+    def test_runs_beyond_the_learnt_limit_go_elsewhere(self) -> None:
+        """Slots beyond it are used rather than none."""
+        at_limit = self.candidate('at limit', running=4, limit=4.0)
+        slower = self.candidate('slower', running=4, gap_s=0.08)
+        self.assertEqual('slower', placement.choose([at_limit, slower]))
+        self.assertEqual('at limit', placement.choose([at_limit]))
+
+    def test_reported_slowness_decides_between_equals_only(self) -> None:
+        """A report, which may be false, does not outweigh learnt speed."""
+        reported = self.candidate('reported slow', report_factor=3.0)
+        equal = self.candidate('equal')
+        slower = self.candidate('slower', gap_s=0.1)
+        self.assertEqual('equal', placement.choose([reported, equal]))
+        self.assertEqual('reported slow', placement.choose([reported, slower]))
+
     def test_cached_prefix_is_preferred_within_a_bound(self) -> None:
         """A cached prefix decides between equals, not against a faster one."""
         holder = self.candidate('holder', has_cached_prefix=True, running=2)
@@ -152,7 +167,7 @@
 class MigrationPolicyTest(unittest.TestCase):
     """Migrate runs."""
 
-    USUAL = migration_policy.RunState(True, 0.02, 0.05, 100, 40.0, 0, 0.05)
+    USUAL = migration_policy.RunState(True, 0.02, 0.05, 2.5, 40.0, 0, 0.05)
 
     def test_silent_run_is_stalled(self) -> None:
         """Until the first event the longer limit from the start applies."""
@@ -187,9 +202,31 @@
             migration_policy.should_migrate(slow._replace(migrations=3))
         )
         self.assertFalse(
-            migration_policy.should_migrate(slow._replace(gap_samples=3))
+            migration_policy.should_migrate(slow._replace(observed_s=0.6))
         )
 
+    def test_noise_is_no_stall(self) -> None:
+        """Events that are 2.5 times as far apart as usual are noise."""
+        for gap_s in (0.02, 0.1, 0.3, 0.8):
+            noisy = self.USUAL._replace(gap_s=gap_s, silence_s=2.5 * gap_s)
+            self.assertFalse(migration_policy.is_stalled(noisy))
+            silent = noisy._replace(silence_s=0.65 + 4 * gap_s)
+            self.assertTrue(migration_policy.is_stalled(silent))
+
+    def test_cost_counts_against_the_saving(self) -> None:
+        """A long prompt, which is read again, keeps a run where it is."""
+        slow = self.USUAL._replace(gap_s=0.1, remaining_events=12.0)
+        self.assertEqual(migration_policy.SLOW, migration_policy.decide(slow))
+        long_prompt = slow._replace(tokens=20_000)
+        self.assertEqual('', migration_policy.decide(long_prompt))
+
+    def test_item_in_time_migrates_only_for_a_large_saving(self) -> None:
+        """An item that is in time on a slow upstream has little to gain."""
+        slow = self.USUAL._replace(gap_s=0.08, due_in_s=7.0)
+        self.assertEqual('', migration_policy.decide(slow))
+        late = slow._replace(due_in_s=3.0)
+        self.assertEqual(migration_policy.SLOW, migration_policy.decide(late))
+
 
 class LoadPlannerTest(unittest.TestCase):
     """Plan loads."""
