Simulate uneven, noisy and overloaded samplers; bound migrations

The experiment had only samplers of one speed. Its loads now have speeds, noise, samplers that slow down at half of their slots, and reports true and false; the first version of the estimate is the baseline of the new kind 'capacity'. Whether items wait and how many runs left lately are inputs of the pure decision.

--- a/baobabpond/pool/migration_policy.py
+++ b/baobabpond/pool/migration_policy.py
@@ -10,13 +10,14 @@
 # Runs leave an upstream that is slower than the best one by this factor;
 # estimates that differ by less may be equal.
 SLOW_FACTOR = 1.4
-# Time saved beyond the cost for a migration to be worth the risk, and the same
-# for an item that is in time anyhow.
+# Time saved beyond the cost for a migration to be worth the risk.
 MIN_SAVING_S = 0.4
-MIN_SAVING_IN_TIME_S = 1.5
 # Estimates of the remaining time are exceeded by up to this factor.
 ESTIMATE_MARGIN = 1.5
 MAX_MIGRATIONS = 3
+# At most this share of the runs leaves a slow upstream within a second: it is
+# slow but works, and others must not be crowded.
+MAX_DEPARTED_SHARE = 0.5
 # Noise lasts less than half as long.
 MIN_OBSERVED_S = 1.5
 # Reading a prompt again takes 2 to 10 ms for 1,000 tokens on an idle upstream.
@@ -41,13 +42,18 @@
     observed_s: float
     remaining_events: float
     migrations: int
-    # Usual time between events on the best upstream with a free slot that no
-    # waiting item needs, None if there is none.
+    # Usual time between events on the best upstream with a free slot, None
+    # if there is none.
     best_gap_s: float | None
     # Prompt and output, which another upstream reads again.
     tokens: int = 0
     # Time until the item is due.
     due_in_s: float = 0.0
+    # Items wait for a slot.
+    has_waiting_items: bool = False
+    # Runs on the upstream, and those that lately left it since it is slow.
+    running: int = 1
+    departed: int = 0
 
 
 def decide(run_state: RunState) -> str:
@@ -70,13 +76,17 @@
     best_gap_s = run_state.best_gap_s
     if best_gap_s is None or run_state.migrations >= MAX_MIGRATIONS:
         return False
+    if run_state.has_waiting_items and _is_in_time(run_state):
+        # The free slot is worth more to an item that waits.
+        return False
+    if not _may_leave(run_state):
+        return False
     if run_state.observed_s < MIN_OBSERVED_S:
         return False
     if run_state.gap_s < SLOW_FACTOR * best_gap_s:
         return False
     saving_s = run_state.remaining_events * (run_state.gap_s - best_gap_s)
-    least_s = MIN_SAVING_IN_TIME_S if _is_in_time(run_state) else MIN_SAVING_S
-    return saving_s - cost_s(run_state) > least_s
+    return saving_s - cost_s(run_state) > MIN_SAVING_S
 
 
 def cost_s(run_state: RunState) -> float:
@@ -84,6 +94,12 @@
     return RESTART_S + REREAD_S_PER_TOKEN * run_state.tokens
 
 
+def _may_leave(run_state: RunState) -> bool:
+    """Return whether few enough runs have left the upstream lately."""
+    runs = run_state.departed + run_state.running
+    return run_state.departed < max(1.0, MAX_DEPARTED_SHARE * runs)
+
+
 def _is_in_time(run_state: RunState) -> bool:
     """Return whether the item will be complete in time where it is."""
     remaining_s = run_state.remaining_events * run_state.gap_s
--- a/baobabpond/pool/migrator.py
+++ b/baobabpond/pool/migrator.py
@@ -14,9 +14,7 @@
 from . import state
 
 CHECK_INTERVAL_S = 0.1
-# At most this share of the runs leaves a slow upstream within this time: it is
-# slow but works, and others must not be crowded.
-MAX_DEPARTED_SHARE = 0.5
+# Runs that left a slow upstream count for this time.
 DEPARTURE_WINDOW_S = 1.0
 
 LOG = structlog.get_logger(__name__)
@@ -74,10 +72,10 @@
         has_waiting: bool,
         taken: collections.Counter[str],
     ) -> None:
-        best = None
-        if not has_waiting and self._may_leave(run.upstream):
-            best = self._best_candidate(run, taken)
-        run_state = self._run_state(run, now, best)
+        best = self._best_candidate(run, taken)
+        run_state = self._run_state(run, now, best)._replace(
+            has_waiting_items=has_waiting
+        )
         reason = self._decide(run_state)
         if reason == migration_policy.STALLED:
             backoff.suspend(run.upstream, now)
@@ -87,12 +85,6 @@
         if reason:
             self._migrate(run, reason, run_state)
 
-    def _may_leave(self, upstream: state.Upstream) -> bool:
-        """Return whether one more run may leave a slow upstream now."""
-        departed = len(self._departures.get(upstream, []))
-        remaining = sum(not run.cancel_reason for run in upstream.runs)
-        return departed < max(1.0, MAX_DEPARTED_SHARE * (departed + remaining))
-
     def _forget_departures(self, now: float) -> None:
         for upstream, times in list(self._departures.items()):
             times[:] = [at for at in times if now - at < DEPARTURE_WINDOW_S]
@@ -118,6 +110,8 @@
             tokens=task.item.prompt_tokens
             + round(len(task.events) * self._estimator.event_tokens),
             due_in_s=task.due_at - now,
+            running=sum(not other.cancel_reason for other in upstream.runs),
+            departed=len(self._departures.get(upstream, [])),
         )
 
     def _best_candidate(
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -5,7 +5,7 @@
 from ..upstreams.capacity import load_factor
 
 # What a run beyond the learnt limit costs, with what it costs other runs.
-OVERLOAD_FACTOR = 2.0
+OVERLOAD_FACTOR = 1.5
 # A reported slowness lasts for a part of a run only.
 REPORT_SHARE = 0.25
 # Cost factor of an upstream that has the group's prompt in its prefix cache.
--- a/baobabpond/upstreams/capacity/estimator.py
+++ b/baobabpond/upstreams/capacity/estimator.py
@@ -75,7 +75,8 @@
     def __init__(self, times: typical_times.TypicalTimes, slots: int) -> None:
         self._times = times
         self._slots = slots
-        self._limit = limiter.ConcurrencyLimit(slots)
+        # Where all upstreams are new there are no others to prefer.
+        self._limit = limiter.ConcurrencyLimit(slots, times.are_known)
         self._window = window_module.Window(
             WINDOW_S, KEPT_SAMPLES, HALF_LIFE_S
         )
--- a/baobabpond/upstreams/capacity/limiter.py
+++ b/baobabpond/upstreams/capacity/limiter.py
@@ -5,7 +5,7 @@
 from . import window as window_module
 
 # Medians over this window are compared with the windowed minimum.
-CURRENT_S = 1.25
+CURRENT_S = 2.0
 BASE_S = 10.0
 # Share of the samples below the windowed minimum; the lowest bucket of all
 # would be an outlier.
@@ -18,8 +18,8 @@
 UPDATE_INTERVAL_S = 0.25
 # Probes of a higher limit after a cut, per second.
 PROBES_PER_S = 0.5
-# Share of the slots that a new upstream begins with, and that no cut
-# goes below.
+# Share of the slots that an upstream begins with that joins others, and that
+# no cut goes below.
 INITIAL_SHARE = 0.5
 MIN_SHARE = 0.25
 
@@ -27,9 +27,11 @@
 class ConcurrencyLimit:
     """Learn the limit of one upstream, from slowness against load."""
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, starts_slowly: bool) -> None:
         self._slots = max(1, slots)
-        self.value = max(1.0, self._slots * INITIAL_SHARE)
+        self.value = float(self._slots)
+        if starts_slowly:
+            self.value = max(1.0, self._slots * INITIAL_SHARE)
         self._has_been_cut = False
         self._current = window_module.Window(CURRENT_S)
         self._base = window_module.Window(BASE_S)
--- a/baobabpond/upstreams/capacity/typical_times.py
+++ b/baobabpond/upstreams/capacity/typical_times.py
@@ -46,6 +46,11 @@
         self._initial_s = initial_s
         self._times: dict[str, TypicalTime] = {}
 
+    @property
+    def are_known(self) -> bool:
+        """Return whether there were samples of any upstream."""
+        return bool(self._times)
+
     def seconds(self, kind: str) -> float:
         """Return the typical time of a kind of work on an idle upstream."""
         time = self._times.get(kind)
--- a/standins/experiment/load.py
+++ b/standins/experiment/load.py
@@ -50,6 +50,24 @@
     lookup_aim_s: float = 0.15
 
 
+class Capacity(typing.NamedTuple):
+    """Describe how samplers differ in speed, and what they report of it."""
+
+    # Speeds of the samplers, repeated as often as necessary.
+    speeds: tuple[float, ...] = (1.0,)
+    # Share of the time in which noise makes a sampler slower.
+    noise_share: float = 0.0
+    noise_s: float = 0.6
+    noise_factor: float = 2.5
+    # Samplers that are slower by the factor beyond a share of their slots.
+    kneed: int = 0
+    knee_share: float = 0.5
+    knee_factor: float = 2.2
+    # They report their load; the first ones report false figures.
+    reports: bool = False
+    false_reports: int = 0
+
+
 class Workload(typing.NamedTuple):
     """Describe the upstreams, the trainers and the faults of one run."""
 
@@ -61,6 +79,7 @@
     duration_s: float = 40.0
     # Weight loads that can run concurrently without slowing each other.
     uncontended_loads: int = 2
+    capacity: Capacity = Capacity()
     # None if outputs need no scores.
     scoring: ScoringSpec | None = None
 
@@ -112,3 +131,45 @@
         scoring=ScoringSpec(upstreams=3, slots=6, lookups_per_s=25.0),
     )
 )
+
+# Samplers of uneven speed, with noise. One in four is slow. All may run all
+# items, so that capacity alone limits the steps.
+UNEVEN = Workload(
+    12,
+    8,
+    83_000,
+    (
+        TrainerSpec('a', 26, 8, 16.0, max_staleness=99),
+        TrainerSpec('b', 7, 16, 16.0, max_staleness=99),
+    ),
+    capacity=Capacity((0.55, 1.2, 1.2, 1.2), noise_share=0.15),
+    duration_s=24.0,
+)
+EVEN = UNEVEN._replace(capacity=Capacity(noise_share=0.15))
+workloads.register('uneven')(UNEVEN)
+workloads.register('even')(EVEN)
+workloads.register('even_reported')(
+    EVEN._replace(capacity=EVEN.capacity._replace(reports=True))
+)
+workloads.register('uneven_reported')(
+    UNEVEN._replace(capacity=UNEVEN.capacity._replace(reports=True))
+)
+# Slow samplers claim to be fast and idle.
+workloads.register('false_reports')(
+    UNEVEN._replace(
+        capacity=UNEVEN.capacity._replace(reports=True, false_reports=9)
+    )
+)
+# Some samplers slow down at half of their slots.
+workloads.register('knee')(
+    EVEN._replace(capacity=Capacity(noise_share=0.15, kneed=4))
+)
+# Others become slow and fast again.
+workloads.register('speed_changes')(
+    EVEN._replace(
+        faults=tuple(
+            Fault('slow', at_s, 8.0, count=3, slowdown=2.2)
+            for at_s in (6.0, 16.0, 26.0)
+        )
+    )
+)
--- a/standins/experiment/policies.py
+++ b/standins/experiment/policies.py
@@ -1,5 +1,6 @@
 """Register scheduling policies; a baseline is the first version of one."""
 
+import collections.abc
 import math
 import typing
 
@@ -9,10 +10,14 @@
 from baobabpond.pool import placement
 from baobabpond.pool import priority
 from baobabpond.pool import queue
+from baobabpond.pool import state
 from baobabpond.ports import catalogue
 from baobabpond import registry
+from baobabpond.upstreams.capacity import estimator
 from baobabpond.upstreams import load_balancer
 
+from . import moving_average
+
 Place = typing.Callable[[list[placement.Candidate]], str | None]
 Plan = typing.Callable[
     [list[load_planner.LoadCandidate], list[load_planner.Target], int],
@@ -42,6 +47,10 @@
     'reward order'
 )
 
+learners: registry.Registry[
+    collections.abc.Callable[[], estimator.CapacityLearner]
+] = registry.Registry('capacity')
+
 orders.register(PRODUCT)(priority.rank)
 placements.register(PRODUCT)(placement.choose)
 rescues.register(PRODUCT)(migration_policy.decide)
@@ -61,6 +70,7 @@
     weights: str = PRODUCT
     reward_choice: str = PRODUCT
     reward_order: str = PRODUCT
+    capacity: str = PRODUCT
 
 
 @orders.register(BASELINE)
@@ -111,12 +121,41 @@
     )
 
 
+@rescues.register('by_average')
+def by_average(running: migration_policy.RunState) -> str:
+    """Move runs off upstreams whose average gap is 1.8 times the best.
+
+    To be used with the capacity of the same name.
+    """
+    if only_stalled(running):
+        return migration_policy.STALLED
+    best_gap_s = running.best_gap_s
+    is_slow = (
+        best_gap_s is not None
+        and running.migrations < migration_policy.MAX_MIGRATIONS
+        and running.observed_s >= moving_average.MIN_SAMPLES
+        and running.gap_s >= moving_average.SLOW_FACTOR * best_gap_s
+        and running.remaining_events * (running.gap_s - best_gap_s)
+        > moving_average.MIN_SAVING_S
+    )
+    return migration_policy.SLOW if is_slow else ''
+
+
 @rescues.register('never')
 def never(running: migration_policy.RunState) -> str:
     """Never move a run."""
     return ''
 
 
+@learners.register(PRODUCT)
+def learn() -> estimator.CapacityLearner:
+    """Return the learner of the product."""
+    return estimator.Learner(state.INITIAL_GAP_S)
+
+
+learners.register(BASELINE)(moving_average.Learner)
+
+
 @plans.register(BASELINE)
 def everywhere(
     candidates: list[load_planner.LoadCandidate],
--- a/standins/experiment/samplers.py
+++ b/standins/experiment/samplers.py
@@ -1,11 +1,13 @@
 """Simulate samplers."""
 
 import collections.abc
+import random
 import time
 
 from baobabpond.pool import runner
 from baobabpond.pool import state
 from baobabpond.ports import catalogue
+from baobabpond.ports import upstreams
 
 from . import clock
 from . import load as load_module
@@ -16,6 +18,11 @@
 EVENT_GAP_S = 0.035
 EVENT_GAP_PER_RUN_S = 0.0005
 FIRST_EVENT_DELAY_S = 0.02
+# Time to read a token of the prompt, or of the output when a run continues on
+# another sampler. The prompt of a group that is there is not read again.
+READ_S_PER_TOKEN = 0.006 / 1000
+# What a sampler that reports false figures claims.
+FALSE_SLOWNESS = 0.4
 WEIGHT_LOAD_S = 1.0
 # Relative slowdown of a weight load for each load above the number that
 # can run concurrently at full speed.
@@ -35,10 +42,19 @@
         name: str,
         workload: load_module.Workload,
         scheduler: clock.Scheduler,
+        number: int = 0,
+        rng: random.Random | None = None,
     ) -> None:
         self.name = name
         self._workload = workload
         self._scheduler = scheduler
+        self._number = number
+        self._rng = rng or random.Random(number)
+        speeds = workload.capacity.speeds
+        self._speed = speeds[number % len(speeds)]
+        self._noise = 1.0
+        if workload.capacity.noise_share:
+            scheduler.call_later(self._draw_quiet_s(), self._begin_noise)
         self.born = 1
         self.versions = {trainer.model: 1 for trainer in workload.trainers}
         self.slowdown = 1.0
@@ -61,6 +77,53 @@
             dict(self.versions),
         )
 
+    @property
+    def load(self) -> upstreams.ReportedLoad:
+        """Return the load as the sampler reports it."""
+        slots = self._workload.slots
+        if self._number < self._workload.capacity.false_reports:
+            return upstreams.ReportedLoad(0, 0, slots, FALSE_SLOWNESS)
+        return upstreams.ReportedLoad(
+            len(self._runs), 0, slots, self._slowness
+        )
+
+    @property
+    def _slowness(self) -> float:
+        """Return how much longer than usual an event takes now."""
+        capacity = self._workload.capacity
+        slowness = self.slowdown * self._noise / self._speed
+        knee = capacity.knee_share * self._workload.slots
+        if self._number < capacity.kneed and len(self._runs) > knee:
+            slowness *= capacity.knee_factor
+        return slowness
+
+    def _draw_quiet_s(self) -> float:
+        capacity = self._workload.capacity
+        mean_s = capacity.noise_s * (1 / capacity.noise_share - 1)
+        return self._rng.expovariate(1 / mean_s)
+
+    def _begin_noise(self) -> None:
+        capacity = self._workload.capacity
+        self._noise = capacity.noise_factor
+
+        def end() -> None:
+            self._noise = 1.0
+            self._scheduler.call_later(self._draw_quiet_s(), self._begin_noise)
+
+        self._scheduler.call_later(capacity.noise_s, end)
+
+    def _reading_s(self, run: state.Run) -> float:
+        """Return the time until the prompt and the output are read."""
+        item = run.task.item
+        is_cached = any(
+            other.task.item.group == item.group
+            and other.task.batch is run.task.batch
+            for other in self._runs
+        )
+        tokens = TOKENS_PER_EVENT * len(run.task.events)
+        tokens += 0 if is_cached else item.prompt_tokens
+        return READ_S_PER_TOKEN * tokens * self._slowness
+
     def start(self, run: state.Run, events: int, on_end: OnEnd) -> None:
         """Run an item until it has the given number of events."""
         if self.is_down:
@@ -68,8 +131,11 @@
                 0.0, lambda: on_end(run, runner.RunOutcome.UNREACHABLE)
             )
             return
+        if self._workload.capacity.reports:
+            run.upstream.capacity.observe_report(self.load, time.monotonic())
+        delay_s = FIRST_EVENT_DELAY_S + self._reading_s(run)
         self._runs.append(run)
-        self._schedule_event(run, events, on_end, FIRST_EVENT_DELAY_S)
+        self._schedule_event(run, events, on_end, delay_s)
 
     def stop(self, run: state.Run) -> None:
         """Stop a run without calling back."""
@@ -114,7 +180,7 @@
     ) -> None:
         gap_s = EVENT_GAP_S + EVENT_GAP_PER_RUN_S * len(self._runs)
         self._scheduler.call_later(
-            gap_s * self.slowdown + extra_s,
+            gap_s * self._slowness + extra_s,
             lambda: self._emit(run, events, on_end),
         )
 
--- a/standins/experiment/simulation.py
+++ b/standins/experiment/simulation.py
@@ -1,6 +1,7 @@
 """Simulate a workload with the pool's scheduling policies."""
 
 import random
+import statistics
 import time
 import typing
 
@@ -49,6 +50,17 @@
     weight_loads: int
     # Share of the lookups that were answered in time.
     lookups_in_aim: float = 1.0
+    # Share of the groups of the steps that were complete in time.
+    groups_in_time: float = 1.0
+    # Mean time from the submission of an item to its result.
+    item_s: float = 0.0
+    # Passes in which an item waited while an upstream had a free slot.
+    idle_waits: int = 0
+
+    @property
+    def cancelled(self) -> float:
+        """Return the share of the runs that were migrated."""
+        return self.moves / max(1, self.runs)
 
 
 class Directory:
@@ -88,10 +100,18 @@
         for number in range(workload.upstreams):
             self._directory.samplers.append(
                 samplers_module.Sampler(
-                    f's{number}', workload, self._scheduler
+                    f's{number}',
+                    workload,
+                    self._scheduler,
+                    number,
+                    random.Random(f'sampler-{number}-{seed}'),
                 )
             )
-        self._fleet = fleet_module.Fleet(self._directory, permits.NoLimits())
+        self._fleet = fleet_module.Fleet(
+            self._directory,
+            permits.NoLimits(),
+            policies_module.learners.get(policies.capacity)(),
+        )
         self._estimator = state.EventEstimator()
         self._migrator = migrator_module.Migrator(
             self._estimator,
@@ -110,6 +130,8 @@
         self._runs = 0
         self._moves = 0
         self._weight_loads = 0
+        self._idle_waits = 0
+        self._item_times_s: list[float] = []
         self._trainers = {
             spec.model: trainers_module.Trainer(
                 spec, rng, self._scheduler, self._submit
@@ -149,6 +171,12 @@
             self._moves,
             self._weight_loads,
             self._scoring.lookups_in_aim if self._scoring else 1.0,
+            statistics.mean(
+                trainer.groups_in_time(self._workload.duration_s)
+                for trainer in self._trainers.values()
+            ),
+            statistics.mean(self._item_times_s or [0.0]),
+            self._idle_waits,
         )
 
     def _submit(self, batch: shard_state.Batch) -> None:
@@ -196,7 +224,10 @@
             self._tasks.values(), self._estimator, time.monotonic(), self._rank
         )
         for task in waiting:
-            chosen = self._place(self._candidates(task))
+            candidates = self._candidates(task)
+            chosen = self._place(candidates)
+            if chosen is None:
+                self._idle_waits += any(c.has_free_slot for c in candidates)
             upstream = self._fleet.find(chosen) if chosen else None
             if upstream is not None:
                 self._start(task, upstream)
@@ -254,6 +285,7 @@
 
     def _deliver(self, task: state.Task) -> None:
         self._tasks.pop(task.id, None)
+        self._item_times_s.append(time.monotonic() - task.batch.submitted)
         self._trainers[task.model].read_result(task.batch, task.id)
 
     def _save_progress(self) -> None:
--- a/standins/experiment/trainers.py
+++ b/standins/experiment/trainers.py
@@ -71,6 +71,17 @@
         )
         return total / step_count
 
+    def groups_in_time(self, duration_s: float) -> float:
+        """Return the share of the due steps' groups complete in time."""
+        step_count = math.floor(duration_s / self._spec.step_period_s)
+        due_s = self._spec.due_s + DUE_GRACE_S
+        in_time = sum(
+            took_s <= due_s
+            for step in self.steps[:step_count]
+            for took_s in step.groups.values()
+        )
+        return min(1.0, in_time / (step_count * self._required_groups))
+
     def read_result(self, batch: shard_state.Batch, item: str) -> None:
         """Count a result; end the step once enough groups are complete."""
         if batch.ended:
