Use learnt capacity at the edge; draw two upstreams at random

The load balancer averaged latencies of all kinds of request, and instances with the same view chose the same upstream. The stub of test_forwarder takes the kind of a request.

--- a/baobabpond/crashes/guard.py
+++ b/baobabpond/crashes/guard.py
@@ -66,6 +66,7 @@
         list_entries: ListEntries,
         tried: set[str],
         remaining_s: float,
+        kind: str = '',
     ) -> Placement | None:
         """Choose an upstream; a suspect waits for one without another.
 
@@ -74,12 +75,12 @@
         if self._registry.standing(digest) is registry_module.Standing.CLEAR:
             entries = list_entries()
             live = self._without_ended(entries) or entries
-            entry = self._load_balancer.choose(live, tried)
+            entry = self._load_balancer.choose(live, tried, kind)
             return Placement(entry, False) if entry else None
         entry = self._isolation.reserve(
             digest,
             lambda: self._entries_for_suspect(digest, list_entries(), tried),
-            lambda free: self._load_balancer.choose(free, tried),
+            lambda free: self._load_balancer.choose(free, tried, kind),
             min(remaining_s, MAX_WAIT_S),
         )
         return Placement(entry, True) if entry else None
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -134,7 +134,11 @@
         if kind is gateway_module.NoPermit or self._is_limited_refusal:
             failed = None
         self._dependencies.load_balancer.record_outcome(
-            self.entry, self._latency_s, failed, load
+            self.entry,
+            self._latency_s,
+            failed,
+            load,
+            self._context.route.name,
         )
 
     @property
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -198,6 +198,7 @@
                 context.remaining_s - attempts_module.MIN_ATTEMPT_S,
                 urgency,
                 software,
+                context.route.name,
             )
         )
 
--- a/baobabpond/edge/placer.py
+++ b/baobabpond/edge/placer.py
@@ -27,6 +27,8 @@
     urgency: bucket_module.Urgency
     # Software version that the upstream must have; None for any.
     software: str | None = None
+    # Requests of different kinds take different times.
+    kind: str = ''
 
 
 class Placed(typing.NamedTuple):
@@ -64,6 +66,7 @@
                 lambda: self._eligible(request, refusals),
                 request.tried,
                 request.remaining_s,
+                request.kind,
             )
             if placement is None:
                 break
--- a/baobabpond/pool/reward_stage.py
+++ b/baobabpond/pool/reward_stage.py
@@ -245,7 +245,7 @@
             took_s if completed or response.timed_out else None,
             None if is_neutral or response.timed_out else not completed,
             response.load,
-            is_background=True,
+            load_balancer_module.BACKGROUND,
         )
         self._metrics.count(f'pool.rewards.{response.outcome.value}')
         self._metrics.record('pool.reward', took_s)
--- a/baobabpond/upstreams/capacity/estimator.py
+++ b/baobabpond/upstreams/capacity/estimator.py
@@ -21,6 +21,8 @@
 PRIOR_SAMPLES = 3.0
 # Estimates are computed again after this time.
 CACHE_S = 0.05
+# While there are few samples, each one counts at once.
+UNCACHED_SAMPLES = 32
 MIN_TOOK_S = 0.0001
 
 
@@ -99,6 +101,8 @@
         speed = self.speed(now)
         self._reports.prove(log_slowness - math.log(speed.slowness), now)
         self._window.add(log_slowness, now)
+        if self._window.samples <= UNCACHED_SAMPLES:
+            self._computed_at = -math.inf
         self._limit.observe(log_slowness, running, now)
 
     def observe_report(
--- a/baobabpond/upstreams/capacity/limiter.py
+++ b/baobabpond/upstreams/capacity/limiter.py
@@ -4,11 +4,12 @@
 
 from . import window as window_module
 
-# Medians over this window are compared with the windowed minimum.
+# The median over this window is compared with the lowest such medians of a
+# longer one. Single samples differ by the work in each request.
 CURRENT_S = 2.0
 BASE_S = 10.0
-# Share of the samples below the windowed minimum; the lowest bucket of all
-# would be an outlier.
+# Share of the medians below the windowed minimum; the lowest of all would be
+# an outlier.
 BASE_SHARE = 0.1
 MIN_SAMPLES = 12
 # An upstream is overloaded from this ratio of current to lowest slowness. The
@@ -41,7 +42,6 @@
     def observe(self, log_slowness: float, running: int, now: float) -> None:
         """Add the slowness of a unit of work, and the load at that time."""
         self._current.add(log_slowness, now)
-        self._base.add(log_slowness, now)
         self._peak_running = max(self._peak_running, running)
         if now - self._updated_at < UPDATE_INTERVAL_S:
             return
@@ -65,8 +65,11 @@
         if self._current.evidence(now) < MIN_SAMPLES:
             return False
         current = self._current.quantile(0.5, now)
+        if current is None:
+            return False
+        self._base.add(current, now)
         base = self._base.quantile(BASE_SHARE, now)
-        if current is None or base is None:
+        if base is None:
             return False
         return current - base > math.log(OVERLOAD_RATIO)
 
--- a/baobabpond/upstreams/capacity/window.py
+++ b/baobabpond/upstreams/capacity/window.py
@@ -44,6 +44,11 @@
         """Return the time of the newest bucket, -inf without samples."""
         return self._buckets[-1].starts_at if self._buckets else -math.inf
 
+    @property
+    def samples(self) -> int:
+        """Return the number of samples."""
+        return self._samples
+
     def add(self, value: float, now: float) -> None:
         """Add a sample."""
         newest = self._buckets[-1] if self._buckets else None
--- a/baobabpond/upstreams/load_balancer.py
+++ b/baobabpond/upstreams/load_balancer.py
@@ -1,23 +1,30 @@
-"""Balance requests over upstreams by latency and load.
+"""Balance requests over upstreams by learnt latency and load.
 
 Background requests, which no caller waits for, use only a part of the slots,
 and have a latency of their own, as they may be of another kind.
 """
 
 import collections.abc
+import random
 import threading
 import time
 
 from ..ports import catalogue
+from ..ports import upstreams as upstream_port
 
-LATENCY_EWMA_WEIGHT = 0.15
+from .capacity import estimator
+
+# Until the first requests have completed.
 INITIAL_LATENCY_S = 0.04
+# Of the upstreams that a caller's request may use, the better one of this many
+# drawn at random is chosen. Instances that have the same view of the upstreams
+# would otherwise all choose the same one.
+CHOICES = 2
+BACKGROUND = 'background'
 # A failing upstream is ejected for this long, doubled with each consecutive
 # failure.
 BASE_EJECTION_S = 0.5
 MAX_EJECTION_S = 4.0
-# An upstream's load report is ignored once it is older than this.
-LOAD_REPORT_TTL_S = 1.0
 # Share of an upstream's slots for requests that no caller waits for. The rest
 # is free for callers at any time.
 BACKGROUND_SHARE = 0.85
@@ -26,28 +33,35 @@
 class UpstreamStats:
     """Load, latency and failures of one upstream, seen by this instance."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        capacity: estimator.CapacityEstimator,
+        background: estimator.CapacityEstimator,
+    ) -> None:
         self.in_flight = 0
-        self.latency_s = INITIAL_LATENCY_S
-        self.background_latency_s = INITIAL_LATENCY_S
+        self.capacity = capacity
+        # Background requests do not affect what callers' requests expect.
+        self.background = background
         self.consecutive_failures = 0
         self.ejected_until = 0.0
-        self.reported_busy = 0
-        self.reported_at = float('-inf')
 
     def busy(self, now: float) -> int:
         """Return the requests that run or wait at the upstream."""
-        if now - self.reported_at < LOAD_REPORT_TTL_S:
-            return max(self.in_flight, self.reported_busy)
-        return self.in_flight
+        return max(self.in_flight, self.capacity.reported_busy(now))
 
-    def score(self, slots: int, now: float) -> float:
+    def score(self, kind: str, slots: int, now: float) -> float:
         """Return the expected latency of one more request."""
-        return self.latency_s * self._load_factor(slots, now)
+        return (
+            self.capacity.expected_s(kind, now)
+            * self.capacity.report_factor(now)
+            * self._load_factor(slots, now)
+        )
 
     def background_score(self, slots: int, now: float) -> float:
         """Return the expected latency of one more background request."""
-        return self.background_latency_s * self._load_factor(slots, now)
+        return self.background.expected_s(BACKGROUND, now) * self._load_factor(
+            slots, now
+        )
 
     def has_room(self, slots: int, now: float) -> bool:
         """Return whether a background request leaves slots for callers.
@@ -56,21 +70,18 @@
         """
         if self.ejected_until > now:
             return False
-        limit = max(1, int(slots * BACKGROUND_SHARE))
+        usable = min(float(slots), self.background.limit)
+        limit = max(1, int(usable * BACKGROUND_SHARE))
         if self.consecutive_failures:
             limit = 1
         return self.busy(now) < limit
 
-    def record_latency(self, latency_s: float, is_background: bool) -> None:
-        """Add the latency of a request to the average of its kind."""
-        if is_background:
-            self.background_latency_s += LATENCY_EWMA_WEIGHT * (
-                latency_s - self.background_latency_s
-            )
-        else:
-            self.latency_s += LATENCY_EWMA_WEIGHT * (
-                latency_s - self.latency_s
-            )
+    def record_latency(
+        self, kind: str, latency_s: float, running: int, now: float
+    ) -> None:
+        """Learn from the latency of a request beside a number of others."""
+        capacity = self.background if kind == BACKGROUND else self.capacity
+        capacity.observe(kind, latency_s, running, now)
 
     def _load_factor(self, slots: int, now: float) -> float:
         return (1 + self.busy(now) / slots) * (1 + self.in_flight)
@@ -83,14 +94,24 @@
 class LoadBalancer:
     """Choose upstreams by latency and load, and eject failing ones."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
         self._lock = threading.Lock()
+        self._learner = estimator.Learner(INITIAL_LATENCY_S)
+        self._background_learner = estimator.Learner(INITIAL_LATENCY_S)
         self._stats: dict[tuple[str, int], UpstreamStats] = {}
 
     def choose(
-        self, entries: list[catalogue.UpstreamEntry], tried: set[str]
+        self,
+        entries: list[catalogue.UpstreamEntry],
+        tried: set[str],
+        kind: str = '',
     ) -> catalogue.UpstreamEntry | None:
-        """Return the best untried upstream, or None; ejected ones last."""
+        """Return the better one of two untried upstreams drawn at random.
+
+        Ejected ones come last; None if there is none. Requests of different
+        kinds take different times.
+        """
         now = time.monotonic()
         untried = [entry for entry in entries if entry.id not in tried]
         with self._lock:
@@ -100,7 +121,8 @@
                 if self._stats_of(entry).ejected_until <= now
             ]
             return self._take_best(
-                sound or untried, lambda stats, slots: stats.score(slots, now)
+                self._draw(sound or untried),
+                lambda stats, slots: stats.score(kind, slots, now),
             )
 
     def choose_for_background(
@@ -128,6 +150,11 @@
             stats = self._stats_of(entry)
             return stats.ejected_until <= now and stats.busy(now) < entry.slots
 
+    def _draw(
+        self, entries: list[catalogue.UpstreamEntry]
+    ) -> list[catalogue.UpstreamEntry]:
+        return self._rng.sample(entries, min(CHOICES, len(entries)))
+
     def _take_best(
         self, entries: list[catalogue.UpstreamEntry], score: Score
     ) -> catalogue.UpstreamEntry | None:
@@ -142,15 +169,22 @@
         return chosen
 
     def _stats_of(self, entry: catalogue.UpstreamEntry) -> UpstreamStats:
-        return self._stats.setdefault(entry.incarnation, UpstreamStats())
+        stats = self._stats.get(entry.incarnation)
+        if stats is None:
+            stats = UpstreamStats(
+                self._learner.track(entry.service, entry.slots),
+                self._background_learner.track(entry.service, entry.slots),
+            )
+            self._stats[entry.incarnation] = stats
+        return stats
 
     def record_outcome(
         self,
         entry: catalogue.UpstreamEntry,
         latency_s: float | None,
         failed: bool | None,
-        load: tuple[int, int, int] | None,
-        is_background: bool = False,
+        load: upstream_port.ReportedLoad | None,
+        kind: str = '',
     ) -> None:
         """Record the end of a request sent to a chosen upstream.
 
@@ -159,12 +193,12 @@
         now = time.monotonic()
         with self._lock:
             stats = self._stats_of(entry)
+            running = stats.busy(now)
             stats.in_flight = max(0, stats.in_flight - 1)
-            if load is not None:
-                stats.reported_busy = load[0] + load[1]
-                stats.reported_at = now
             if latency_s is not None:
-                stats.record_latency(latency_s, is_background)
+                stats.record_latency(kind, latency_s, running, now)
+            if load is not None:
+                stats.capacity.observe_report(load, now)
             if failed is None:
                 return
             if not failed:
--- a/standins/experiment/scorers.py
+++ b/standins/experiment/scorers.py
@@ -9,6 +9,7 @@
 from baobabpond.pool import priority
 from baobabpond.pool import state
 from baobabpond.ports import catalogue
+from baobabpond.ports import upstreams
 from baobabpond.upstreams import load_balancer as load_balancer_module
 
 from . import clock
@@ -38,9 +39,11 @@
         )
 
     @property
-    def load(self) -> tuple[int, int, int]:
-        """Return the running and waiting requests, and the slots."""
-        return self._running, len(self._waiting), self.entry.slots
+    def load(self) -> upstreams.ReportedLoad:
+        """Return the load as the upstream reports it."""
+        return upstreams.ReportedLoad(
+            self._running, len(self._waiting), self.entry.slots
+        )
 
     def submit(self, work_s: float, on_done: clock.Action) -> None:
         """Work on a request as soon as there is a slot."""
@@ -80,7 +83,7 @@
         self._rng = rng
         self._scheduler = scheduler
         self._on_scored = on_scored
-        self._balancer = load_balancer_module.LoadBalancer()
+        self._balancer = load_balancer_module.LoadBalancer(rng)
         self._upstreams = {
             name: ScoringUpstream(name, spec.slots, scheduler)
             for name in (f'p{number}' for number in range(spec.upstreams))
@@ -137,7 +140,11 @@
 
         def finish() -> None:
             self._balancer.record_outcome(
-                entry, None, False, upstream.load, is_background=True
+                entry,
+                None,
+                False,
+                upstream.load,
+                load_balancer_module.BACKGROUND,
             )
             self._on_scored(task)
 
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -52,6 +52,7 @@
     balancer: load_balancer.LoadBalancer,
     entries: list[catalogue.UpstreamEntry],
     tried: set[str],
+    kind: str = '',
 ) -> catalogue.UpstreamEntry | None:
     """Choose the first untried upstream, whatever its load."""
     return next((entry for entry in entries if entry.id not in tried), None)
