--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -183,7 +183,7 @@
                 run.cancel('weights changed')
                 return False
             if run.has_begun:
-                run.upstream.observe_gap(gap_s)
+                run.upstream.observe_gap(task.model, gap_s)
             run.events += 1
             task.consecutive_refusals = 0
             task.add_event(
@@ -191,6 +191,13 @@
             )
             return True
 
+    def on_load(
+        self, run: state.Run, load: upstream_port.ReportedLoad
+    ) -> None:
+        """Process the load that the upstream of a run reports."""
+        with self._lock:
+            run.upstream.capacity.observe_report(load, time.monotonic())
+
     def _route(
         self, head: records.BatchHead, target: str
     ) -> catalogue.Route | None:
