Test one instance against crowds of untrusted clients

An instance reads lines of chunked bodies without a bound and gives a worker thread to each connection that waits for a head, so that a few clients exhaust its memory, threads or descriptors. Eighteen tests send one kind of input each, from a process of its own, to an instance with 205 MB and 400 descriptors, and check that it lives, stays under both and serves an ordinary request; they run alone, after all other checks.

--- /dev/null
+++ b/standins/emulator/crowd.py
@@ -0,0 +1,297 @@
+"""Send one kind of hostile input over many connections, until killed.
+
+A process of its own: python -m standins.emulator.crowd ADDRESS KIND. Writes a
+line to standard output once every client has sent what it sends at most, or
+has been at it for SETTLE_S.
+"""
+
+import argparse
+import contextlib
+import socket
+import threading
+import time
+import typing
+
+from baobabpond import registry
+from baobabpond.upstreams import sockets
+
+from . import deployment as deployment_module
+
+CLIENTS = 12
+# Each client sends at most this much; the instance may close earlier.
+MAX_CLIENT_BYTES = 60_000_000
+SETTLE_S = 8.0
+PIECE_BYTES = 65536
+TIMEOUT_S = 1.0
+RECONNECT_S = 0.02
+SLOW_PAUSE_S = 0.3
+READ_PAUSE_S = 1.0
+# More connections than an instance has threads for callers.
+SLOW_CONNECTIONS = 5
+# More connections than the test's limit of descriptors.
+IDLE_CONNECTIONS = 50
+
+
+class Input(typing.NamedTuple):
+    """What a client sends on each connection, and how it reads."""
+
+    # Sent once.
+    opening: bytes
+    # Sent again and again after it; nothing if empty.
+    piece: bytes = b''
+    pause_s: float = 0.0
+    # Whether responses are discarded as they arrive.
+    reads: bool = True
+    # If above 0, one byte of the response is read after each pause.
+    read_pause_s: float = 0.0
+    # Of each client, at a time.
+    connections: int = 1
+
+
+inputs: registry.Registry[typing.Callable[[], Input]] = registry.Registry(
+    'input'
+)
+
+
+def head(
+    method: str = 'POST',
+    prefix: str = deployment_module.LOOKUPS,
+    *lines: str,
+) -> bytes:
+    """Return the start of a request without the end of its head."""
+    text = [
+        f'{method} {prefix}crowd HTTP/1.1',
+        f'Host: {deployment_module.HOST}',
+        'X-Request-Id: crowd',
+        'X-Deadline-Ms: 2000',
+        *lines,
+        '',
+    ]
+    return '\r\n'.join(text).encode()
+
+
+def chunked() -> bytes:
+    """Return the head of a request whose body comes in chunks."""
+    return head('POST', '/orders/', 'Transfer-Encoding: chunked') + b'\r\n'
+
+
+@inputs.register('trailer_line')
+def trailer_line() -> Input:
+    """Send one trailer line without an end."""
+    return Input(chunked() + b'1\r\na\r\n0\r\nT: ', b'a' * PIECE_BYTES)
+
+
+@inputs.register('trailer_lines')
+def trailer_lines() -> Input:
+    """Send trailer lines without end."""
+    return Input(chunked() + b'1\r\na\r\n0\r\n', b'T: a\r\n' * 8192)
+
+
+@inputs.register('chunk_extension')
+def chunk_extension() -> Input:
+    """Send the extension of a chunk without an end."""
+    return Input(chunked() + b'1;e=', b'a' * PIECE_BYTES)
+
+
+@inputs.register('chunk_size')
+def chunk_size() -> Input:
+    """Send the digits of the size of a chunk without an end."""
+    return Input(chunked(), b'0' * PIECE_BYTES)
+
+
+@inputs.register('small_chunks')
+def small_chunks() -> Input:
+    """Send chunks of one byte."""
+    return Input(chunked(), b'1\r\na\r\n' * 8192)
+
+
+@inputs.register('endless_body')
+def endless_body() -> Input:
+    """Send a body in chunks without end."""
+    return Input(chunked(), b'10000\r\n' + b'a' * PIECE_BYTES + b'\r\n')
+
+
+@inputs.register('header_lines')
+def header_lines() -> Input:
+    """Send header lines without end."""
+    return Input(head(), b'T: a\r\n' * 8192)
+
+
+@inputs.register('header_line')
+def header_line() -> Input:
+    """Send one header line without an end."""
+    return Input(head() + b'T: ', b'a' * PIECE_BYTES)
+
+
+@inputs.register('request_line')
+def request_line() -> Input:
+    """Send a request line without an end."""
+    return Input(b'GET /', b'a' * PIECE_BYTES)
+
+
+@inputs.register('pipelined')
+def pipelined() -> Input:
+    """Send requests without waiting for responses, or reading them."""
+    request = head('GET', '/unknown/') + b'\r\n'
+    return Input(b'', request * 400, reads=False)
+
+
+@inputs.register('slow_head')
+def slow_head() -> Input:
+    """Send a head slowly, on more connections than there are threads."""
+    return Input(
+        head() + b'T: ',
+        b'a',
+        SLOW_PAUSE_S,
+        connections=SLOW_CONNECTIONS,
+    )
+
+
+@inputs.register('slow_body')
+def slow_body() -> Input:
+    """Send a body slowly, on more connections than there are threads."""
+    return Input(
+        head('POST', '/orders/', 'Content-Length: 30000') + b'\r\n',
+        b'a',
+        SLOW_PAUSE_S,
+        connections=SLOW_CONNECTIONS,
+    )
+
+
+@inputs.register('slow_chunks')
+def slow_chunks() -> Input:
+    """Send small chunks slowly, on more connections than threads."""
+    return Input(
+        chunked(),
+        b'1\r\na\r\n',
+        SLOW_PAUSE_S,
+        connections=SLOW_CONNECTIONS,
+    )
+
+
+@inputs.register('unread_response')
+def unread_response() -> Input:
+    """Read nothing of large responses."""
+    return Input(
+        head('POST', '/orders/', 'Content-Length: 5') + b'\r\nlarge',
+        reads=False,
+    )
+
+
+@inputs.register('slowly_read_response')
+def slowly_read_response() -> Input:
+    """Read large responses at a byte a second."""
+    return unread_response()._replace(read_pause_s=READ_PAUSE_S)
+
+
+@inputs.register('unread_stream')
+def unread_stream() -> Input:
+    """Read nothing of streams without end."""
+    return Input(_stream(), reads=False, connections=SLOW_CONNECTIONS)
+
+
+@inputs.register('slowly_read_stream')
+def slowly_read_stream() -> Input:
+    """Read streams without end at a byte a second."""
+    return unread_stream()._replace(read_pause_s=READ_PAUSE_S)
+
+
+@inputs.register('idle')
+def idle() -> Input:
+    """Hold connections open without sending anything."""
+    return Input(b'', connections=IDLE_CONNECTIONS)
+
+
+def _stream() -> bytes:
+    model = f'X-Model: {deployment_module.MODEL}'
+    return (
+        head('POST', deployment_module.STREAMS, model, 'Content-Length: 1')
+        + b'\r\nx'
+    )
+
+
+class Client:
+    """Send one kind of input, and connect again when disconnected."""
+
+    def __init__(self, address: tuple[str, int], kind: Input) -> None:
+        self._address = address
+        self._kind = kind
+        self._left = MAX_CLIENT_BYTES
+
+    def run(self) -> None:
+        """Send until the process is killed, or all is sent."""
+        while self._left > 0:
+            with contextlib.suppress(OSError):
+                self._use_connection()
+            time.sleep(RECONNECT_S)
+
+    def _use_connection(self) -> None:
+        """Send on a new connection until it is closed."""
+        with socket.create_connection(self._address, TIMEOUT_S) as sock:
+            self._send(sock, self._kind.opening)
+            while self._left > 0:
+                if self._kind.piece:
+                    self._send(sock, self._kind.piece)
+                elif not self._kind.reads and not self._kind.read_pause_s:
+                    self._wait_for_end(sock)
+                    return
+                self._read(sock)
+
+    def _send(self, sock: socket.socket, data: bytes) -> None:
+        view = memoryview(data)
+        while view:
+            with contextlib.suppress(TimeoutError):
+                sent = sock.send(view)
+                view = view[sent:]
+                self._left -= sent
+
+    def _read(self, sock: socket.socket) -> None:
+        """Pause as the kind demands, and read what it reads."""
+        time.sleep(self._kind.pause_s or self._kind.read_pause_s)
+        if self._kind.read_pause_s:
+            with contextlib.suppress(TimeoutError):
+                self._raise_if_ended(sock.recv(1))
+        elif self._kind.piece and self._kind.reads:
+            if sockets.is_readable(sock):
+                self._raise_if_ended(sock.recv(PIECE_BYTES))
+        elif self._kind.reads:
+            with contextlib.suppress(TimeoutError):
+                self._raise_if_ended(sock.recv(PIECE_BYTES))
+
+    def _wait_for_end(self, sock: socket.socket) -> None:
+        """Wait until the connection is closed, without reading."""
+        while not sockets.is_closed_by_peer(sock):
+            time.sleep(READ_PAUSE_S)
+
+    def _raise_if_ended(self, data: bytes) -> None:
+        if not data:
+            raise ConnectionError('closed by the instance')
+
+
+def main() -> None:
+    """Run the clients; report once the instance has had what they send."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('address')
+    parser.add_argument('kind', choices=inputs.names)
+    parser.add_argument('--clients', type=int, default=CLIENTS)
+    options = parser.parse_args()
+    host, port = options.address.rsplit(':', 1)
+    kind = inputs.get(options.kind)()
+    threads = [
+        threading.Thread(
+            target=Client((host, int(port)), kind).run, daemon=True
+        )
+        for _ in range(options.clients * kind.connections)
+    ]
+    for thread in threads:
+        thread.start()
+    ends_at = time.monotonic() + SETTLE_S
+    for thread in threads:
+        thread.join(max(0.0, ends_at - time.monotonic()))
+    print('settled', flush=True)
+    while True:
+        time.sleep(SETTLE_S)
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -57,6 +58,8 @@
         self.ready_address = ''
         self.entries_address = ''
         self.metrics_address = ''
+        # For requests that other instances pass on.
+        self.relay_address = ''
 
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
@@ -106,6 +109,10 @@
         self.restart_s = RESTART_S
         # Limit of the memory of each instance; 0 if there is none.
         self.memory_mb = 0
+        # Further settings of each instance.
+        self.settings: dict[str, typing.Any] = {}
+        # Limit of the open descriptors of each instance; 0 if unchanged.
+        self.max_descriptors = 0
         self._checks_fence = True
         self._has_links = False
         self._views: list[server_module.Server] = []
@@ -258,6 +265,7 @@
             f'{serving.ADDRESS}:{serving.free_port()}' for _ in 'abc'
         ]
         metrics_port = serving.free_port()
+        relay_port = serving.free_port()
         settings = {
             'instance': name,
             'data_centre': 'kl-bengkel',
@@ -268,7 +276,7 @@
             'entries_listen': listen_addresses[2],
             'metrics_port': metrics_port,
             'peer_port': serving.free_port(),
-            'relay_port': serving.free_port(),
+            'relay_port': relay_port,
             'plugin_folder': str(self.build.root / 'platform'),
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
@@ -281,6 +289,7 @@
             'longest_validity_s': 0.2,
             'memory_mb': self.memory_mb,
             'log_level': 'info',
+            **self.settings,
         }
         folder = pathlib.Path(self._folder.name)
         path = folder / f'{name}.json5'
@@ -297,17 +306,24 @@
                 },
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit_descriptors,
             )
         instance = Instance(name, process, listen_addresses[0])
         instance.ready_address = listen_addresses[1]
         instance.entries_address = listen_addresses[2]
         instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
+        instance.relay_address = f'{serving.ADDRESS}:{relay_port}'
         instance.store_relay = store_relay
         instance.links = links
         instance.log_path = log_path
         self.instances.append(instance)
         return instance
 
+    def _limit_descriptors(self) -> None:
+        if self.max_descriptors:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def _relay_to_store(self, links: links_module.Links | None) -> relay.Relay:
         store = self.store.server
         if links is not None:
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -27,6 +27,11 @@
 FAILING_BODY = b'fails'
 # A request with this body ends the upstream that runs it.
 CRASHING_BODY = b'crashes'
+# The response to a request with this body has this size.
+LARGE_BODY = b'large'
+LARGE_BYTES = 8_000_000
+# Of a comment of a stream that never ends.
+COMMENT_BYTES = 4096
 
 
 class Upstream:
@@ -56,10 +61,11 @@
         # Multiplies the time per event, and of a plain request.
         self.slow_factor = 1.0
         # None, or one of 'silent', 'reset', 'error', 'full', 'answer_lost',
-        # 'unsigned', 'late_copy' and 'drip'. 'answer_lost' runs a plain
-        # request without sending its response, 'unsigned' sends it without a
-        # signature, 'late_copy' sends it a second time later. 'drip' sends a
-        # comment now and then in place of the events of a stream.
+        # 'unsigned', 'late_copy', 'drip' and 'flood'. 'answer_lost' runs a
+        # plain request without sending its response, 'unsigned' sends it
+        # without a signature, 'late_copy' sends it a second time later.
+        # 'drip' sends a comment now and then in place of the events of a
+        # stream, and 'flood' as many as its caller takes.
         self.fault: str | None = None
         # If set, spoils a share of the responses to requests.
         self.spoiler: spoiling.Spoiler | None = None
@@ -391,6 +397,8 @@
         else:
             self._recorder.record_signature(request_id, signature)
         content = outputs.plain_response(request_id, body)
+        if body == LARGE_BODY:
+            content = b'r' * LARGE_BYTES
         exchange.send_response(200, 'OK', common_headers, content)
         if self.fault == 'late_copy':
             time.sleep(LATE_COPY_DELAY_S)
@@ -435,6 +443,8 @@
             while self.fault == 'drip':
                 exchange.write(b': still here\n\n')
                 time.sleep(DRIP_INTERVAL_S)
+            while self.fault == 'flood':
+                exchange.write(b':' + b'x' * COMMENT_BYTES + b'\n\n')
             if self.fault in ('silent', 'reset') or self._is_cut(run):
                 serving.close_without_response(exchange)
                 return
--- /dev/null
+++ b/test/isolated/test_untrusted_clients.py
@@ -0,0 +1,213 @@
+"""Send hostile input to one instance with low limits, one kind at a time.
+
+Guards against clients that make an instance exit, hang, run out of memory or
+descriptors, or leave no thread for ordinary callers. Times and shares of
+served requests depend on the machine and are not checked.
+"""
+
+import collections.abc
+import contextlib
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+
+from standins.emulator import crowd
+from standins.emulator import deployment as deployment_module
+from standins.emulator import lookups
+from test.emulator import base
+
+MEMORY_MB = 205
+MAX_DESCRIPTORS = 400
+# Of the descriptors, these stay free for files and for upstreams.
+FREE_DESCRIPTORS = 40
+KB_PER_MB = 1000
+SAMPLE_S = 0.05
+# How long one ordinary request is tried; none takes longer unless the
+# instance hangs.
+ORDINARY_S = 60.0
+CROWD_S = 120.0
+PAUSE_S = 0.2
+
+
+class DescriptorWatch:
+    """Sample the number of open descriptors of a process."""
+
+    def __init__(self, pid: int) -> None:
+        self._folder = pathlib.Path(f'/proc/{pid}/fd')
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.peak = 0
+
+    def __enter__(self) -> 'DescriptorWatch':
+        """Start to sample."""
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self) -> None:
+        while not self._stopped.wait(SAMPLE_S):
+            with contextlib.suppress(OSError):
+                count = sum(1 for _ in self._folder.iterdir())
+                self.peak = max(self.peak, count)
+
+
+class UntrustedClientsTest(base.DeploymentTestCase):
+    """Twelve clients that each send the same kind of input."""
+
+    INSTANCES = 1
+    SAMPLERS = 1
+    PLAIN_SERVICES = 1
+
+    def prepare(self, deployment: deployment_module.Deployment) -> None:
+        """Lower the limits of the instance."""
+        deployment.memory_mb = MEMORY_MB
+        deployment.max_descriptors = MAX_DESCRIPTORS
+
+    @contextlib.contextmanager
+    def crowd(self, kind: str) -> collections.abc.Iterator[None]:
+        """Run a crowd; return once it has done its worst, or settled."""
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'standins.emulator.crowd',
+                self.address(kind),
+                kind,
+            ],
+            stdout=subprocess.PIPE,
+        )
+        try:
+            with process.stdout:
+                self.assertEqual(b'settled\n', process.stdout.readline())
+                yield
+        finally:
+            process.kill()
+            process.wait()
+
+    def address(self, kind: str) -> str:
+        """Return the address that a crowd attacks."""
+        self.assertIn(kind, crowd.inputs.names)
+        return self.deployment.instances[0].address
+
+    def peak_mb(self) -> float:
+        """Return the most memory that the instance has used so far."""
+        pid = self.deployment.instances[0].process.pid
+        status = pathlib.Path(f'/proc/{pid}/status')
+        [line] = [
+            line
+            for line in status.read_text(encoding='utf-8').splitlines()
+            if line.startswith('VmHWM:')
+        ]
+        return int(line.split()[1]) / KB_PER_MB
+
+    def send_ordinary(self, name: str) -> int:
+        """Return the status of a lookup, tried until it is served."""
+        ends_at = time.monotonic() + ORDINARY_S
+        address = self.deployment.instances[0].address
+        status, tries = 0, 0
+        while status != 200 and time.monotonic() < ends_at:
+            tries += 1
+            status = lookups.send(
+                self.client, address, f'{name}-{tries}'
+            ).status
+            if status != 200:
+                time.sleep(PAUSE_S)
+        return status
+
+    def check(self, kind: str) -> None:
+        """Check the instance beside and after a crowd of a kind."""
+        [instance] = self.deployment.instances
+        with DescriptorWatch(instance.process.pid) as descriptors:
+            with self.crowd(kind):
+                self.assertIsNone(instance.process.poll(), 'it has exited')
+                # The crowd has sent what it sends, and stays connected.
+                served = self.send_ordinary(f'{kind}-beside')
+            served_after = self.send_ordinary(f'{kind}-after')
+        self.assertIsNone(instance.process.poll(), 'it has exited')
+        self.assertLess(self.peak_mb(), MEMORY_MB, 'memory in MB')
+        self.assertLessEqual(
+            descriptors.peak,
+            MAX_DESCRIPTORS - FREE_DESCRIPTORS,
+            'descriptors',
+        )
+        self.assertEqual((200, 200), (served, served_after), 'ordinary')
+
+    def test_trailer_line(self) -> None:
+        """One trailer line without an end."""
+        self.check('trailer_line')
+
+    def test_trailer_lines(self) -> None:
+        """Trailer lines without end."""
+        self.check('trailer_lines')
+
+    def test_chunk_extension(self) -> None:
+        """The extension of a chunk without an end."""
+        self.check('chunk_extension')
+
+    def test_chunk_size(self) -> None:
+        """The digits of the size of a chunk without an end."""
+        self.check('chunk_size')
+
+    def test_small_chunks(self) -> None:
+        """Chunks of one byte."""
+        self.check('small_chunks')
+
+    def test_endless_body(self) -> None:
+        """A body in chunks without end."""
+        self.check('endless_body')
+
+    def test_header_lines(self) -> None:
+        """Header lines without end."""
+        self.check('header_lines')
+
+    def test_header_line(self) -> None:
+        """One header line without an end."""
+        self.check('header_line')
+
+    def test_request_line(self) -> None:
+        """A request line without an end."""
+        self.check('request_line')
+
+    def test_pipelined(self) -> None:
+        """Requests without a pause, whose responses nobody reads."""
+        self.check('pipelined')
+
+    def test_slow_head(self) -> None:
+        """Heads of which a byte arrives now and then."""
+        self.check('slow_head')
+
+    def test_slow_body(self) -> None:
+        """Bodies of which a byte arrives now and then."""
+        self.check('slow_body')
+
+    def test_slow_chunks(self) -> None:
+        """Bodies of which a chunk of a byte arrives now and then."""
+        self.check('slow_chunks')
+
+    def test_unread_response(self) -> None:
+        """Large responses of which nothing is read."""
+        self.check('unread_response')
+
+    def test_slowly_read_response(self) -> None:
+        """Large responses that are read at a byte a second."""
+        self.check('slowly_read_response')
+
+    def test_unread_stream(self) -> None:
+        """Streams without end of which nothing is read."""
+        self.deployment.samplers[0].fault = 'flood'
+        self.check('unread_stream')
+
+    def test_slowly_read_stream(self) -> None:
+        """Streams without end that are read at a byte a second."""
+        self.deployment.samplers[0].fault = 'flood'
+        self.check('slowly_read_stream')
+
+    def test_idle(self) -> None:
+        """More connections than the descriptors that there are."""
+        self.check('idle')
--- a/test/tools/test_checks.py
+++ b/test/tools/test_checks.py
@@ -94,5 +94,31 @@
         self.assertNotIn('noise', output)
 
 
+class IsolatedTestsTest(unittest.TestCase):
+    """Tests that other load disturbs do not run beside other checks."""
+
+    def run_names(self, function, *arguments):
+        suites = []
+        with mock.patch.object(checks, 'run_suite', suites.append):
+            function(*arguments)
+        return [test.id() for test in checks.list_tests(suites[0])]
+
+    def test_each_test_runs_once(self):
+        isolated = self.run_names(checks.run_isolated_tests)
+        others = self.run_names(checks.run_unit_tests, [])
+        self.assertTrue(isolated)
+        self.assertTrue(
+            all(name.startswith('test.isolated.') for name in isolated)
+        )
+        self.assertFalse(set(isolated) & set(others))
+        self.assertIn(self.id(), others)
+
+    def test_isolated_test_can_be_named(self):
+        names = self.run_names(
+            checks.run_unit_tests, ['test.isolated.test_untrusted_clients']
+        )
+        self.assertTrue(names)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -1,6 +1,7 @@
 """Run the checks and print the number passed and failed."""
 
 import argparse
+import collections.abc
 import json
 import pathlib
 import subprocess
@@ -17,6 +18,8 @@
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
 BIN = pathlib.Path(sys.executable).parent
 SCENARIO_TIMEOUT_S = 1800
+# Folder of the tests that run alone, after all other checks.
+ISOLATED = 'isolated'
 # Of the message of a failed check, in characters.
 MAX_DETAIL = 300
 
@@ -105,15 +108,40 @@
 
 
 def run_unit_tests(names: list[str]) -> list[Outcome]:
-    """Run the unit tests."""
+    """Run unit tests; without names, all except the isolated ones."""
     loader = unittest.TestLoader()
     if names:
-        suite = loader.loadTestsFromNames(names)
-    else:
-        suite = loader.discover(str(ROOT / 'test'), top_level_dir=str(ROOT))
+        return run_suite(loader.loadTestsFromNames(names))
+    suite = loader.discover(str(ROOT / 'test'), top_level_dir=str(ROOT))
+    return run_suite(
+        unittest.TestSuite(t for t in list_tests(suite) if not is_isolated(t))
+    )
+
+
+def run_isolated_tests() -> list[Outcome]:
+    """Run the tests that other load would disturb, one at a time."""
+    suite = unittest.TestLoader().discover(
+        str(ROOT / 'test' / ISOLATED), top_level_dir=str(ROOT)
+    )
     return run_suite(suite)
 
 
+def list_tests(
+    suite: unittest.TestSuite,
+) -> collections.abc.Iterator[unittest.TestCase]:
+    """Yield the tests of a suite and of the suites in it."""
+    for member in suite:
+        if isinstance(member, unittest.TestSuite):
+            yield from list_tests(member)
+        else:
+            yield member
+
+
+def is_isolated(test: unittest.TestCase) -> bool:
+    """Return whether a test has to run alone."""
+    return test.id().startswith(f'test.{ISOLATED}.')
+
+
 def run_suite(suite: unittest.TestSuite) -> list[Outcome]:
     """Run tests, printing the name and message of each failure at once."""
     # With a buffer, only failed tests print what they logged.
@@ -250,6 +278,8 @@
         scenarios = ScenarioRun(remaining)
     if scenarios is not None:
         outcomes += scenarios.finish()
+    if options.part == 'all' or (options.part == 'unit' and not remaining):
+        outcomes += run_isolated_tests()
     print(f'took {time.monotonic() - started:.0f} s')
     sys.exit(summarize(outcomes))
 
