Bound what untrusted clients make the HTTP listeners hold

Lines of chunked bodies were read without a limit, each connection without a request took a worker thread, time-outs applied to single reads, and nothing bounded connections. An event loop now waits for whole heads and hands them to workers with the bytes read; chunk lines, framing, trailers, head time and bytes, connections, queued requests, system buffers, and the time and rate of bodies and readers are bounded by checked settings (`client_limits`), each with a counter and a rate-limited log line; at most half of the threads wait for slow clients, and body memory keeps a part for other addresses.

--- a/baobabpond/edge/body_memory.py
+++ b/baobabpond/edge/body_memory.py
@@ -1,5 +1,7 @@
 """Bound the memory that bodies of requests and responses take up."""
 
+import collections.abc
+import contextlib
 import threading
 import time
 import types
@@ -16,19 +18,29 @@
 # Of the memory limit of a process, for the bodies of requests, and as much
 # for those of responses, unless the settings tell it.
 DEFAULT_SHARE = 0.175
+# An address that asked for memory this long ago may ask again.
+CONTENTION_S = 10.0
+# A body has to be waited for this long in total to count as slow.
+SLOW_BODY_S = 2.0
 # Without a memory limit.
 DEFAULT_MB = 512.0
 
 
-class BodyReader(typing.Protocol):
-    """What a request's body is read from."""
+class Waiter(typing.Protocol):
+    """What waits for the bytes of a body."""
 
-    def readline(self) -> bytes:
-        """Read a line."""
+    @property
+    def waited_s(self) -> float:
+        """Return the time of waiting so far, in seconds."""
+        ...
+
+    @property
+    def bytes_per_s(self) -> float:
+        """Return the rate at which the body arrived meanwhile."""
         ...
 
-    def read(self, size: int) -> bytes:
-        """Read a number of bytes."""
+    def evict(self) -> None:
+        """Give the body up."""
         ...
 
 
@@ -43,12 +55,25 @@
     """Hand out memory for bodies up to a limit.
 
     A body beyond the limit gets it too while no other body is held, so that
-    it is refused only for a time.
+    it is refused only for a time. While several addresses ask for memory,
+    none of them gets more than its share.
     """
 
     def __init__(
-        self, name: str, limit_bytes: float, metrics: metrics_module.Metrics
+        self,
+        name: str,
+        limit_bytes: float,
+        metrics: metrics_module.Metrics,
+        address_share: float = 1.0,
+        # Slower bodies make room while others ask for memory.
+        min_bytes_per_s: float = 0.0,
     ) -> None:
+        self._min_bytes_per_s = min_bytes_per_s
+        self._address_bytes = limit_bytes * address_share
+        self._used_by: dict[str, int] = {}
+        self._asked_at: dict[str, float] = {}
+        # Of the bodies that are being received.
+        self._waiters: dict[Waiter, Reservation] = {}
         self._name = name
         self._limit_bytes = limit_bytes
         self._metrics = metrics
@@ -56,31 +81,83 @@
         self._used = 0
         metrics.gauge(f'edge.body_memory.{name}.limit_bytes', limit_bytes)
 
-    def reservation(self) -> 'Reservation':
-        """Return a reservation of nothing yet."""
-        return Reservation(self)
+    def reservation(self, address: str = '') -> 'Reservation':
+        """Return a reservation of nothing yet, for a client's address."""
+        return Reservation(self, address)
 
-    def try_grow(self, held: int, size: int, timeout_s: float = 0.0) -> bool:
+    def try_grow(
+        self, held: int, size: int, timeout_s: float = 0.0, address: str = ''
+    ) -> bool:
         """Reserve more for a body that holds some; wait for it if asked."""
         ends_at = time.monotonic() + timeout_s
         with self._changed:
-            while self._used > held and self._used + size > self._limit_bytes:
+            self._note(address)
+            while not self._has_room(held, size, address):
                 remaining_s = ends_at - time.monotonic()
                 if remaining_s <= 0:
+                    self._evict_slowest()
                     self._metrics.count(f'edge.body_memory.{self._name}.full')
                     return False
                 self._changed.wait(remaining_s)
-            self._add(size)
+            self._add(size, address)
             return True
 
-    def release(self, size: int) -> None:
+    def release(self, size: int, address: str = '') -> None:
         """Give memory back."""
         with self._changed:
-            self._add(-size)
+            self._add(-size, address)
             self._changed.notify_all()
 
-    def _add(self, size: int) -> None:
+    def _has_room(self, held: int, size: int, address: str) -> bool:
+        if self._used <= held:
+            return True
+        if self._used + size > self._limit_bytes:
+            return False
+        used = self._used_by.get(address, 0)
+        is_contended = len(self._asked_at) > 1 and used > held
+        return not is_contended or used + size <= self._address_bytes
+
+    def add_waiter(self, waiter: Waiter, reservation: 'Reservation') -> None:
+        """Note that the body of a reservation is being received."""
+        with self._changed:
+            self._waiters[waiter] = reservation
+
+    def remove_waiter(self, waiter: Waiter) -> None:
+        """Note that a body is no longer being received."""
+        with self._changed:
+            self._waiters.pop(waiter, None)
+
+    def _evict_slowest(self) -> None:
+        """Make room for the next body, if one arrives slowly."""
+        slow = [
+            waiter
+            for waiter, reservation in self._waiters.items()
+            if reservation.is_held
+            and waiter.waited_s >= SLOW_BODY_S
+            and waiter.bytes_per_s < self._min_bytes_per_s
+        ]
+        if slow:
+            slowest = min(slow, key=lambda waiter: waiter.bytes_per_s)
+            del self._waiters[slowest]
+            slowest.evict()
+
+    def _note(self, address: str) -> None:
+        """Remember for a while that an address has asked for memory."""
+        now = time.monotonic()
+        # The address that asked last is the last one.
+        self._asked_at.pop(address, None)
+        self._asked_at[address] = now
+        while True:
+            oldest = next(iter(self._asked_at))
+            if now - self._asked_at[oldest] <= CONTENTION_S:
+                return
+            del self._asked_at[oldest]
+
+    def _add(self, size: int, address: str) -> None:
         self._used += size
+        self._used_by[address] = self._used_by.get(address, 0) + size
+        if self._used_by[address] <= 0:
+            del self._used_by[address]
         self._metrics.gauge(
             f'edge.body_memory.{self._name}.used_bytes', self._used
         )
@@ -89,8 +166,9 @@
 class Reservation:
     """Context manager for the memory of one body."""
 
-    def __init__(self, memory: BodyMemory) -> None:
+    def __init__(self, memory: BodyMemory, address: str = '') -> None:
         self._memory = memory
+        self._address = address
         self._held = 0
         self._seen = 0
 
@@ -118,41 +196,28 @@
         if self._seen <= SMALL_BYTES:
             return True
         wanted = self._seen * COPIES - self._held
-        if not self._memory.try_grow(self._held, wanted, timeout_s):
+        if not self._memory.try_grow(
+            self._held, wanted, timeout_s, self._address
+        ):
             return False
         self._held += wanted
         return True
 
+    @contextlib.contextmanager
+    def waiting(self, waiter: Waiter) -> collections.abc.Iterator[None]:
+        """Let the body be given up while it is received slowly."""
+        self._memory.add_waiter(waiter, self)
+        try:
+            yield
+        finally:
+            self._memory.remove_waiter(waiter)
+
     def shrink(self, size: int) -> None:
         """Keep memory for one copy of a whole body."""
         if self._held > size:
-            self._memory.release(self._held - size)
+            self._memory.release(self._held - size, self._address)
             self._held = size
 
     def release(self) -> None:
         """Give the memory back."""
         self.shrink(0)
-
-
-class ReservingReader:
-    """Reserve memory for each chunk of a body before it is read."""
-
-    def __init__(
-        self,
-        reader: BodyReader,
-        reserve: typing.Callable[[int], None],
-    ) -> None:
-        self._reader = reader
-        self._reserve = reserve
-
-    def readline(self) -> bytes:
-        """Read the head of a chunk, or a trailer."""
-        return self._reader.readline()
-
-    def read(self, size: int) -> bytes:
-        """Read a chunk; raise what the reservation raises."""
-        self._reserve(size)
-        return self._reader.read(size)
-
-    def close(self) -> None:
-        """Leave the connection open for the next request."""
--- /dev/null
+++ b/baobabpond/edge/chunked.py
@@ -0,0 +1,114 @@
+"""Read bodies that come in chunks, within bounds."""
+
+import re
+import typing
+
+from . import client_limits
+
+PIECE_BYTES = 65536
+CRLF = b'\r\n'
+# Bytes in chunks that allow for one byte of framing.
+BYTES_PER_FRAMING_BYTE = 4
+SIZE = re.compile(rb'[0-9A-Fa-f]{1,16}')
+
+
+class Reader(typing.Protocol):
+    """What a body is read from."""
+
+    def readline(self, size: int) -> bytes:
+        """Read a line, or the first bytes of a longer one."""
+        ...
+
+    def read(self, size: int) -> bytes:
+        """Read a number of bytes, fewer only at the end of input."""
+        ...
+
+
+class LimitExceeded(ValueError):
+    """The framing of a body exceeds a limit; carries its name."""
+
+    def __init__(self, limit: str, message: str) -> None:
+        super().__init__(message)
+        self.limit = limit
+
+
+class BodyTooLarge(ValueError):
+    """The chunks are larger than a body may be."""
+
+
+def read_exactly(reader: Reader, into: bytearray, size: int) -> None:
+    """Append a number of bytes, fewer only at the end of input.
+
+    They arrive in pieces, so that no copy of a large part is made.
+    """
+    while size > 0:
+        piece = reader.read(min(size, PIECE_BYTES))
+        if not piece:
+            return
+        into += piece
+        size -= len(piece)
+
+
+class ChunkedBody:
+    """Read the chunks of one body and the trailers behind them."""
+
+    def __init__(
+        self,
+        reader: Reader,
+        limits: client_limits.ClientLimits,
+        max_bytes: int,
+        reserve: typing.Callable[[int], None],
+    ) -> None:
+        self._reader = reader
+        self._limits = limits
+        self._max_bytes = max_bytes
+        self._reserve = reserve
+        self._framing_bytes = 0
+
+    def read(self) -> bytes:
+        """Read the whole body; raise ValueError if it is invalid.
+
+        Raises BodyTooLarge, LimitExceeded or what the reservation raises.
+        """
+        body = bytearray()
+        while size := self._read_size(len(body)):
+            if self._max_bytes and len(body) + size > self._max_bytes:
+                raise BodyTooLarge('the body is too large')
+            self._reserve(size)
+            expected = len(body) + size
+            read_exactly(self._reader, body, size)
+            if len(body) < expected or self._reader.read(2) != CRLF:
+                raise ValueError('a chunk does not end as it should')
+        self._skip_trailers()
+        return bytes(body)
+
+    def _read_size(self, body_bytes: int) -> int:
+        """Read the line before a chunk; return the size of the chunk."""
+        limit = self._limits.chunk_line_bytes
+        line = self._reader.readline(limit)
+        if len(line) >= limit and not line.endswith(CRLF):
+            raise LimitExceeded('chunk_line', 'the line of a chunk is long')
+        self._framing_bytes += len(line) + len(CRLF)
+        allowed = (
+            self._limits.chunk_framing_bytes
+            + body_bytes // BYTES_PER_FRAMING_BYTE
+        )
+        if self._framing_bytes > allowed:
+            raise LimitExceeded('chunk_framing', 'the chunks are too small')
+        size = line.partition(b';')[0].strip(b' \t\r\n')
+        if not line.endswith(CRLF) or not SIZE.fullmatch(size):
+            raise ValueError('the size of a chunk is invalid')
+        return int(size, 16)
+
+    def _skip_trailers(self) -> None:
+        """Read up to the end of the request."""
+        left = self._limits.trailer_bytes
+        while True:
+            line = self._reader.readline(left + len(CRLF))
+            if line == CRLF:
+                return
+            left -= len(line)
+            if left < 0:
+                raise LimitExceeded('trailers', 'the trailers are too long')
+            if not line.endswith(CRLF):
+                raise ValueError('a trailer does not end as it should')
--- a/baobabpond/edge/lingering.py
+++ b/baobabpond/edge/lingering.py
@@ -11,8 +11,6 @@
 import time
 
 CLOSE_AFTER_S = 2.0
-# Further connections are closed at once.
-MAX_CONNECTIONS = 256
 POLL_S = 0.1
 READ_BYTES = 65536
 
@@ -20,7 +18,9 @@
 class LingeringCloser:
     """Discard what arrives on connections, then close them, in one thread."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_connections: int) -> None:
+        # Further connections are closed at once.
+        self._max_connections = max_connections
         self._lock = threading.Lock()
         self._selector = selectors.DefaultSelector()
         self._close_at: dict[socket.socket, float] = {}
@@ -31,7 +31,7 @@
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_WR)
         with self._lock:
-            if len(self._close_at) >= MAX_CONNECTIONS:
+            if len(self._close_at) >= self._max_connections:
                 sock.close()
                 return
             sock.setblocking(False)
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -1,12 +1,13 @@
 """Run the HTTP servers of an instance."""
 
-import collections
 import collections.abc
+import contextlib
+import re
+import select
 import socket
 import threading
 import typing
 
-from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
 import structlog
 
@@ -14,15 +15,20 @@
 from ..ports import catalogue
 from ..upstreams import sockets
 
+from . import acceptor
 from . import body_memory as body_memory_module
+from . import chunked
+from . import client_io
+from . import client_limits as client_limits_module
 from . import lingering
+from . import pace as pace_module
 
 LISTEN_BACKLOG = 512
-KEEP_ALIVE_CONNECTIONS = 4000
 SHUTDOWN_TIMEOUT_S = 1
-BODY_CHUNK_BYTES = 65536
-# Of the error that the library raises for a chunk beyond the size limit.
-CHUNK_TOO_LARGE = 'Request Entity Too Large'
+# Of the connections that may be open, one in this many may be closing.
+LINGERING_PART = 4
+MIN_LINGERING = 8
+CONTENT_LENGTH = re.compile(rb'[0-9]{1,18}')
 
 LOG = structlog.get_logger(__name__)
 
@@ -46,6 +52,10 @@
         self.size = size
 
 
+class TooManySlowBodies(BodyMemoryFull):
+    """Too many threads wait for bodies that arrive slowly."""
+
+
 class Exchange:
     """An HTTP request and the means to write its response."""
 
@@ -93,38 +103,58 @@
         if b'Content-Length' in headers and b'Transfer-Encoding' in headers:
             # Both together allow request smuggling.
             raise self._bad_body(BodyError('two lengths are given', 400))
-        rfile = self._request.rfile
-        if self._request.chunked_read:
-            rfile.rfile = body_memory_module.ReservingReader(
-                rfile.rfile, self._reserve
-            )
-        else:
-            self._reserve(int(headers.get(b'Content-Length', 0)))
+        reader = self._request.conn.rfile
         try:
-            body = rfile.read()
-            if self._request.chunked_read:
-                # The end of the trailers is the end of the request.
-                collections.deque(rfile.read_trailer_lines(), maxlen=0)
-        except cheroot_errors.MaxSizeExceeded as error:
-            raise self._bad_body(
-                BodyError('the body is too large', 413)
-            ) from error
-        except ValueError as error:
-            raise self._bad_body(BodyError(str(error), 400)) from error
-        except OSError as error:
-            if error.args != (CHUNK_TOO_LARGE,):
-                raise
-            raise self._bad_body(
-                BodyError('the body is too large', 413)
-            ) from error
-        length = headers.get(b'Content-Length')
-        if length is not None and len(body) < int(length):
-            raise self._bad_body(BodyError('the body is cut', 400))
+            with self._waiting_for(reader):
+                if self._request.chunked_read:
+                    body = self._read_chunks(reader)
+                else:
+                    body = self._read_bytes(
+                        reader, int(headers.get(b'Content-Length', 0))
+                    )
+        except pace_module.TooManySlowClients as error:
+            raise self._bad_body(TooManySlowBodies(0)) from error
+        finally:
+            reader.end_body()
         self._is_body_read = True
         if self._body_memory is not None:
             self._body_memory.shrink(len(body))
         return body
 
+    def _waiting_for(
+        self, reader: client_io.ClientReader
+    ) -> contextlib.AbstractContextManager[None]:
+        if self._body_memory is None:
+            return contextlib.nullcontext()
+        return self._body_memory.waiting(reader.pace)
+
+    def _read_chunks(self, reader: client_io.ClientReader) -> bytes:
+        server = self._request.server
+        try:
+            return chunked.ChunkedBody(
+                reader,
+                server.client_limits,
+                server.max_request_body_size,
+                self._reserve,
+            ).read()
+        except chunked.LimitExceeded as error:
+            self._request.conn.report(error.limit)
+            raise self._bad_body(BodyError(str(error), 400)) from error
+        except chunked.BodyTooLarge as error:
+            raise self._bad_body(BodyError(str(error), 413)) from error
+        except ValueError as error:
+            raise self._bad_body(BodyError(str(error), 400)) from error
+
+    def _read_bytes(self, reader: client_io.ClientReader, size: int) -> bytes:
+        self._reserve(size)
+        body = bytearray()
+        chunked.read_exactly(reader, body, size)
+        if len(body) < size:
+            raise self._bad_body(BodyError('the body is cut', 400))
+        # Otherwise the library would read it again before the response.
+        self._request.rfile.remaining = 0
+        return bytes(body)
+
     def _reserve(self, size: int) -> None:
         memory = self._body_memory
         if memory is not None and not memory.try_add(size):
@@ -202,38 +232,102 @@
         length = int(self.inheaders.get(b'Content-Length', 0))
         return self.chunked_read or length > 0
 
+    def parse_request(self) -> None:
+        """Parse a head, which has been received as a whole."""
+        try:
+            super().parse_request()
+        finally:
+            self.conn.rfile.is_offline = False
+
+    def read_request_headers(self) -> bool:
+        """Read the headers; return whether they are valid."""
+        lines = self.conn.rfile.pending().count(client_io.LF)
+        limit = self.server.client_limits.header_lines
+        if lines > limit and self._count_header_lines() > limit:
+            self.conn.report('header_lines')
+            self.simple_response('431 Request Header Fields Too Large')
+            return False
+        if not super().read_request_headers():
+            return False
+        length = self.inheaders.get(b'Content-Length', b'0')
+        if not CONTENT_LENGTH.fullmatch(length):
+            # The library takes signs and underscores for numbers.
+            self.simple_response('400 Bad Request', 'Malformed length')
+            return False
+        return True
+
     def simple_response(self, status: str, msg: str = '') -> None:
         """Send a response that cheroot itself produces."""
         if str(status).startswith('413') and 'headers' in msg:
             self.close_connection = True
             status = '431 Request Header Fields Too Large'
-        if str(status).startswith(('413', '431')):
+        if str(status).startswith('414') or 'headers' in msg:
+            self.conn.report('header_bytes')
+        if str(status).startswith(('408', '413', '414', '431')):
             # The rest of the request is still to come.
             self.conn.lingers = True
         super().simple_response(status, msg)
 
+    def _count_header_lines(self) -> int:
+        head, _, _ = self.conn.rfile.pending().partition(acceptor.HEAD_END)
+        return head.count(client_io.LF)
+
 
 class Connection(cheroot_server.HTTPConnection):
-    """Apply the timeout for receiving a request to the socket."""
+    """Read and write within the limits of clients."""
 
     RequestHandlerClass = Request
 
-    def __init__(
-        self, server: 'Server', sock: socket.socket, *arguments: typing.Any
-    ) -> None:
-        super().__init__(server, sock, *arguments)
+    def __init__(self, server: 'Server', sock: socket.socket) -> None:
+        # The constructor of the library makes files that copy what they
+        # write, and cycles of references that keep closed connections.
+        self.server = server
+        self.socket = sock
+        self.requests_seen = 0
         sock.settimeout(server.request_timeout_s)
+        self.rfile = client_io.ClientReader(
+            sock, self._pace(sock, select.POLLIN)
+        )
+        self.wfile = client_io.ClientWriter(
+            sock, self._pace(sock, select.POLLOUT)
+        )
         # Whether the caller may still send when the connection is closed.
         self.lingers = False
+        self._is_closed = False
+
+    def communicate(self) -> bool:
+        """Serve a request; return whether the connection stays open."""
+        try:
+            return super().communicate()
+        finally:
+            self.wfile.end_response()
+
+    def report(self, limit: str) -> None:
+        """Count that the client exceeds a limit."""
+        self.server.excesses.report(limit, self.remote_addr)
 
     def close(self) -> None:
         """Close the connection, at once unless the caller may still send."""
+        if self._is_closed:
+            return
+        self._is_closed = True
         # The library leaves the socket open then.
         self.linger = self.linger or self.lingers
         super().close()
+        self.server.connections.count_closed()
         if self.lingers:
             self.server.closer.close(self.socket)
 
+    def _pace(self, sock: socket.socket, event: int) -> pace_module.Pace:
+        return pace_module.Pace(
+            sock,
+            event,
+            self.server.client_limits,
+            self.server.request_timeout_s,
+            self.server.slow_clients,
+            self.report,
+        )
+
 
 Handler = collections.abc.Callable[[Exchange], None]
 
@@ -247,14 +341,14 @@
         if server.body_memory is None:
             server.handle(Exchange(self.req))
             return
-        with server.body_memory.reservation() as reservation:
+        address = self.req.conn.remote_addr
+        with server.body_memory.reservation(address) as reservation:
             server.handle(Exchange(self.req, reservation))
 
 
 class Server(cheroot_server.HTTPServer):
     """Run a handler in a pool of threads, one per request in flight."""
 
-    keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
     ConnectionClass = Connection
 
     def __init__(
@@ -265,12 +359,22 @@
         metrics: metrics_module.Metrics,
         limits: catalogue.Limits,
         body_memory: body_memory_module.BodyMemory | None = None,
+        client_limits: client_limits_module.ClientLimits = (
+            client_limits_module.DEFAULTS
+        ),
     ) -> None:
         self.body_memory = body_memory
+        self.client_limits = client_limits
+        self.excesses = client_limits_module.Excesses(metrics)
+        self.slow_clients = pace_module.SlowClients(
+            max(1, int(threads * client_limits.slow_client_share))
+        )
         super().__init__(address, Gateway, minthreads=threads)
         self.request_queue_size = LISTEN_BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
-        self.closer = lingering.LingeringCloser()
+        self.closer = lingering.LingeringCloser(
+            max(MIN_LINGERING, client_limits.connections // LINGERING_PART)
+        )
         self._handler = handler
         self._metrics = metrics
         self._in_flight = 0
@@ -291,6 +395,31 @@
         self.timeout = limits.idle_timeout_s
         self.request_timeout_s = limits.header_timeout_s
 
+    @property
+    def connections(self) -> acceptor.Acceptor:
+        """Return what accepts connections and waits for their heads."""
+        return self._connections
+
+    def prepare(self) -> None:
+        """Listen, and start the threads."""
+        super().prepare()
+        size = self.client_limits.socket_buffer_bytes
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            # Accepted connections inherit it.
+            self.socket.setsockopt(socket.SOL_SOCKET, option, size)
+        self._connections.close()
+        self._connections = acceptor.Acceptor(self)
+
+    def report_connections(self, count: int) -> None:
+        """Publish how many connections are open, and who waits for clients."""
+        port = self.bind_addr[1]
+        for name, value in (
+            ('open', count),
+            ('queued', self.requests.qsize),
+            ('slow', self.slow_clients.count),
+        ):
+            self._metrics.gauge(f'edge.clients.{port}.{name}', value)
+
     def start_thread(self, name: str) -> None:
         """Serve in a daemon thread."""
         self.prepare()
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -6,6 +6,27 @@
 from typing import Literal, NotRequired, TypedDict
 
 
+class ClientLimits(TypedDict):
+    """
+    What clients may make this instance hold; see docs/SECURITY.md.
+    """
+
+    connections: NotRequired[int]
+    threads: NotRequired[int]
+    queued_requests: NotRequired[int]
+    head_memory_bytes: NotRequired[int]
+    header_lines: NotRequired[int]
+    chunk_line_bytes: NotRequired[int]
+    chunk_framing_bytes: NotRequired[int]
+    trailer_bytes: NotRequired[int]
+    slow_client_grace_s: NotRequired[float]
+    min_client_bytes_per_s: NotRequired[float]
+    slow_client_share: NotRequired[float]
+    address_body_share: NotRequired[float]
+    held_body_bytes_per_s: NotRequired[float]
+    socket_buffer_bytes: NotRequired[int]
+
+
 class HostSettings(TypedDict):
     """
     Start-up settings of one instance on a platform.
@@ -33,4 +54,5 @@
     longest_validity_s: float
     memory_mb: float
     body_memory_mb: NotRequired[float]
+    client_limits: NotRequired[ClientLimits]
     log_level: Literal['debug', 'info', 'warning', 'error']
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -18,6 +18,7 @@
 from .edge import app as app_module
 from .edge import batch_handlers
 from .edge import body_memory
+from .edge import client_limits
 from .edge import forwarder
 from .edge import relay_handler
 from .edge import server
@@ -54,7 +55,6 @@
 from .upstreams import gateway
 from .upstreams import load_balancer
 
-CALLER_THREADS = 48
 OPERATOR_THREADS = 4
 READY_CHECK_INTERVAL_S = 0.05
 SHARD = 0
@@ -90,8 +90,13 @@
         body_bytes = body_memory.BYTES_PER_MB * body_memory.limit_mb(
             settings['memory_mb'], settings.get('body_memory_mb')
         )
+        self._caller_limits = client_limits.from_settings(settings)
         self._request_memory = body_memory.BodyMemory(
-            'requests', body_bytes, self._metrics
+            'requests',
+            body_bytes,
+            self._metrics,
+            self._caller_limits.address_body_share,
+            self._caller_limits.held_body_bytes_per_s,
         )
         self._response_memory = body_memory.BodyMemory(
             'responses', body_bytes, self._metrics
@@ -444,16 +449,25 @@
         # These have requests in flight when the instance stops.
         self._request_servers = [
             self._make_server(
-                settings['callers_listen'], self._caller_app.handle
+                settings['callers_listen'],
+                self._caller_app.handle,
+                self._caller_limits.threads,
+                1.0,
             ),
             self._make_server(
                 f'{settings["address"]}:{settings["relay_port"]}',
                 self._relay_handler.handle,
                 relay_handler.THREADS,
+                client_limits.RELAY_SHARE,
             ),
         ]
         self._operator_servers = [
-            self._make_server(listen, operator_app.handle, OPERATOR_THREADS)
+            self._make_server(
+                listen,
+                operator_app.handle,
+                OPERATOR_THREADS,
+                client_limits.OPERATOR_SHARE,
+            )
             for listen in sorted(addresses)
         ]
 
@@ -461,7 +475,8 @@
         self,
         listen: str,
         handler: server.Handler,
-        threads: int = CALLER_THREADS,
+        threads: int,
+        connections_share: float,
     ) -> server.Server:
         host, port = listen.rsplit(':', 1)
         return server.Server(
@@ -471,6 +486,7 @@
             self._metrics,
             catalogue.Limits(),
             self._request_memory,
+            client_limits.from_settings(self._settings, connections_share),
         )
 
     def _join_when_ready(self) -> None:
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -23,14 +23,28 @@
 
 Given to `baobabpond serve --config FILE`.
 """
+HOST_SECTION = """
+## One instance on a platform
+
+Given to `baobabpond host --config FILE`; see `deploy/settings.json5`. Settings
+without a default are required, unless their meaning says what applies without
+them.
+"""
+CLIENT_LIMITS = 'client_limits'
+CLIENT_LIMITS_SECTION = """
+### `client_limits`
+
+What clients may make the instance hold; see [SECURITY.md](../SECURITY.md).
+"""
 
 
 def allowed_values(rule: dict[str, typing.Any]) -> str:
     """Describe the values that a property's schema allows."""
     if 'enum' in rule:
         return ', '.join(map(str, rule['enum']))
-    if 'minimum' in rule:
-        return f'{rule["type"]}, {rule["minimum"]} to {rule["maximum"]}'
+    low = rule.get('minimum', rule.get('exclusiveMinimum'))
+    if low is not None:
+        return f'{rule["type"]}, {low} to {rule["maximum"]}'
     if 'pattern' in rule:
         return f'{rule["type"]} matching `{rule["pattern"]}`'
     return str(rule['type'])
@@ -47,10 +61,29 @@
     return lines
 
 
+def host_table(
+    properties: dict[str, typing.Any],
+) -> list[str]:
+    """Return the Markdown table of properties with defaults of their own."""
+    lines = ['', '| key | allowed | default | meaning |', '|---|---|---|---|']
+    for key, rule in properties.items():
+        default = ''
+        if 'default' in rule:
+            default = f'`{json.dumps(rule["default"])}`'
+        lines.append(
+            f'| `{key}` | {allowed_values(rule)} | {default} '
+            f'| {rule["description"]} |'
+        )
+    return lines
+
+
 def render() -> str:
     """Render the whole page as Markdown."""
     tree = table('tree', check.default_tree())
     instance = table('instance', check.load_instance(None))
+    properties = check.load_schema('host')['properties']
+    host = host_table(properties)
+    client_limits = host_table(properties[CLIENT_LIMITS]['properties'])
     return (
         INTRODUCTION
         + '\n'.join(tree)
@@ -58,6 +91,12 @@
         + INSTANCE_SECTION
         + '\n'.join(instance)
         + '\n'
+        + HOST_SECTION
+        + '\n'.join(host)
+        + '\n'
+        + CLIENT_LIMITS_SECTION
+        + '\n'.join(client_limits)
+        + '\n'
     )
 
 
