--- a/baobabpond/edge/client_io.py
+++ b/baobabpond/edge/client_io.py
@@ -104,8 +104,6 @@
             except BlockingIOError:
                 self._pace.wait()
                 continue
-            if not data and self._pace.is_evicted:
-                raise pace_module.TooManySlowClients()
             self._pace.progress(len(data))
             return data
 
--- a/baobabpond/edge/pace.py
+++ b/baobabpond/edge/pace.py
@@ -1,7 +1,6 @@
 """Bound how long threads wait for slow clients."""
 
 import collections.abc
-import contextlib
 import select
 import socket
 import threading
@@ -14,6 +13,8 @@
 SLOW_AFTER_S = 0.25
 # A slot is kept for at least this long.
 MIN_HELD_S = 1.0
+# How soon a thread notices that its client has lost its slot.
+EVICTION_POLL_S = 0.1
 MS_PER_S = 1000
 # Understood by the HTTP library.
 TIMED_OUT = 'timed out'
@@ -93,11 +94,6 @@
         self._waited_s = 0.0
         self._waits_since: float | None = None
 
-    @property
-    def is_evicted(self) -> bool:
-        """Return whether the client has lost its slot to others."""
-        return self._is_evicted
-
     @property
     def waited_s(self) -> float:
         """Return the time of waiting so far, in seconds."""
@@ -119,12 +115,6 @@
         """End the wait, from another thread."""
         self._is_evicted = True
         self._report(f'slow_{self._kind}_slots')
-        with contextlib.suppress(OSError):
-            self._socket.shutdown(
-                socket.SHUT_RD
-                if self._event & select.POLLIN
-                else socket.SHUT_RDWR
-            )
 
     def wait(self) -> None:
         """Wait until the client is ready.
@@ -145,10 +135,7 @@
             left_s -= usual_s
         if left_s > 0:
             self._take_slot()
-            is_ready = self._poll(left_s)
-            if self._is_evicted:
-                raise TooManySlowClients()
-            if is_ready:
+            if self._poll_slowly(left_s):
                 return
         self._report(f'slow_{self._kind}')
         raise TimeoutError(TIMED_OUT)
@@ -158,6 +145,7 @@
         if self._has_slot:
             self._slow_clients.leave(self)
             self._has_slot = False
+        self._is_evicted = False
         self._bytes = 0
         self._waited_s = 0.0
 
@@ -171,6 +159,17 @@
             raise
         self._has_slot = True
 
+    def _poll_slowly(self, timeout_s: float) -> bool:
+        """Wait with a slot; raise TooManySlowClients once it is lost."""
+        while timeout_s > 0:
+            is_ready = self._poll(min(timeout_s, EVICTION_POLL_S))
+            if self._is_evicted:
+                raise TooManySlowClients()
+            if is_ready:
+                return True
+            timeout_s -= EVICTION_POLL_S
+        return False
+
     def _poll(self, timeout_s: float) -> bool:
         poll = select.poll()
         poll.register(self._socket, self._event)
