--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import subprocess
 import sys
@@ -70,6 +71,8 @@
         self.ready_address = ''
         self.entries_address = ''
         self.metrics_address = ''
+        # For requests that other instances pass on.
+        self.relay_address = ''
 
     def kill(self) -> None:
         """Kill the process and wait until it has exited."""
@@ -119,14 +122,16 @@
         self.restart_s = RESTART_S
         # Client accounts; None if the deployment has none.
         self.tenants: list[dict[str, typing.Any]] | None = None
-        # Settings of each instance beyond the usual ones.
-        self.more_settings: dict[str, typing.Any] = {}
         # Limit of the memory of each instance; 0 if there is none.
         self.memory_mb = 0
         # The API for duties; None where the deployment has none.
         self.control: control_module.ControlApi | None = None
         # Minimum time between calls of two instances.
         self.lease_ms = LEASE_MS
+        # Further settings of each instance.
+        self.settings: dict[str, typing.Any] = {}
+        # Limit of the open descriptors of each instance; 0 if unchanged.
+        self.max_descriptors = 0
         self._checks_fence = True
         self._has_links = False
         self._views: list[server_module.Server] = []
@@ -297,6 +302,7 @@
             f'{serving.ADDRESS}:{serving.free_port()}' for _ in 'abc'
         ]
         metrics_port = serving.free_port()
+        relay_port = serving.free_port()
         settings = {
             'instance': name,
             'data_centre': 'kl-bengkel',
@@ -307,7 +313,7 @@
             'entries_listen': listen_addresses[2],
             'metrics_port': metrics_port,
             'peer_port': serving.free_port(),
-            'relay_port': serving.free_port(),
+            'relay_port': relay_port,
             'plugin_folder': str(self.build.root / 'platform'),
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
@@ -320,7 +326,7 @@
             'longest_validity_s': 0.2,
             'memory_mb': self.memory_mb,
             'log_level': 'info',
-            **self.more_settings,
+            **self.settings,
         }
         if self.control is not None:
             settings |= {
@@ -346,17 +352,24 @@
                 },
                 stdout=output,
                 stderr=output,
+                preexec_fn=self._limit_descriptors,
             )
         instance = Instance(name, process, listen_addresses[0])
         instance.ready_address = listen_addresses[1]
         instance.entries_address = listen_addresses[2]
         instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
+        instance.relay_address = f'{serving.ADDRESS}:{relay_port}'
         instance.store_relay = store_relay
         instance.links = links
         instance.log_path = log_path
         self.instances.append(instance)
         return instance
 
+    def _limit_descriptors(self) -> None:
+        if self.max_descriptors:
+            limits = (self.max_descriptors, self.max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     def _relay_to_store(self, links: links_module.Links | None) -> relay.Relay:
         store = self.store.server
         if links is not None:
--- a/test/emulator/test_accounts.py
+++ b/test/emulator/test_accounts.py
@@ -392,7 +392,7 @@
     def prepare(self, deployment: deployment_module.Deployment) -> None:
         """Bound the time in which removed keys are accepted."""
         super().prepare(deployment)
-        deployment.more_settings = {
+        deployment.settings = {
             'revoke_ms': REVOKE_MS,
             'strict_revoke': True,
         }
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -29,6 +29,12 @@
 Read from the file that `BAOBABPOND_CONFIG` names; the platform renders it from
 `deploy/settings.json5`.
 """
+CLIENT_LIMITS = 'client_limits'
+CLIENT_LIMITS_SECTION = """
+### `client_limits`
+
+What clients may make the instance hold; see [SECURITY.md](../SECURITY.md).
+"""
 
 
 def allowed_values(rule: dict[str, typing.Any]) -> str:
@@ -72,10 +78,26 @@
     return lines
 
 
+def defaults_table(properties: dict[str, typing.Any]) -> list[str]:
+    """Return the Markdown table of properties with defaults of their own."""
+    lines = ['', '| key | allowed | default | meaning |', '|---|---|---|---|']
+    for key, rule in properties.items():
+        default = (
+            f'`{json.dumps(rule["default"])}`' if 'default' in rule else ''
+        )
+        lines.append(
+            f'| `{key}` | {allowed_values(rule)} | {default} '
+            f'| {rule["description"]} |'
+        )
+    return lines
+
+
 def render() -> str:
     """Render the whole page as Markdown."""
     tree = table('tree', check.default_tree())
     instance = table('instance', check.load_instance(None))
+    properties = check.load_schema('host')['properties']
+    client_limits = properties[CLIENT_LIMITS]['properties']
     return (
         INTRODUCTION
         + '\n'.join(tree)
@@ -86,6 +108,9 @@
         + HOST_SECTION
         + '\n'.join(host_table())
         + '\n'
+        + CLIENT_LIMITS_SECTION
+        + '\n'.join(defaults_table(client_limits))
+        + '\n'
     )
 
 
