Append the last counts before a planned stop

An instance that leaves right after a request exited before its counts were appended at most half a second later. It appends them after its last request, in at most three tries; a test on the emulator stops the owner after five requests. The gauge usage.clock_difference_s shows by how much its clock is corrected.

--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -181,7 +181,7 @@
         self._leave_requested.wait()
         LOG.info('leaving')
         self._leaving = True
-        return shutdown.GracefulShutdown(
+        is_complete = shutdown.GracefulShutdown(
             self._roster,
             self._ownership,
             self._caller_app,
@@ -189,6 +189,9 @@
             self._request_servers,
             self._operator_servers,
         ).run(self._settings['grace_s'], self._validity_s)
+        if self._usage is not None:
+            self._usage.flush()
+        return is_complete
 
     def _apply_configuration(
         self, records: list[log_port.Record], is_snapshot: bool
--- a/baobabpond/usage/components.py
+++ b/baobabpond/usage/components.py
@@ -87,3 +87,7 @@
         self._counts_follower.start()
         self._sharing.start()
         self._reporter.start()
+
+    def flush(self) -> None:
+        """Append the last counts before the process exits."""
+        self._sharing.flush()
--- a/baobabpond/usage/sharing.py
+++ b/baobabpond/usage/sharing.py
@@ -20,6 +20,7 @@
 INTERVAL_S = 0.5
 RETRY_S = 0.2
 CHECK_S = 1.0
+FLUSH_ATTEMPTS = 3
 NONE = recorder_module.WindowCounts(-1, {})
 # Counts are appended again if they were not read back after this time.
 REPEAT_S = 1.0
@@ -91,6 +92,9 @@
         It is RETRY_S if the log may lack something yet.
         """
         self.drop_closed()
+        self._metrics.gauge(
+            'usage.clock_difference_s', self._time_of_day.difference_s
+        )
         pending = self.pending()
         if not pending:
             return 0.0
@@ -113,6 +117,12 @@
             self._appended[window] = (counts, now)
         return INTERVAL_S
 
+    def flush(self) -> None:
+        """Append what the log lacks before the process exits."""
+        for _ in range(FLUSH_ATTEMPTS):
+            if self.append_pending() != RETRY_S:
+                return
+
     def drop_closed(self) -> None:
         """Forget the windows that are closed; log what was not appended."""
         closed = self._shared.closed
--- a/test/emulator/test_usage.py
+++ b/test/emulator/test_usage.py
@@ -123,6 +123,16 @@
             victim.kill()
         self.check_reports()
 
+    def test_counts_outlive_a_planned_stop(self) -> None:
+        """The last requests came just before."""
+        time.sleep(WINDOW_S)
+        leaving = self.owner()
+        for _ in range(5):
+            self.assertIn(self.load.send(leaving.address), (200, 500))
+        leaving.terminate()
+        self.assertEqual(0, leaving.process.wait(15.0))
+        self.check_reports()
+
     def test_lost_answers_make_no_other_report(self) -> None:
         """Half of the calls are executed a second later, unanswered."""
         self.control.lost_share = 0.5
--- a/test/usage/test_sharing.py
+++ b/test/usage/test_sharing.py
@@ -64,6 +64,13 @@
         self.first.sharing.append_pending()
         self.assertEqual({'kea': 3}, self.read_total())
 
+    def test_last_counts_are_appended_before_an_exit(self) -> None:
+        """Also if the first append fails."""
+        self.count()
+        self.log.partitions[0].outcomes.append(log_port.AppendOutcome.REFUSED)
+        self.first.sharing.flush()
+        self.assertEqual({'kea': 1}, self.read_total())
+
     def test_late_append_of_older_counts_is_mended(self) -> None:
         """It was unanswered, and takes effect after a newer one."""
         self.count()
