--- a/baobabpond/scaling/scaler.py
+++ b/baobabpond/scaling/scaler.py
@@ -71,6 +71,11 @@
             # A new holder of the duty begins with what there is.
             self._ordered = dict(observation.serving)
             self._began_at = now
+        if now - self._began_at < HOLD_S:
+            # Ordered by the former holder; they had not booted yet.
+            for pool, count in observation.serving.items():
+                present = self._ordered.get(pool, 0)
+                self._ordered[pool] = max(present, count)
         for pool, until in list(self._unavailable.items()):
             if until <= now:
                 del self._unavailable[pool]
--- a/test/scaling/test_scaling.py
+++ b/test/scaling/test_scaling.py
@@ -236,7 +236,13 @@
         self.simulation.run(200.0, lambda now: 300)
         serving = self.simulation.serving
         fresh = scaler_module.Scaler(SCALING)
-        for seconds in (0.0, scaler_module.HOLD_S - 1.0):
+        # One more has booted that the former holder had ordered.
+        booted = {**serving, SPOT['slupsk']: serving[SPOT['slupsk']] + 1}
+        for seconds, serving in (
+            (0.0, serving),
+            (5.0, booted),
+            (scaler_module.HOLD_S - 1.0, booted),
+        ):
             counts = fresh.decide(
                 scaler_module.Observation(seconds, 8, 8, serving)
             )
