Allow for the delay of records when clocks are compared

Instances read the counts of all; a pause of 0.3 s between reads instead of 0.1 s halves the reads, and would shift a corrected time of day by as much. The delay that this instance's own records have is added to the time of day of the others.

--- a/baobabpond/usage/components.py
+++ b/baobabpond/usage/components.py
@@ -18,7 +18,8 @@
 from . import windows as windows_module
 
 # Pause between reads, so that one read returns the counts of many instances.
-READ_PAUSE_S = 0.1
+# All instances read the counts of all; they come six times a second.
+READ_PAUSE_S = 0.3
 
 
 class UsageComponents:
--- a/baobabpond/usage/shared_counts.py
+++ b/baobabpond/usage/shared_counts.py
@@ -107,5 +107,9 @@
             self._newest[key] = value.counts.revision
             if value.counts.revision > self._counts.get(key, NONE).revision:
                 self._counts[key] = value.counts
-            if not is_snapshot and key.instance != self._instance:
+            if is_snapshot:
+                return
+            if key.instance == self._instance:
+                self._time_of_day.record_own(value.unix_s)
+            else:
                 self._time_of_day.record(key.instance, value.unix_s)
--- a/baobabpond/usage/time_of_day.py
+++ b/baobabpond/usage/time_of_day.py
@@ -30,6 +30,10 @@
         # By sender: when a sample was read, on the boot-time clock, and the
         # time of day at the zero of that clock.
         self._samples: dict[str, collections.deque[tuple[float, float]]] = {}
+        # How long this instance's own records took until it read them.
+        self._delays: collections.deque[float] = collections.deque(
+            maxlen=KEPT_SAMPLES
+        )
 
     @property
     def difference_s(self) -> float:
@@ -42,15 +46,25 @@
                 for samples in self._samples.values()
                 if now_boot_s - samples[-1][0] <= MAX_SAMPLE_AGE_S
             ]
+            delay_s = min(self._delays, default=0.0)
         if len(offsets) + 1 < MIN_CLOCKS:
             return 0.0
-        difference_s = own - statistics.median([*offsets, own])
+        others = [offset + delay_s for offset in offsets]
+        difference_s = own - statistics.median([*others, own])
         return difference_s if abs(difference_s) > MAX_DIFFERENCE_S else 0.0
 
     def now_unix_s(self) -> float:
         """Return the time of day."""
         return time.time() - self.difference_s
 
+    def record_own(self, unix_s: float) -> None:
+        """Record the time of day of an append that was read back now."""
+        delay_s = time.time() - unix_s
+        # Otherwise the clock was stepped meanwhile, or the log was away.
+        if 0 <= delay_s <= MAX_DIFFERENCE_S:
+            with self._lock:
+                self._delays.append(delay_s)
+
     def record(self, sender: str, unix_s: float) -> None:
         """Record the time of day that another instance has appended now."""
         now_boot_s = clock.since_boot_s()
--- a/test/usage/test_request.py
+++ b/test/usage/test_request.py
@@ -177,6 +177,18 @@
                     examples.START_S, self.time_of_day.now_unix_s()
                 )
 
+    def test_time_that_records_take_is_allowed_for(self) -> None:
+        """This instance's own records take as long as those of others."""
+        self.hear(-0.3, -0.3, -0.3)
+        for delay_s in (0.5, 0.3, 9.0, -9.0):
+            self.time_of_day.record_own(time.time() - delay_s)
+        with mock.patch.object(
+            time, 'time', autospec=True, return_value=examples.START_S + 2.0
+        ):
+            self.assertAlmostEqual(
+                examples.START_S, self.time_of_day.now_unix_s()
+            )
+
     def test_one_other_clock_proves_nothing(self) -> None:
         """Nobody knows which of two is off."""
         self.hear(2.0)
