--- a/standins/emulator/control.py
+++ b/standins/emulator/control.py
@@ -29,6 +29,15 @@
     status: int
 
 
+class Order(typing.NamedTuple):
+    """How many upstreams of one kind there should be in a data centre."""
+
+    service: str
+    zone: str
+    is_spot: bool
+    count: int
+
+
 class ControlApi:
     """Take reports and orders, slowly, late or without an answer."""
 
@@ -48,6 +57,9 @@
         # By window, what was reported first, and the time of day.
         self.reports: dict[int, dict[str, int]] = {}
         self.reported_at: dict[int, float] = {}
+        # Takes orders; returns whether there are as many. Orders are
+        # unknown (404) without it.
+        self.on_order: typing.Callable[[Order], bool] | None = None
         # Windows that were reported again with other counts.
         self.contradicted: set[int] = set()
         self._checks_fence = checks_fence
@@ -147,7 +159,15 @@
             if path == REPORT_PATH:
                 self._take_report(fields['window'], fields['counts'])
                 return 200
+        if path != ORDER_PATH or self.on_order is None:
             return 404
+        order = Order(
+            fields['service'],
+            fields['zone'],
+            fields.get('use-spot', False),
+            fields['group-count'],
+        )
+        return 200 if self.on_order(order) else 409
 
     def _take_report(self, window: int, counts: dict[str, int]) -> None:
         if self.reports.setdefault(window, counts) != counts:
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -201,6 +201,8 @@
         self,
         checks_fence: bool = True,
         software: str = outputs.FIRST_SOFTWARE,
+        zone: str = upstream_module.ZONE,
+        is_spot: bool = False,
     ) -> upstream_module.Upstream:
         """Start an upstream that serves the model."""
         sampler = upstream_module.Upstream(
@@ -211,6 +213,8 @@
             checks_fence=checks_fence,
             software=software,
             heartbeat_s=self._heartbeat_s,
+            zone=zone,
+            is_spot=is_spot,
         )
         self.samplers.append(sampler)
         return sampler
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -16,6 +16,7 @@
 from . import store as store_module
 
 HEARTBEAT_INTERVAL_S = 0.3
+ZONE = 'kl-bengkel'
 # Heartbeats that are missed until the store drops a registration.
 MAX_MISSED_HEARTBEATS = 3
 EVENT_INTERVAL_S = 0.01
@@ -45,7 +46,13 @@
         name: str = '',
         is_registration_delayed: bool = False,
         heartbeat_s: float = HEARTBEAT_INTERVAL_S,
+        zone: str = ZONE,
+        is_spot: bool = False,
     ) -> None:
+        self.zone = zone
+        self.is_spot = is_spot
+        # Monotonic time at which the platform takes it away, if it does.
+        self._leaves_at: float | None = None
         # While set, the registration of the former process stays.
         self.is_registration_delayed = is_registration_delayed
         self.software = software
@@ -112,6 +119,11 @@
         self._draining = True
         self._register()
 
+    def reclaim(self, leaves_s: float) -> None:
+        """Register as draining, with the time that is left."""
+        self._leaves_at = time.monotonic() + leaves_s
+        self.drain()
+
     def stop(self) -> None:
         """Deregister the upstream and stop its server."""
         self._stopped.set()
@@ -186,13 +198,18 @@
         entry = {
             'service': self.service,
             'address': serving.address_of(self.server),
-            'zone': 'kl-bengkel',
+            'zone': self.zone,
             'version': self.software,
             'slots': self._slots,
             'state': 'draining' if self._draining else 'ready',
             'born': self.started_at_ms,
             'models': self._models(),
         }
+        if self.is_spot:
+            entry['use-spot'] = True
+        if self._leaves_at is not None:
+            left_s = max(0.0, self._leaves_at - time.monotonic())
+            entry['leaves_ms'] = int(left_s * 1000)
         self._store.produce(
             store_module.UPSTREAMS_TOPIC, self.id, json.dumps(entry).encode()
         )
