Make calls to the API of duties outside of the package of upstreams

test_no_other_module_sends_to_upstreams allows the gateway alone to use the exchange of connections to upstreams, and is right: calls to the platform's API are none of these. They use a bounded connection of their own in duties/. Paused time in the tests advances only by sleeps of the test's own thread; threads of other tests had advanced it by 1,000 s in a run of many modules.

--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -4,7 +4,6 @@
 import contextlib
 import http.client
 import socket
-import struct
 import threading
 import time
 import typing
@@ -25,8 +24,6 @@
 READ_BYTES = 65536
 MAX_REFUSAL_BYTES = 256 * 1024
 MIN_TIMEOUT_S = 0.001
-# Switches lingering on, for no time.
-NO_LINGER = struct.pack('ii', 1, 0)
 
 Address = tuple[str, int]
 TRANSPORT_ERRORS = (
@@ -202,13 +199,6 @@
         """Allow the body that is being read a further time from now on."""
         self._http.budget.restart_time(total_s)
 
-    def discard_on_close(self) -> None:
-        """Let closing reset the connection and discard what is unsent."""
-        sock = self._http.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-
     def abort(self) -> None:
         """Abort the exchange; may be called from another thread."""
         self._aborted = True
--- a/test/usage/examples.py
+++ b/test/usage/examples.py
@@ -1,6 +1,7 @@
 """Provide instances that count and report on an in-memory log."""
 
 import collections
+import threading
 import time
 import typing
 from unittest import mock
@@ -45,8 +46,10 @@
         self._boot = mock.patch.object(
             clock, 'since_boot_s', autospec=True, side_effect=time.monotonic
         )
+        self._thread = threading.current_thread()
+        self._real_sleep = time.sleep
         self._sleep = mock.patch.object(
-            time, 'sleep', autospec=True, side_effect=self.advance
+            time, 'sleep', autospec=True, side_effect=self._sleep_paused
         )
         self._boot.start()
         self._sleep.start()
@@ -55,6 +58,16 @@
         """Let some seconds pass."""
         self._frozen.tick(seconds)
 
+    def _sleep_paused(self, seconds: float) -> None:
+        """Advance the clocks in place of waiting.
+
+        Threads that other tests have left behind must not advance them.
+        """
+        if threading.current_thread() is self._thread:
+            self.advance(seconds)
+        else:
+            self._real_sleep(seconds)
+
     def stop(self) -> None:
         """Let the clocks go on."""
         self._sleep.stop()
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -329,7 +329,7 @@
     Mutant(
         3,
         'the lease is checked right before a call',
-        'baobabpond/upstreams/single_call.py',
+        'baobabpond/duties/single_call.py',
         'if not context.may_send():',
         'if False:',
         unit_test='test.platform_plugin.test_control',
