Take no record that was read late for a clock that is off

In a run beside other tests, test_outage_of_the_log saw 11 requests in a window in which none had run. The cause was not traced; found by reading: an instance that reads the records of all others over a second late, as at a slow start, takes its own clock to be ahead.

--- a/baobabpond/usage/components.py
+++ b/baobabpond/usage/components.py
@@ -43,7 +43,11 @@
         self.counter = request.AccountCounter(
             self._recorder, self._time_of_day
         )
-        shared = shared_module.SharedCounts(instance, self._time_of_day)
+        shared = shared_module.SharedCounts(
+            instance,
+            self._time_of_day,
+            lambda: self._counts_follower.staleness_s,
+        )
         self._sharing = sharing_module.CountSharing(
             instance,
             log,
--- a/baobabpond/usage/shared_counts.py
+++ b/baobabpond/usage/shared_counts.py
@@ -21,9 +21,14 @@
     """Apply the records of counts; know the windows that are closed."""
 
     def __init__(
-        self, instance: str, time_of_day: time_module.TimeOfDay
+        self,
+        instance: str,
+        time_of_day: time_module.TimeOfDay,
+        staleness_s: typing.Callable[[], float],
     ) -> None:
         self._instance = instance
+        # Records that are being applied were appended within this time.
+        self._staleness_s = staleness_s
         self._time_of_day = time_of_day
         self._lock = threading.Lock()
         # The highest revisions; an append without an answer may take effect
@@ -112,4 +117,6 @@
             if key.instance == self._instance:
                 self._time_of_day.record_own(value.unix_s)
             else:
-                self._time_of_day.record(key.instance, value.unix_s)
+                self._time_of_day.record(
+                    key.instance, value.unix_s, self._staleness_s()
+                )
