Read few bodies in many small chunks at a time

The free framing is now 65,536 bytes; from 4,096 on a thread pauses now and then, and two such bodies are read at a time, others get 503 with Retry-After. System buffers are 64 KB, which bounds what waits unread to 40 MB, and unread streams in the crowd are real ones.

--- a/baobabpond/edge/chunked.py
+++ b/baobabpond/edge/chunked.py
@@ -1,6 +1,7 @@
 """Read bodies that come in chunks, within bounds."""
 
 import re
+import time
 import typing
 
 from . import client_limits
@@ -9,6 +10,10 @@
 CRLF = b'\r\n'
 # Bytes in chunks that allow for one byte of framing.
 BYTES_PER_FRAMING_BYTE = 4
+# Framing, besides that quarter, that costs little time; after as much again
+# the thread pauses.
+FREE_FRAMING_BYTES = 4096
+PAUSE_S = 0.005
 SIZE = re.compile(rb'[0-9A-Fa-f]{1,16}')
 
 
@@ -58,12 +63,17 @@
         limits: client_limits.ClientLimits,
         max_bytes: int,
         reserve: typing.Callable[[int], None],
+        # Called once before many small chunks are read.
+        begin_small_chunks: typing.Callable[[], None] = lambda: None,
     ) -> None:
+        self._begin_small_chunks = begin_small_chunks
         self._reader = reader
         self._limits = limits
         self._max_bytes = max_bytes
         self._reserve = reserve
         self._framing_bytes = 0
+        self._pause_at = FREE_FRAMING_BYTES
+        self._has_small_chunks = False
 
     def read(self) -> bytes:
         """Read the whole body; raise ValueError if it is invalid.
@@ -89,17 +99,24 @@
         if len(line) >= limit and not line.endswith(CRLF):
             raise LimitExceeded('chunk_line', 'the line of a chunk is long')
         self._framing_bytes += len(line) + len(CRLF)
-        allowed = (
-            self._limits.chunk_framing_bytes
-            + body_bytes // BYTES_PER_FRAMING_BYTE
-        )
-        if self._framing_bytes > allowed:
+        excess = self._framing_bytes - body_bytes // BYTES_PER_FRAMING_BYTE
+        if excess > self._limits.chunk_framing_bytes:
             raise LimitExceeded('chunk_framing', 'the chunks are too small')
+        if excess > self._pause_at:
+            self._give_way()
         size = line.partition(b';')[0].strip(b' \t\r\n')
         if not line.endswith(CRLF) or not SIZE.fullmatch(size):
             raise ValueError('the size of a chunk is invalid')
         return int(size, 16)
 
+    def _give_way(self) -> None:
+        """Let other threads run, as small chunks cost processor time."""
+        if not self._has_small_chunks:
+            self._has_small_chunks = True
+            self._begin_small_chunks()
+        self._pause_at += FREE_FRAMING_BYTES
+        time.sleep(PAUSE_S)
+
     def _skip_trailers(self) -> None:
         """Read up to the end of the request."""
         left = self._limits.trailer_bytes
--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -40,6 +40,7 @@
     'slow_body_slots': '503',
     'slow_reader': 'closed',
     'slow_reader_slots': 'closed',
+    'small_chunk_slots': '503',
     'trailers': '400',
 }
 
@@ -63,7 +64,7 @@
     chunk_line_bytes: int = 4096
     # Of the lines that frame the chunks of a body, besides a quarter of the
     # bytes in the chunks.
-    chunk_framing_bytes: int = 524_288
+    chunk_framing_bytes: int = 65_536
     # Of all trailer lines of a body.
     trailer_bytes: int = 16_384
     # A thread waits for a client for this long in total, and longer only
@@ -77,8 +78,10 @@
     address_body_share: float = 0.75
     # A body that holds memory and arrives more slowly makes room for others.
     held_body_bytes_per_s: float = 100_000.0
-    # Of each connection, in each direction, in the system.
-    socket_buffer_bytes: int = 131_072
+    # Of each connection, in each direction, in the system, which doubles it.
+    # It counts towards the memory of the process: 40 MB for all requests that
+    # wait for a thread or are served.
+    socket_buffer_bytes: int = 65_536
 
 
 DEFAULTS = ClientLimits()
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -28,6 +28,9 @@
 # Of the connections that may be open, one in this many may be closing.
 LINGERING_PART = 4
 MIN_LINGERING = 8
+# Bodies in many small chunks that are read at a time. They take the time of
+# the processor, which threads share.
+SMALL_CHUNK_BODIES = 2
 CONTENT_LENGTH = re.compile(rb'[0-9]{1,18}')
 
 LOG = structlog.get_logger(__name__)
@@ -130,20 +133,24 @@
 
     def _read_chunks(self, reader: client_io.ClientReader) -> bytes:
         server = self._request.server
+        connection = self._request.conn
         try:
             return chunked.ChunkedBody(
                 reader,
                 server.client_limits,
                 server.max_request_body_size,
                 self._reserve,
+                connection.begin_small_chunks,
             ).read()
         except chunked.LimitExceeded as error:
-            self._request.conn.report(error.limit)
+            connection.report(error.limit)
             raise self._bad_body(BodyError(str(error), 400)) from error
         except chunked.BodyTooLarge as error:
             raise self._bad_body(BodyError(str(error), 413)) from error
         except ValueError as error:
             raise self._bad_body(BodyError(str(error), 400)) from error
+        finally:
+            server.small_chunk_bodies.leave(reader.pace)
 
     def _read_bytes(self, reader: client_io.ClientReader, size: int) -> bytes:
         self._reserve(size)
@@ -306,6 +313,17 @@
         finally:
             self.wfile.end_response()
 
+    def begin_small_chunks(self) -> None:
+        """Take a slot for a body in many small chunks.
+
+        Raises TooManySlowClients if others keep them all.
+        """
+        try:
+            self.server.small_chunk_bodies.enter(self.rfile.pace)
+        except pace_module.TooManySlowClients:
+            self.report('small_chunk_slots')
+            raise
+
     def report(self, limit: str) -> None:
         """Count that the client exceeds a limit."""
         self.server.excesses.report(limit, self.remote_addr)
@@ -373,6 +391,7 @@
         self.slow_clients = pace_module.SlowClients(
             max(1, int(threads * client_limits.slow_client_share))
         )
+        self.small_chunk_bodies = pace_module.SlowClients(SMALL_CHUNK_BODIES)
         super().__init__(address, Gateway, minthreads=threads)
         self.request_queue_size = LISTEN_BACKLOG
         self.shutdown_timeout = SHUTDOWN_TIMEOUT_S
--- a/standins/emulator/crowd.py
+++ b/standins/emulator/crowd.py
@@ -207,10 +207,9 @@
 
 def _stream() -> bytes:
     model = f'X-Model: {deployment_module.MODEL}'
-    return (
-        head('POST', deployment_module.STREAMS, model, 'Content-Length: 1')
-        + b'\r\nx'
-    )
+    whole = head('POST', deployment_module.STREAMS, model, 'Content-Length: 1')
+    # Longer than a silent reader is waited for.
+    return whole.replace(b'Ms: 2000', b'Ms: 8000') + b'\r\nx'
 
 
 class Client:
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -30,8 +30,8 @@
 # The response to a request with this body has this size.
 LARGE_BODY = b'large'
 LARGE_BYTES = 8_000_000
-# Of a comment of a stream that never ends.
-COMMENT_BYTES = 4096
+# Of an event of a stream that never ends.
+FLOOD_EVENT_BYTES = 4096
 
 
 class Upstream:
@@ -65,7 +65,7 @@
         # plain request without sending its response, 'unsigned' sends it
         # without a signature, 'late_copy' sends it a second time later.
         # 'drip' sends a comment now and then in place of the events of a
-        # stream, and 'flood' as many as its caller takes.
+        # stream, and 'flood' events without end as fast as its caller reads.
         self.fault: str | None = None
         # If set, spoils a share of the responses to requests.
         self.spoiler: spoiling.Spoiler | None = None
@@ -444,7 +444,9 @@
                 exchange.write(b': still here\n\n')
                 time.sleep(DRIP_INTERVAL_S)
             while self.fault == 'flood':
-                exchange.write(b':' + b'x' * COMMENT_BYTES + b'\n\n')
+                data = 'x' * FLOOD_EVENT_BYTES
+                exchange.write(f'id: {number}\ndata: {data}\n\n'.encode())
+                number += 1
             if self.fault in ('silent', 'reset') or self._is_cut(run):
                 serving.close_without_response(exchange)
                 return
--- a/test/edge/test_chunked.py
+++ b/test/edge/test_chunked.py
@@ -112,3 +112,19 @@
             sizes.append,
         ).read()
         self.assertEqual([3, 1], sizes)
+
+    def test_small_chunks_give_way(self) -> None:
+        """Many of them are announced, so that few are read at a time."""
+        limits = LIMITS._replace(chunk_framing_bytes=100_000)
+        for size, expected in ((1, 1), (24, 0)):
+            chunk = b'%x\r\n%s\r\n' % (size, b'a' * size)
+            data = chunk * 2000 + b'0\r\n\r\n'
+            calls: list[None] = []
+            chunked.ChunkedBody(
+                CountingInput(data),
+                limits,
+                100_000,
+                lambda size: None,
+                lambda calls=calls: calls.append(None),
+            ).read()
+            self.assertEqual(expected, len(calls))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -462,6 +462,14 @@
         'if False:',
         unit_test='test.edge.test_untrusted.HeadTest.test_invalid_heads',
     ),
+    Mutant(
+        10,
+        'few bodies in small chunks are read at a time',
+        'baobabpond/edge/chunked.py',
+        'self._begin_small_chunks()\n',
+        'pass\n',
+        unit_test='test.edge.test_chunked',
+    ),
 )
 
 
