--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -63,13 +63,30 @@
         log: log_port.Log,
         current: current_module.CurrentConfiguration,
         metrics: metrics_module.Metrics,
+        any_contact_age_s: typing.Callable[[], float] | None = None,
     ) -> None:
+        # Seconds since any partition was read; the shard's alone by default.
+        self._any_contact_age_s = any_contact_age_s or (
+            lambda: shard.follower.contact_age_s
+        )
         self._protocol = protocol
         self._shard = shard
         self._log = log
         self._current = current
         self._metrics = metrics
 
+    @property
+    def _contact_age_s(self) -> float:
+        """Return the seconds since the log was last known to be reachable.
+
+        A copy that is still being loaded says nothing about it; batches are
+        accepted meanwhile, as their records are the same if they are known.
+        """
+        follower = self._shard.follower
+        if follower.has_caught_up:
+            return follower.contact_age_s
+        return self._any_contact_age_s()
+
     def submit(
         self,
         exchange: server.Exchange,
@@ -259,6 +276,9 @@
                 return None
             _log_foreign(submission.id, known.head.account, account)
             return _unknown('unknown_batch')
+        if account is not None and not self._shard.follower.has_caught_up:
+            # The id may be that of another account's batch.
+            return _log_away()
         newest = self._current.versions.get(submission.model, 1)
         head = records.BatchHead(
             submission.id,
@@ -298,7 +318,7 @@
 
         A retry is idempotent: the records have the same keys and contents.
         """
-        if self._shard.follower.contact_age_s > MAX_LOG_CONTACT_AGE_S:
+        if self._contact_age_s > MAX_LOG_CONTACT_AGE_S:
             return _log_away()
         for chunk in _split_appends(new):
             outcome = self._append_with_retries(chunk)
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -339,6 +339,7 @@
             self._settings['data_centre'],
             self._roster.known_peers,
             self._metrics,
+            cores=self._cores,
         )
         self._shard_follower = self._make_follower(
             batch_handlers.TOPIC,
@@ -498,6 +499,7 @@
             self._log,
             self._current,
             self._metrics,
+            lambda: min(f.contact_age_s for f in self._followers),
         )
         self._caller_app = app_module.CallerApp(
             self._platform.callers,
--- a/baobabpond/store/first_load.py
+++ b/baobabpond/store/first_load.py
@@ -1,8 +1,10 @@
 """Load a first snapshot from instances that start at the same time.
 
-The instances form a tree, in rendezvous order. Its root reads the snapshot
-from the log, and each of the others reads it, page by page, from its parent,
-which is in the same data centre for all but one instance of each.
+The instances form a tree, those with more processor cores above, in rendezvous
+order. Its root reads the snapshot from the log, and each of the others reads
+it, page by page, from its parent, which is in the same data centre for all but
+one instance of each. Pages pass slowly through a small instance; those below it
+would give up waiting and exhaust the read rate of the log.
 """
 
 import collections.abc
@@ -77,7 +79,9 @@
         peers: collections.abc.Callable[[], list[roster.Member] | None],
         metrics: metrics_module.Metrics,
         pool: pool_module.ClientPool[LogRelay.Client] | None = None,
+        cores: float = 0.0,
     ) -> None:
+        self._cores = cores
         self._topic = topic
         self._partition = partition
         self._instance = instance
@@ -237,9 +241,14 @@
         peers = {peer.instance: peer for peer in self._wait_for_peers()}
         centres = {name: peer.data_centre for name, peer in peers.items()}
         centres[self._instance] = self._data_centre
+        cores = {name: peer.cores for name, peer in peers.items()}
+        cores[self._instance] = self._cores
         order = sorted(
             centres,
-            key=lambda name: entries.rendezvous_rank(self._topic, name),
+            key=lambda name: (
+                -cores[name],
+                entries.rendezvous_rank(self._topic, name),
+            ),
         )
         ancestors = self._ancestors(order, centres)
         earlier = order[: order.index(self._instance)]
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -5,6 +5,8 @@
 import unittest
 from unittest import mock
 
+from baobabpond.accounts import decision
+from baobabpond.accounts import gate as gate_module
 from baobabpond.batches import records
 from baobabpond.batches import shard_state as state_module
 from baobabpond.catalogue import current as current_module
@@ -274,6 +276,60 @@
         self.assertTrue(is_polling.wait(5))
         self.assert_page(self.read(3))
 
+    def submit_before_load(
+        self, contact_age_s: float, account: str | None = None
+    ) -> int:
+        """Submit a batch while the copy is loaded; return the status."""
+        follower = follower_module.Follower(
+            self.log,
+            batch_handlers.TOPIC,
+            0,
+            self.shard_state.apply,
+            metrics.Metrics(),
+        )
+        current = mock.create_autospec(
+            current_module.CurrentConfiguration, instance=True
+        )
+        current.versions = {}
+        self.protocol.credential_headers = frozenset()
+        self.protocol.submission.return_value = callers.Submission(
+            'new', 0, 'm', 0, 1, (callers.Item('i', '/', (), '', 1, 'g', 1),)
+        )
+        handlers = batch_handlers.BatchHandlers(
+            self.protocol,
+            batch_handlers.Shard(0, self.shard_state, follower),
+            self.log,
+            current,
+            metrics.Metrics(),
+            lambda: contact_age_s,
+        )
+        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange.read_body.return_value = b''
+        handlers.submit(
+            exchange,
+            callers.Call(callers.CallKind.REQUEST, 'new', 'host', '/', None),
+            mock.Mock(),
+            gate_module.Admission(decision.Authenticated(account)),
+        )
+        return exchange.send_response.call_args.args[0]
+
+    def test_batches_are_accepted_while_the_copy_is_loaded(self) -> None:
+        """After all instances have ended, loads take seconds.
+
+        Trainers waited for them, though the log took appends.
+        """
+        self.assertEqual(202, self.submit_before_load(0.0))
+
+    def test_no_batch_is_accepted_while_the_log_is_away(self) -> None:
+        """The refusal comes at once, not after the appends' time-outs."""
+        appends = len(self.log.appends)
+        self.assertEqual(503, self.submit_before_load(float('inf')))
+        self.assertEqual(appends, len(self.log.appends))
+
+    def test_copy_is_needed_to_keep_accounts_apart(self) -> None:
+        """The id may be that of a batch of another account."""
+        self.assertEqual(503, self.submit_before_load(0.0, 'workshop'))
+
     def test_encoded_page_keeps_within_its_size(self) -> None:
         """Line feeds and other escaped characters count as encoded."""
         self.protocol.result_page.side_effect = (
--- a/test/store/clusters.py
+++ b/test/store/clusters.py
@@ -20,9 +20,9 @@
 T = typing.TypeVar('T')
 
 
-def rank(name: str) -> int:
-    """Return the number by which instances are ordered in the tree."""
-    return entries.rendezvous_rank(TOPIC, name)
+def rank(name: str, cores: float = 0.0) -> tuple[float, int]:
+    """Return the numbers by which instances are ordered in the tree."""
+    return -cores, entries.rendezvous_rank(TOPIC, name)
 
 
 class Network:
@@ -35,6 +35,7 @@
         self.calls_left: dict[pool_module.Address, int] = {}
         # Data centres of caller and callee of each call.
         self.calls: list[tuple[str, str]] = []
+        self.addresses_called: list[pool_module.Address] = []
 
     def pass_call(
         self,
@@ -44,6 +45,7 @@
     ) -> T:
         """Call an instance, unless it was disconnected."""
         self.calls.append((data_centre, self.data_centres[address]))
+        self.addresses_called.append(address)
         if address in self.calls_left:
             self.calls_left[address] -= 1
             if self.calls_left[address] < 0:
@@ -98,14 +100,14 @@
     @property
     def order(self) -> list[str]:
         """Return the names of the instances in the order of the tree."""
-        return sorted(self.followers, key=rank)
+        return [member.instance for member in sorted(self._members, key=rank)]
 
     def add(
-        self, name: str, data_centre: str = 'dc'
+        self, name: str, data_centre: str = 'dc', cores: float = 0.0
     ) -> follower_module.Follower:
         """Add an instance, which the others know."""
         own = roster.Member(
-            name, '', f'{name}:{PEER_PORT}', data_centre, False
+            name, '', f'{name}:{PEER_PORT}', data_centre, False, cores
         )
         self._members.append(own)
         instance_log = relay.FailoverLog(self.log, metrics.Metrics())
@@ -119,6 +121,7 @@
             typing.cast(
                 pool_module.ClientPool, LocalPool(self.network, data_centre)
             ),
+            cores,
         )
         self.loads[name] = load
         self.network.data_centres[own.peer_address] = data_centre
--- a/test/store/test_first_load.py
+++ b/test/store/test_first_load.py
@@ -71,6 +71,27 @@
         self.check_copies(7)
         self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
 
+    def test_small_instances_pass_no_pages_on(self) -> None:
+        """The others would wait for their slow links, then read the log.
+
+        After all of 86 instances had ended, a small root made most of them
+        read 15 MB from the log, which slowed down all reads for 10 s.
+        """
+        self.cluster = clusters.Cluster(self.log, 0)
+        large = [f'large-{number}' for number in range(4)]
+        small = [f'small-{number}' for number in range(3)]
+        for name in small:
+            self.cluster.add(name, cores=0.4)
+        for name in large:
+            self.cluster.add(name, cores=2.0)
+        self.order = self.cluster.order
+        self.assertEqual(set(large), set(self.order[:4]))
+        self.load(*range(7))
+        self.check_copies(7)
+        self.assertEqual(PAGE_KEYS, tuple(self.log.loads))
+        called = {name for name, _ in self.cluster.network.addresses_called}
+        self.assertLessEqual(called, set(large))
+
     def test_snapshot_enters_each_data_centre_once(self) -> None:
         """All but one instance of each read from one of the same."""
         self.cluster = clusters.Cluster(self.log, 12, ('a', 'b', 'c'))
