--- a/baobabpond/store/first_load.py
+++ b/baobabpond/store/first_load.py
@@ -3,8 +3,8 @@
 The instances form a tree, those with more processor cores above, in rendezvous
 order. Its root reads the snapshot from the log, and each of the others reads
 it, page by page, from its parent, which is in the same data centre for all but
-one instance of each. Pages pass slowly through a small instance; those below it
-would give up waiting and exhaust the read rate of the log.
+one instance of each. Pages pass slowly through a small instance; those below
+it would give up waiting and exhaust the read rate of the log.
 """
 
 import collections.abc
--- a/test/store/clusters.py
+++ b/test/store/clusters.py
@@ -100,7 +100,8 @@
     @property
     def order(self) -> list[str]:
         """Return the names of the instances in the order of the tree."""
-        return [member.instance for member in sorted(self._members, key=rank)]
+        cores = {member.instance: member.cores for member in self._members}
+        return sorted(cores, key=lambda name: rank(name, cores[name]))
 
     def add(
         self, name: str, data_centre: str = 'dc', cores: float = 0.0
