--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -303,12 +303,14 @@
             metrics.Metrics(),
             lambda: contact_age_s,
         )
+        match = mock.Mock()
+        match.route.name = 'steps'
         exchange = mock.create_autospec(server.Exchange, instance=True)
         exchange.read_body.return_value = b''
         handlers.submit(
             exchange,
             callers.Call(callers.CallKind.REQUEST, 'new', 'host', '/', None),
-            mock.Mock(),
+            match,
             gate_module.Admission(decision.Authenticated(account)),
         )
         return exchange.send_response.call_args.args[0]
