Bound the work of a pass over reward calls by what can start

The same cause as with items: each pass put all calls that wait into order with the scheduler's lock, and tried each of them at a full service. They are ordered without the lock now and wait in one queue for each service. Two new tests; the order is unchanged.

--- a/baobabpond/pool/reward_stage.py
+++ b/baobabpond/pool/reward_stage.py
@@ -25,6 +25,7 @@
 from . import reward_client
 from . import runner
 from . import state
+from . import waiting
 
 # An attempt times out after this many times the route's target latency,
 # doubled each time, so that an unresponsive upstream leaves time for
@@ -61,10 +62,17 @@
         ...
 
 
+class RewardSnapshot(typing.NamedTuple):
+    """The items of a moment, and those among them that wait for a score."""
+
+    tasks: list[state.Task]
+    waiting: list[state.Task]
+
+
 class RewardStage:
     """Queue reward calls, and send them as far as the service has room.
 
-    The scheduler's lock guards all calls.
+    The scheduler's lock guards all calls, but those of rank.
     """
 
     def __init__(
@@ -85,6 +93,7 @@
         self._lock = threading.Condition()
         self._listener: ItemListener | None = None
         self._waiting: dict[tuple[str, str], state.Task] = {}
+        self._order = waiting.WaitingItems()
         self._attempts: set[state.RewardAttempt] = set()
 
     def attach(
@@ -97,6 +106,7 @@
     def reset(self) -> None:
         """Drop all reward calls; those in progress are cancelled."""
         self._waiting.clear()
+        self._order.clear()
         for attempt in self._attempts:
             attempt.cancel()
 
@@ -112,33 +122,31 @@
         if task.reward_attempt is not None:
             task.reward_attempt.cancel()
 
-    def assign(self, tasks: collections.abc.Iterable[state.Task]) -> None:
-        """Start queued reward calls in order of priority.
+    def snapshot(
+        self, tasks: collections.abc.Collection[state.Task]
+    ) -> RewardSnapshot | None:
+        """Return what to put into order; None if nothing, or too early.
 
         Takes all items of open batches, to know how complete groups are.
         """
-        if not self._waiting:
-            return
-        now = time.monotonic()
-        full_services: set[str] = set()
-        for task in self._ordered(tasks, now):
-            self._try_start(task, now, full_services)
+        if not self._waiting or not self._order.is_order_due:
+            return None
+        return RewardSnapshot(list(tasks), list(self._waiting.values()))
 
-    def _ordered(
-        self, tasks: collections.abc.Iterable[state.Task], now: float
-    ) -> list[state.Task]:
+    def rank(self, snapshot: RewardSnapshot) -> waiting.Order:
+        """Put reward calls into order, without the lock."""
+        now = time.monotonic()
         unfinished = collections.Counter(
             (task.batch.head.id, task.item.group)
-            for task in tasks
+            for task in snapshot.tasks
             if task.result is None
         )
-        ready = [
-            task
-            for task in self._waiting.values()
-            if task.reward_not_before <= now
-        ]
-        return sorted(
-            ready,
+        ordered = sorted(
+            (
+                task
+                for task in snapshot.waiting
+                if task.reward_not_before <= now
+            ),
             key=lambda task: priority.rank_reward(
                 priority.WaitingReward(
                     task.due_at - now,
@@ -146,33 +154,60 @@
                 )
             ),
         )
+        return waiting.part(ordered, self._find_service, now)
 
-    def _try_start(
-        self, task: state.Task, now: float, full_services: set[str]
-    ) -> None:
+    def assign(self, order: waiting.Order | None) -> None:
+        """Start queued reward calls in order of priority."""
+        now = time.monotonic()
+
+        def is_waiting(task: state.Task) -> bool:
+            key = task.batch.head.id, task.id
+            return (
+                self._waiting.get(key) is task
+                and task.reward_not_before <= now
+            )
+
+        if order is not None:
+            self._order.set_order(order)
+            for task in order.overdue:
+                if is_waiting(task):
+                    self._give_up(task)
+        self._order.start_in_order(
+            is_waiting, lambda task: self._try_start(task, now)
+        )
+
+    def _find_service(self, task: state.Task) -> str | None:
+        match = self._match(task)
+        if match is None:
+            # The route may come back before the item is given up.
+            return None
+        return current_module.pick_service(match.route, task.id)
+
+    def _give_up(self, task: state.Task) -> None:
         listener = typing.cast(ItemListener, self._listener)
+        del self._waiting[task.batch.head.id, task.id]
+        listener.fail(task, 'deadline exceeded before the score')
+
+    def _try_start(self, task: state.Task, now: float) -> bool:
+        """Start a call; return False if its service has no room."""
         if now >= task.give_up_at:
-            del self._waiting[task.batch.head.id, task.id]
-            listener.fail(task, 'deadline exceeded before the score')
-            return
+            self._give_up(task)
+            return True
         match = self._match(task)
         if match is None:
-            # The route may come back before the item is given up.
-            return
+            return True
         service = current_module.pick_service(match.route, task.id)
-        if service in full_services:
-            return
         entry = self._choose(task, service)
         if entry is None:
-            full_services.add(service)
-            return
+            return False
         try:
             permit = self._permits.take(entry, bucket_module.BACKGROUND)
         except permits_module.RateLimited:
             # A caller of this instance has taken it.
             self._load_balancer.record_outcome(entry, None, None, None)
-            return
+            return False
         self._start(task, match.route, entry, permit, now)
+        return True
 
     def _choose(
         self, task: state.Task, service: str
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -39,13 +39,6 @@
 Tasks = collections.abc.Mapping[tuple[str, str], state.Task]
 
 
-class RankedItems(typing.NamedTuple):
-    """Waiting items in order, and how long it took to find it."""
-
-    order: waiting.Order
-    took_s: float
-
-
 class Room(typing.NamedTuple):
     """Where an item with events could run now."""
 
@@ -115,13 +108,11 @@
             list(tasks), self._estimator, self._fleet.limited_services()
         )
 
-    def rank(self, snapshot: waiting.Snapshot) -> RankedItems:
+    def rank(self, snapshot: waiting.Snapshot) -> waiting.Order:
         """Put the waiting items into order, without the lock."""
-        started = time.monotonic()
-        order = waiting.rank(snapshot, self._find_service)
-        return RankedItems(order, time.monotonic() - started)
+        return waiting.rank(snapshot, self._find_service)
 
-    def assign(self, tasks: Tasks, ranked: RankedItems | None) -> None:
+    def assign(self, tasks: Tasks, order: waiting.Order | None) -> None:
         """Migrate runs and start waiting items in order of priority.
 
         Looks at as many items as there are free slots, and at a few more that
@@ -139,9 +130,9 @@
                 and task.not_before <= now
             )
 
-        if ranked is not None:
-            self._waiting.set_order(ranked.order, ranked.took_s)
-            for task in ranked.order.overdue:
+        if order is not None:
+            self._waiting.set_order(order)
+            for task in order.overdue:
                 if is_waiting(task):
                     self._update(task, now)
         if self._fleet.has_free_slot(now):
--- a/baobabpond/pool/scheduler.py
+++ b/baobabpond/pool/scheduler.py
@@ -1,8 +1,10 @@
 """Schedule the items of open batches while this instance owns the shard."""
 
 import collections
+import collections.abc
 import threading
 import time
+import typing
 
 import structlog
 
@@ -32,6 +34,8 @@
 
 LOG = structlog.get_logger(__name__)
 
+Snapshot = typing.TypeVar('Snapshot')
+
 
 class Scheduler:
     """Pass items through the stages; one lock guards their state."""
@@ -168,7 +172,7 @@
     def _run(self, tenure: ownership.Tenure) -> None:
         revision = -1
         while True:
-            snapshot = None
+            items = rewards = None
             with self._changed:
                 if self._tenure is not tenure:
                     return
@@ -176,33 +180,23 @@
                     if self._shard_state.revision != revision:
                         revision = self._shard_state.revision
                         self._intake.sync(self._tasks)
-                    snapshot = self._runs.snapshot(self._tasks.values())
+                    items = self._runs.snapshot(self._tasks.values())
+                    rewards = self._rewards.snapshot(self._tasks.values())
                 except Exception:
                     # An error in one item must not stop the others.
                     LOG.exception('scheduling pass failed')
-            ranked = self._rank(snapshot)
+            item_order = _rank(self._runs.rank, items)
+            reward_order = _rank(self._rewards.rank, rewards)
             with self._changed:
                 if self._tenure is not tenure:
                     return
                 try:
-                    self._runs.assign(self._tasks, ranked)
-                    self._rewards.assign(self._tasks.values())
+                    self._runs.assign(self._tasks, item_order)
+                    self._rewards.assign(reward_order)
                 except Exception:
                     LOG.exception('scheduling pass failed')
                 self._changed.wait(TICK_S)
 
-    def _rank(
-        self, snapshot: waiting.Snapshot | None
-    ) -> run_stage_module.RankedItems | None:
-        """Put items into order while events of runs are processed."""
-        if snapshot is None:
-            return None
-        try:
-            return self._runs.rank(snapshot)
-        except Exception:
-            LOG.exception('waiting items could not be put into order')
-            return None
-
     def complete_output(self, task: state.Task) -> None:
         """Finish an item, or have its complete output scored first.
 
@@ -254,6 +248,20 @@
         self._changed.notify_all()
 
 
+def _rank(
+    rank: collections.abc.Callable[[Snapshot], waiting.Order],
+    snapshot: Snapshot | None,
+) -> waiting.Order | None:
+    """Put items into order while events of runs are processed."""
+    if snapshot is None:
+        return None
+    try:
+        return rank(snapshot)
+    except Exception:
+        LOG.exception('waiting items could not be put into order')
+        return None
+
+
 def _join_events(task: state.Task) -> callers.Result:
     """Return the result of an item whose events are complete."""
     versions = sorted({version for _, version in task.events if version})
--- a/baobabpond/pool/waiting.py
+++ b/baobabpond/pool/waiting.py
@@ -55,13 +55,20 @@
     limited_services: set[str]
 
 
+# Items that can start at the same upstreams, each with its position among all.
+Queues = dict[
+    collections.abc.Hashable, collections.deque[tuple[int, state.Task]]
+]
+
+
 class Order(typing.NamedTuple):
     """Waiting items in order of priority, by what they need."""
 
-    # Each with its position among all.
-    queues: dict[Requirements, collections.deque[tuple[int, state.Task]]]
+    queues: Queues
     # Items past the time at which they are given up.
     overdue: list[state.Task]
+    # Seconds that it took to find the order.
+    took_s: float
 
 
 # Returns the service that runs an item, None without a route.
@@ -92,26 +99,43 @@
             and service_of(task) in snapshot.limited_services
         ),
     )
-    queues: dict[Requirements, collections.deque[tuple[int, state.Task]]] = {}
+
+    def needs_of(task: state.Task) -> Requirements | None:
+        service = service_of(task)
+        return None if service is None else requirements(service, task)
+
+    return part(ordered, needs_of, now)
+
+
+def part(
+    ordered: collections.abc.Iterable[state.Task],
+    needs_of: collections.abc.Callable[
+        [state.Task], collections.abc.Hashable | None
+    ],
+    since: float,
+) -> Order:
+    """Part items by what they need; those that need None can't start.
+
+    Finding their order began at a monotonic time.
+    """
+    queues: Queues = {}
     overdue = []
     for position, task in enumerate(ordered):
-        if task.give_up_at <= now:
+        if task.give_up_at <= since:
             overdue.append(task)
-        service = service_of(task)
-        if service is not None:
-            queues.setdefault(
-                requirements(service, task), collections.deque()
-            ).append((position, task))
-    return Order(queues, overdue)
+        needs = needs_of(task)
+        if needs is not None:
+            queues.setdefault(needs, collections.deque()).append(
+                (position, task)
+            )
+    return Order(queues, overdue, time.monotonic() - since)
 
 
 class WaitingItems:
     """Hold the order that was found last; the scheduler's lock guards it."""
 
     def __init__(self) -> None:
-        self._queues: dict[
-            Requirements, collections.deque[tuple[int, state.Task]]
-        ] = {}
+        self._queues: Queues = {}
         self._next_order_at = 0.0
         # Where the review of all items goes on.
         self._reviewed: collections.deque[state.Task] = collections.deque()
@@ -127,10 +151,10 @@
         self._reviewed.clear()
         self._next_order_at = 0.0
 
-    def set_order(self, order: Order, took_s: float) -> None:
-        """Replace the order, which took some seconds to find."""
+    def set_order(self, order: Order) -> None:
+        """Replace the order."""
         self._queues = order.queues
-        pause_s = took_s * (1.0 / MAX_ORDER_SHARE - 1.0)
+        pause_s = order.took_s * (1.0 / MAX_ORDER_SHARE - 1.0)
         self._next_order_at = time.monotonic() + min(pause_s, MAX_ORDER_AGE_S)
 
     def start_in_order(
--- a/measure/scheduling.py
+++ b/measure/scheduling.py
@@ -106,9 +106,9 @@
 ) -> None:
     with lock:
         snapshot = stage.snapshot(tasks.values())
-    ranked = None if snapshot is None else stage.rank(snapshot)
+    order = None if snapshot is None else stage.rank(snapshot)
     with lock:
-        stage.assign(tasks, ranked)
+        stage.assign(tasks, order)
 
 
 def _end_runs(
--- a/test/pool/test_reward_stage.py
+++ b/test/pool/test_reward_stage.py
@@ -3,10 +3,12 @@
 import threading
 import time
 import unittest
+from unittest import mock
 
 from baobabpond.batches import records
 from baobabpond.batches import shard_state
 from baobabpond.catalogue import current as current_module
+from baobabpond.catalogue import directory as directory_module
 from baobabpond import metrics
 from baobabpond.pool import priority
 from baobabpond.pool import reward_client
@@ -101,6 +103,65 @@
         self.counted.append(task.reward_failures)
 
 
+class FullServiceTest(unittest.TestCase):
+    """Many outputs wait for a service that has no room."""
+
+    ITEMS = 1000
+
+    def setUp(self) -> None:
+        """Queue the reward calls of a batch."""
+        call = callers.RewardCall('c', 'h', '/score', 'eA==')
+        items = tuple(
+            callers.Item(f'i{n}', '/t', (), '', 9, f'g{n}', 0, 0, call)
+            for n in range(self.ITEMS)
+        )
+        head = records.BatchHead('b', 'h', 'r', 0.0, 1, 'm', 1, 1, 1)
+        batch = shard_state.Batch(head, items, time.monotonic())
+        due_at = time.monotonic() + 7.5
+        self.tasks = [state.Task(batch, item, due_at) for item in items]
+        directory = mock.create_autospec(
+            directory_module.UpstreamDirectory, instance=True
+        )
+        directory.usable.return_value = []
+        self.current = mock.create_autospec(FakeCurrent, instance=True)
+        self.current.match.side_effect = FakeCurrent().match
+        self.listener = FakeListener()
+        self.stage = reward_stage.RewardStage(
+            FakeClient({}),
+            directory,
+            load_balancer.LoadBalancer(),
+            permits.NoLimits(),
+            self.current,
+            metrics.Metrics(),
+        )
+        self.lock = threading.Condition()
+        self.stage.attach(self.lock, self.listener)
+        with self.lock:
+            for task in self.tasks:
+                task.unscored = callers.Result(task.id, True, 'x', (1,))
+                self.stage.add(task)
+
+    def run_pass(self) -> int:
+        """Run a pass; return how many calls were looked at with the lock."""
+        snapshot = self.stage.snapshot(self.tasks)
+        order = snapshot and self.stage.rank(snapshot)
+        self.current.match.reset_mock()
+        with self.lock:
+            self.stage.assign(order)
+        return self.current.match.call_count
+
+    def test_pass_does_not_look_at_all_that_wait(self) -> None:
+        """Guard against a lock that is held in proportion to them."""
+        self.assertEqual([1] * 3, [self.run_pass() for _ in range(3)])
+
+    def test_all_that_wait_are_given_up_in_time(self) -> None:
+        """Guard against items without an end while the service is full."""
+        for task in self.tasks:
+            task.give_up_at = time.monotonic()
+        self.run_pass()
+        self.assertEqual(self.ITEMS, len(self.listener.reasons))
+
+
 class RewardStageTest(unittest.TestCase):
     """Pass one item through the stage."""
 
@@ -136,7 +197,8 @@
                     # The log has the count.
                     counted += 1
                     stage.add(self.task)
-                stage.assign([self.task])
+                snapshot = stage.snapshot([self.task])
+                stage.assign(snapshot and stage.rank(snapshot))
                 self.lock.wait(0.02)
         return client
 
--- a/test/pool/test_run_stage.py
+++ b/test/pool/test_run_stage.py
@@ -267,7 +267,7 @@
         """Return the items that start from the order that is kept."""
         kept = waiting.WaitingItems()
         snapshot = waiting.Snapshot(tasks, estimator, set())
-        kept.set_order(waiting.rank(snapshot, lambda task: SERVICE), 0.0)
+        kept.set_order(waiting.rank(snapshot, lambda task: SERVICE))
         started = []
 
         def start(task: state.Task) -> bool:
