Test when a tenure begins

The lease of the duties counts from the begin of a tenure; nothing checked that the ownership sets it, as the tests of the duties use a stand-in.

--- a/test/batches/test_ownership.py
+++ b/test/batches/test_ownership.py
@@ -8,6 +8,7 @@
 from baobabpond.batches import ownership
 from baobabpond.batches import records
 from baobabpond.batches import shard_state as state_module
+from baobabpond import clock
 from baobabpond import metrics
 from baobabpond.ports import log as log_port
 from baobabpond.store import follower as follower_module
@@ -104,6 +105,16 @@
         self.assertEqual([], fence[0])
         self.assertEqual(0, fence[1].sequence)
 
+    def test_tenure_begins_after_the_claim(self) -> None:
+        """The lease of calls counts from then, not from the start."""
+        before = clock.since_boot_s()
+        self.start()
+        self.wait(lambda: self.ownership.tenure)
+        tenure = self.ownership.tenure
+        assert tenure is not None
+        self.assertLessEqual(before, tenure.began_boot_s)
+        self.assertLessEqual(tenure.began_boot_s, clock.since_boot_s())
+
     def test_instance_that_lacks_records_does_not_claim(self) -> None:
         """It would run items whose results it does not know."""
         self.follower.catch_up()
