--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -185,7 +185,7 @@
         decoder = self._platform.catalogue_decoder
         self._current = current_module.CurrentConfiguration(decoder)
         self._connections = connections.ConnectionPool(self._metrics)
-        self._load_balancer = load_balancer.LoadBalancer()
+        self._load_balancer = load_balancer.LoadBalancer(self._metrics)
         heartbeat_s = (
             self._settings.get('upstream_heartbeat_ms', HEARTBEAT_MS)
             / MS_PER_S
--- a/baobabpond/metrics.py
+++ b/baobabpond/metrics.py
@@ -47,6 +47,11 @@
         with self._lock:
             self._gauges[name] = value
 
+    def remove_gauge(self, name: str) -> None:
+        """Remove a gauge whose subject is gone."""
+        with self._lock:
+            self._gauges.pop(name, None)
+
     def record(self, name: str, seconds: float) -> None:
         """Record a duration in seconds."""
         microseconds = max(LOWEST_US, int(seconds * US_PER_S))
--- a/baobabpond/pool/fleet.py
+++ b/baobabpond/pool/fleet.py
@@ -56,6 +56,13 @@
         """Return all upstreams."""
         return self._upstreams.values()
 
+    def capacities(self) -> list[tuple[str, capacity_module.Capacity]]:
+        """Return the names of the upstreams and what was learnt of them."""
+        return [
+            (upstream.id, upstream.capacity)
+            for upstream in self._upstreams.values()
+        ]
+
     def schedulable(self, service: str) -> list[state.Upstream]:
         """Return a service's upstreams that are not draining."""
         return [
@@ -88,7 +95,7 @@
                 _memory_usage(upstream, task, kv_capacity_tokens),
                 self._permits.is_limited(upstream.entry),
                 upstream.capacity.limit,
-                upstream.capacity.report_factor(now),
+                upstream.capacity.present_factor(now),
             )
             for upstream in self.schedulable(service)
             if upstream.suspended_until <= now
--- a/baobabpond/pool/placement.py
+++ b/baobabpond/pool/placement.py
@@ -6,8 +6,8 @@
 
 # What a run beyond the learnt limit costs, with what it costs other runs.
 OVERLOAD_FACTOR = 1.5
-# A reported slowness lasts for a part of a run only.
-REPORT_SHARE = 0.25
+# Noise lasts for a part of a run only.
+PRESENT_SHARE = 0.25
 # Cost factor of an upstream that has the group's prompt in its prefix cache.
 CACHED_PREFIX_FACTOR = 0.9
 
@@ -27,8 +27,8 @@
     is_limited: bool = False
     # Concurrent runs up to which it keeps its speed, as far as is known.
     limit: float = float('inf')
-    # Slowness at this moment as the upstream reports it; 1 as usual.
-    report_factor: float = 1.0
+    # Slowness at this moment relative to the usual one.
+    present_factor: float = 1.0
 
     @property
     def has_free_slot(self) -> bool:
@@ -50,7 +50,7 @@
     """
     running = candidate.running + 1
     expected = gap_of_next_s(candidate)
-    expected *= candidate.report_factor**REPORT_SHARE
+    expected *= candidate.present_factor**PRESENT_SHARE
     if running > candidate.limit:
         expected *= OVERLOAD_FACTOR
     if candidate.running:
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -13,6 +13,7 @@
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..ratelimits import permits as permits_module
+from ..upstreams.capacity import reporter
 
 from . import backoff
 from . import fleet as fleet_module
@@ -69,15 +70,22 @@
         self._metrics = metrics
         self._route_missing_since: dict[str, float] = {}
         self._estimator = state.EventEstimator()
+        self._capacity_reporter = reporter.Reporter('pool', metrics)
         self._migrator = migrator_module.Migrator(
             self._estimator, self._candidates, metrics
         )
 
+    def reset(self) -> None:
+        """Stop showing what is known about upstreams."""
+        self._capacity_reporter.clear()
+
     def assign(self, tasks: collections.abc.Collection[state.Task]) -> None:
         """Migrate runs and start waiting items in order of priority."""
         self._cancel_lost_runs()
         self._migrator.check(tasks)
         now = time.monotonic()
+        if self._capacity_reporter.is_due(now):
+            self._capacity_reporter.report(self._fleet.capacities(), now)
         for task in self._ordered(tasks, now):
             self._try_start(task, now)
 
--- a/baobabpond/pool/scheduler.py
+++ b/baobabpond/pool/scheduler.py
@@ -104,6 +104,7 @@
             for task in self._tasks.values():
                 if task.run is not None:
                     task.run.cancel('ownership ended')
+            self._runs.reset()
             self._rewards.reset()
             self._outbox.request_progress()
             self._changed.notify_all()
--- a/baobabpond/upstreams/capacity/estimator.py
+++ b/baobabpond/upstreams/capacity/estimator.py
@@ -12,7 +12,7 @@
 from . import window as window_module
 
 # Noise of 0.6 s holds less than half of the samples of this window.
-WINDOW_S = 2.5
+WINDOW_S = 2.0
 # Samples that count after the window, where there are few, and the time in
 # which they lose half of their weight.
 KEPT_SAMPLES = 8
@@ -24,6 +24,10 @@
 # While there are few samples, each one counts at once.
 UNCACHED_SAMPLES = 32
 MIN_TOOK_S = 0.0001
+# Weight of the newest sample in the moving average of recent ones, and the
+# time after which the average says nothing about the present.
+RECENT_WEIGHT = 0.15
+RECENT_S = 0.6
 
 
 class Speed(typing.NamedTuple):
@@ -63,8 +67,8 @@
         """Return the usual time of a unit of work if it were idle."""
         ...
 
-    def report_factor(self, now: float) -> float:
-        """Return the reported slowness at this moment, 1 as usual."""
+    def present_factor(self, now: float) -> float:
+        """Return how much slower than usual it is at this moment."""
         ...
 
 
@@ -85,6 +89,8 @@
         self._reports = reports.Reports()
         self._speed = Speed()
         self._computed_at = -math.inf
+        self._recent_log = 0.0
+        self._observed_at = -math.inf
 
     @property
     def limit(self) -> float:
@@ -101,6 +107,10 @@
         speed = self.speed(now)
         self._reports.prove(log_slowness - math.log(speed.slowness), now)
         self._window.add(log_slowness, now)
+        if now - self._observed_at > RECENT_S:
+            self._recent_log = math.log(self.speed(now).slowness)
+        self._observed_at = now
+        self._recent_log += RECENT_WEIGHT * (log_slowness - self._recent_log)
         if self._window.samples <= UNCACHED_SAMPLES:
             self._computed_at = -math.inf
         self._limit.observe(log_slowness, running, now)
@@ -126,6 +136,17 @@
         """Return the reported slowness at this moment, 1 as usual."""
         return self._reports.factor(now)
 
+    def present_factor(self, now: float) -> float:
+        """Return how much slower than usual it is at this moment.
+
+        This includes noise, and requests of others that wait there.
+        """
+        recent = 1.0
+        if now - self._observed_at <= RECENT_S:
+            learnt = math.log(self.speed(now).slowness)
+            recent = math.exp(max(0.0, self._recent_log - learnt))
+        return max(recent, self.report_factor(now))
+
     def reported_busy(self, now: float) -> int:
         """Return the reported running and waiting requests, if fresh."""
         return self._reports.busy(now)
--- a/baobabpond/upstreams/capacity/reports.py
+++ b/baobabpond/upstreams/capacity/reports.py
@@ -49,14 +49,21 @@
 
     def factor(self, now: float) -> float:
         """Return the slowness relative to the usual one; 1 if not known."""
-        return math.exp(self.trust * self._log_factor(now))
+        log_factor = self._log_factor(now)
+        if self._proofs < MIN_PROOFS:
+            # A false claim to be fast would attract work at once.
+            log_factor = max(0.0, UNPROVEN_TRUST * log_factor)
+        elif not self.is_proven:
+            return 1.0
+        return math.exp(log_factor)
 
     @property
-    def trust(self) -> float:
-        """Return to which degree the report is used, 0 to 1."""
-        if self._proofs < MIN_PROOFS:
-            return UNPROVEN_TRUST
-        return float(self._error_with < self._error_without)
+    def is_proven(self) -> bool:
+        """Return whether reports make predictions better."""
+        return (
+            self._proofs >= MIN_PROOFS
+            and self._error_with < self._error_without
+        )
 
     def prove(self, log_error: float, now: float) -> None:
         """Compare a sample with its prediction without a report."""
--- a/baobabpond/upstreams/load_balancer.py
+++ b/baobabpond/upstreams/load_balancer.py
@@ -9,10 +9,12 @@
 import threading
 import time
 
+from .. import metrics as metrics_module
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 
 from .capacity import estimator
+from .capacity import reporter
 
 # Until the first requests have completed.
 INITIAL_LATENCY_S = 0.04
@@ -21,6 +23,8 @@
 # would otherwise all choose the same one.
 CHOICES = 2
 BACKGROUND = 'background'
+# An upstream that was no candidate for this long has left.
+FORGET_S = 60.0
 # A failing upstream is ejected for this long, doubled with each consecutive
 # failure.
 BASE_EJECTION_S = 0.5
@@ -44,6 +48,7 @@
         self.background = background
         self.consecutive_failures = 0
         self.ejected_until = 0.0
+        self.used_at = time.monotonic()
 
     def busy(self, now: float) -> int:
         """Return the requests that run or wait at the upstream."""
@@ -53,7 +58,7 @@
         """Return the expected latency of one more request."""
         return (
             self.capacity.expected_s(kind, now)
-            * self.capacity.report_factor(now)
+            * self.capacity.present_factor(now)
             * self._load_factor(slots, now)
         )
 
@@ -94,8 +99,15 @@
 class LoadBalancer:
     """Choose upstreams by latency and load, and eject failing ones."""
 
-    def __init__(self, rng: random.Random | None = None) -> None:
+    def __init__(
+        self,
+        metrics: metrics_module.Metrics | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
         self._rng = rng or random.Random()
+        self._reporter = reporter.Reporter(
+            'edge', metrics or metrics_module.Metrics()
+        )
         self._lock = threading.Lock()
         self._learner = estimator.Learner(INITIAL_LATENCY_S)
         self._background_learner = estimator.Learner(INITIAL_LATENCY_S)
@@ -176,8 +188,14 @@
                 self._background_learner.track(entry.service, entry.slots),
             )
             self._stats[entry.incarnation] = stats
+        stats.used_at = time.monotonic()
         return stats
 
+    def _forget_unused(self, now: float) -> None:
+        for incarnation, stats in list(self._stats.items()):
+            if now - stats.used_at > FORGET_S and not stats.in_flight:
+                del self._stats[incarnation]
+
     def record_outcome(
         self,
         entry: catalogue.UpstreamEntry,
@@ -199,6 +217,12 @@
                 stats.record_latency(kind, latency_s, running, now)
             if load is not None:
                 stats.capacity.observe_report(load, now)
+            if self._reporter.is_due(now):
+                self._forget_unused(now)
+                self._reporter.report(
+                    [(key[0], s.capacity) for key, s in self._stats.items()],
+                    now,
+                )
             if failed is None:
                 return
             if not failed:
--- a/standins/experiment/load.py
+++ b/standins/experiment/load.py
@@ -50,6 +50,26 @@
     lookup_aim_s: float = 0.15
 
 
+class EdgeSpec(typing.NamedTuple):
+    """Describe a plain service and the instances that use it."""
+
+    instances: int = 86
+    upstreams: int = 3
+    slots: int = 6
+    requests_per_s: float = 6.0
+    work_s: float = 0.0315
+    aim_s: float = 0.191
+    deadline_s: float = 2.012
+    # Speeds of the upstreams, repeated as often as necessary.
+    speeds: tuple[float, ...] = (1.0,)
+    noise_share: float = 0.0
+    noise_s: float = 0.6
+    noise_factor: float = 2.5
+    # They report their load; the first ones report false figures.
+    reports: bool = False
+    false_reports: int = 0
+
+
 class Capacity(typing.NamedTuple):
     """Describe how samplers differ in speed, and what they report of it."""
 
@@ -80,6 +100,8 @@
     # Weight loads that can run concurrently without slowing each other.
     uncontended_loads: int = 2
     capacity: Capacity = Capacity()
+    # If given, only ordinary requests are simulated.
+    edge: EdgeSpec | None = None
     # None if outputs need no scores.
     scoring: ScoringSpec | None = None
 
@@ -173,3 +195,20 @@
         )
     )
 )
+
+# Ordinary requests: the usual load, and one near the capacity.
+EDGE = EdgeSpec(speeds=(0.55, 1.2, 1.2), noise_share=0.15, reports=True)
+BUSY_EDGE = EDGE._replace(requests_per_s=330.0, instances=20)
+_NO_ITEMS = Workload(0, 0, 0, (), duration_s=60.0)
+workloads.register('edge')(_NO_ITEMS._replace(edge=EDGE))
+workloads.register('edge_busy')(
+    _NO_ITEMS._replace(edge=BUSY_EDGE, duration_s=20.0)
+)
+workloads.register('edge_false')(
+    _NO_ITEMS._replace(
+        edge=BUSY_EDGE._replace(false_reports=1), duration_s=20.0
+    )
+)
+workloads.register('edge_even')(
+    _NO_ITEMS._replace(edge=BUSY_EDGE._replace(speeds=(1.0,)), duration_s=20.0)
+)
--- a/standins/experiment/moving_average.py
+++ b/standins/experiment/moving_average.py
@@ -41,8 +41,8 @@
         """Return the average."""
         return self._gap_s
 
-    def report_factor(self, now: float) -> float:
-        """Return that nothing is reported."""
+    def present_factor(self, now: float) -> float:
+        """Return that the average is all that is known."""
         return 1.0
 
 
--- a/standins/experiment/policies.py
+++ b/standins/experiment/policies.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import math
+import random
 import typing
 
 from baobabpond.pool import load_planner
@@ -16,6 +17,7 @@
 from baobabpond.upstreams.capacity import estimator
 from baobabpond.upstreams import load_balancer
 
+from . import edge
 from . import moving_average
 
 Place = typing.Callable[[list[placement.Candidate]], str | None]
@@ -51,6 +53,10 @@
     collections.abc.Callable[[], estimator.CapacityLearner]
 ] = registry.Registry('capacity')
 
+balancers: registry.Registry[
+    collections.abc.Callable[[random.Random], edge.Balancer]
+] = registry.Registry('balancer')
+
 orders.register(PRODUCT)(priority.rank)
 placements.register(PRODUCT)(placement.choose)
 rescues.register(PRODUCT)(migration_policy.decide)
@@ -71,6 +77,7 @@
     reward_choice: str = PRODUCT
     reward_order: str = PRODUCT
     capacity: str = PRODUCT
+    balancer: str = PRODUCT
 
 
 @orders.register(BASELINE)
@@ -153,6 +160,15 @@
     return estimator.Learner(state.INITIAL_GAP_S)
 
 
+balancers.register(BASELINE)(edge.AverageBalancer)
+
+
+@balancers.register(PRODUCT)
+def balance(rng: random.Random) -> edge.Balancer:
+    """Return the load balancer of the product."""
+    return load_balancer.LoadBalancer(rng=rng)
+
+
 learners.register(BASELINE)(moving_average.Learner)
 
 
--- a/standins/experiment/scorers.py
+++ b/standins/experiment/scorers.py
@@ -83,7 +83,7 @@
         self._rng = rng
         self._scheduler = scheduler
         self._on_scored = on_scored
-        self._balancer = load_balancer_module.LoadBalancer(rng)
+        self._balancer = load_balancer_module.LoadBalancer(rng=rng)
         self._upstreams = {
             name: ScoringUpstream(name, spec.slots, scheduler)
             for name in (f'p{number}' for number in range(spec.upstreams))
--- a/standins/experiment/simulation.py
+++ b/standins/experiment/simulation.py
@@ -23,6 +23,7 @@
 from baobabpond.ratelimits import permits
 
 from . import clock
+from . import edge as edge_module
 from . import load as load_module
 from . import policies as policies_module
 from . import samplers as samplers_module
@@ -422,4 +423,31 @@
 ) -> Outcome:
     """Simulate a workload; equal arguments give equal outcomes."""
     with freezegun.freeze_time('2026-01-01') as frozen:
+        if workload.edge is not None:
+            return _simulate_edge(workload, policies, seed, frozen.tick)
         return Simulation(workload, policies, seed, frozen.tick).run()
+
+
+def _simulate_edge(
+    workload: load_module.Workload,
+    policies: policies_module.Policies,
+    seed: int,
+    advance_clock: clock.AdvanceClock,
+) -> Outcome:
+    """Simulate ordinary requests; the utility is the share in time."""
+    outcome = edge_module.simulate(
+        typing.cast(load_module.EdgeSpec, workload.edge),
+        policies_module.balancers.get(policies.balancer),
+        seed,
+        workload.duration_s,
+        advance_clock,
+    )
+    return Outcome(
+        outcome.in_deadline,
+        outcome.in_deadline,
+        outcome.requests,
+        0,
+        0,
+        outcome.in_aim,
+        item_s=outcome.mean_s,
+    )
--- a/test/pool/test_decisions.py
+++ b/test/pool/test_decisions.py
@@ -127,7 +127,7 @@
 
     def test_reported_slowness_decides_between_equals_only(self) -> None:
         """A report, which may be false, does not outweigh learnt speed."""
-        reported = self.candidate('reported slow', report_factor=3.0)
+        reported = self.candidate('reported slow', present_factor=3.0)
         equal = self.candidate('equal')
         slower = self.candidate('slower', gap_s=0.1)
         self.assertEqual('equal', placement.choose([reported, equal]))
--- /dev/null
+++ b/test/upstreams/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Test the package of the same name."""
