--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -63,6 +63,8 @@
         self.fault: str | None = None
         # If set, spoils a share of the responses to requests.
         self.spoiler: spoiling.Spoiler | None = None
+        # If set, the load in responses has a fourth figure.
+        self.states_slowness = False
         # If set, all responses state that the upstream is leaving.
         self.announces_leaving = False
         # Whether the connection closes after each response, as it does at
@@ -306,13 +308,19 @@
             self.versions[order['model']] = order['version']
             self._loading_model = None
 
+    def _load_figures(self) -> str:
+        figures = [self._running, 0, self._slots]
+        if self.states_slowness:
+            figures.append(round(100 * self.slow_factor))
+        return ','.join(map(str, figures))
+
     def _handle_request(self, exchange: server.Exchange, body: bytes) -> None:
         headers = exchange.headers
         request_id = headers.get('X-Request-Id', '')
         common_headers = [
             ('X-Request-Id', request_id),
             ('X-Server-Seal', f'seal.{self.id}.{uuid.uuid4().hex[:8]}'),
-            ('X-Server-Load', f'{self._running},0,{self._slots}'),
+            ('X-Server-Load', self._load_figures()),
         ]
         common_headers += self._state_headers()
         if headers.get('X-Target-Instance') not in (None, self.id):
