--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -14,6 +14,7 @@
 from ..ports import catalogue
 from ..ports import upstreams as upstream_port
 from ..ratelimits import permits as permits_module
+from ..upstreams.capacity import reporter
 
 from . import backoff
 from . import fleet as fleet_module
@@ -91,13 +92,15 @@
         self._waiting = waiting.WaitingItems()
         # In order of their start.
         self._active: dict[state.Run, None] = {}
+        self._capacity_reporter = reporter.Reporter('pool', metrics)
         self._migrator = migrator_module.Migrator(
             self._estimator, self._candidates, metrics
         )
 
     def reset(self) -> None:
-        """Forget the items of the former tenure."""
+        """Forget the items of a tenure, and what is shown of upstreams."""
         self._waiting.clear()
+        self._capacity_reporter.clear()
 
     def snapshot(
         self, tasks: collections.abc.Collection[state.Task]
@@ -122,6 +125,8 @@
         self._cancel_lost_runs()
         self._migrator.check([run.task for run in self._active])
         now = time.monotonic()
+        if self._capacity_reporter.is_due(now):
+            self._capacity_reporter.report(self._fleet.capacities(), now)
 
         def is_waiting(task: state.Task) -> bool:
             return (
