--- a/baobabpond/decoding.py
+++ b/baobabpond/decoding.py
@@ -127,6 +127,11 @@
     return host, port_number
 
 
+def http_address(value: typing.Any) -> tuple[str, int]:
+    """Return the host and port of an address, or of the URL of a host."""
+    return address(text(value).removeprefix('http://').rstrip('/'))
+
+
 def decimal(value: str | None, limit: int = MAX_INTEGER) -> int | None:
     """Return a number in plain digits, cut off at a limit.
 
--- a/baobabpond/upstreams/load_balancer.py
+++ b/baobabpond/upstreams/load_balancer.py
@@ -132,8 +132,14 @@
                 for entry in untried
                 if self._stats_of(entry).ejected_until <= now
             ]
+            # Two draws may both be full while another has a free slot.
+            free = [
+                entry
+                for entry in sound
+                if self._stats_of(entry).busy(now) < entry.slots
+            ]
             return self._take_best(
-                self._draw(sound or untried),
+                self._draw(free or sound or untried),
                 lambda stats, slots: stats.score(kind, slots, now),
             )
 
