Correct a clock by the records that took the least time

The record that is surely prompt tells that a clock is off, but may still have taken 0.3 s; the amount now follows from the least delayed of eight.

--- a/baobabpond/usage/time_of_day.py
+++ b/baobabpond/usage/time_of_day.py
@@ -14,8 +14,9 @@
 
 # Above what clocks differ by in general, and the time of an append.
 MARGIN_S = 0.3
-# Of an instance's last records the one counts that was read most promptly.
-KEPT_SAMPLES = 3
+# Of an instance's last records, the one that is surely prompt tells whether
+# clocks differ, and the one that took the least time by how much.
+KEPT_SAMPLES = 8
 # Instances without a newer sample are left out.
 MAX_SAMPLE_AGE_S = 120.0
 # Own records that took longer tell nothing of those of others.
@@ -52,14 +53,17 @@
         now_boot_s = clock.since_boot_s()
         own = time.time() - now_boot_s
         with self._lock:
-            samples = [
-                min(kept, key=lambda sample: sample.max_delay_s)
+            recent = [
+                list(kept)
                 for kept in self._samples.values()
                 if now_boot_s - kept[-1].read_at <= MAX_SAMPLE_AGE_S
             ]
             delay_s = min(self._delays, default=0.0)
-        if len(samples) + 1 < MIN_CLOCKS:
+        if len(recent) + 1 < MIN_CLOCKS:
             return 0.0
+        samples = [
+            min(kept, key=lambda sample: sample.max_delay_s) for kept in recent
+        ]
         # A record that is read late makes this clock look ahead.
         ahead = sum(
             own > sample.offset_s + sample.max_delay_s + MARGIN_S
@@ -68,7 +72,8 @@
         behind = sum(own < sample.offset_s - MARGIN_S for sample in samples)
         if 2 * max(ahead, behind) <= len(samples) + 1:
             return 0.0
-        offsets = [sample.offset_s for sample in samples]
+        # A record that took longer has a lower offset.
+        offsets = [max(sample.offset_s for sample in kept) for kept in recent]
         return own - statistics.median(offsets) - delay_s
 
     def now_unix_s(self) -> float:
