Read counts with shorter long polls

One of four further runs of the test with a clock that is 2 s ahead failed: a request counted in another window. The first record after an idle long poll of 1 s may have taken 1.4 s, with the margin too close to the 2 s to be told from; with polls of 0.5 s it is 0.9 s. The cause is by reading, not by a trace.

--- a/baobabpond/usage/components.py
+++ b/baobabpond/usage/components.py
@@ -20,6 +20,9 @@
 # Pause between reads, so that one read returns the counts of many instances.
 # All instances read the counts of all; they come six times a second.
 READ_PAUSE_S = 0.3
+# A record that ends a long poll may have taken as long as that; a clock that
+# is 2 s off must be told from a late record.
+READ_WAIT_S = 0.5
 
 
 class UsageComponents:
@@ -63,6 +66,7 @@
             shared.apply,
             metrics,
             READ_PAUSE_S,
+            READ_WAIT_S,
         )
         reports = reports_module.Reports()
         reports_partition = records.reports_partition(partitions)
