Follow the framing of chunks in its mutant

The condition that the mutant removes was renamed when bodies in small chunks got slots, so that the mutant no longer applied. It is detected again.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -298,7 +298,7 @@
         10,
         'the framing of chunks is bounded',
         'baobabpond/edge/chunked.py',
-        'if self._framing_bytes > allowed:',
+        'if excess > self._limits.chunk_framing_bytes:',
         'if False:',
         unit_test='test.edge.test_chunked',
     ),
