Bound what connections at the peers' listener can hold

The listener served each connection in a thread that waited without a time-out, and a message could go on in later frames, so silent, partial and invalid input kept threads for good. Frames, their memory, containers, time, idle time and connections are bounded now, with counters and settings under client_limits; pooled connections are reused for 48 s and only while open.

--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -16,9 +16,10 @@
 # the other listeners, upstreams and peers.
 CALLER_SHARE = 0.5
 # Connections of other listeners, for each of callers: that for requests of
-# other instances, and each of those for operators.
+# other instances, each of those for operators, and that for calls of peers.
 RELAY_SHARE = 0.25
 OPERATOR_SHARE = 0.1
+PEER_SHARE = 0.25
 MIN_CONNECTIONS = 32
 # Without a limit of descriptors.
 MAX_CONNECTIONS = 20_000
@@ -35,6 +36,14 @@
     'head_time': '408',
     'header_bytes': '414 or 431',
     'header_lines': '431',
+    'peer_connections': 'closed',
+    'peer_container': 'closed',
+    'peer_frame_bytes': 'closed',
+    'peer_frame_time': 'closed',
+    'peer_idle': 'closed',
+    'peer_memory': 'closed',
+    'peer_message': 'closed',
+    'peer_reader': 'closed',
     'queued_requests': '503',
     'slow_body': '408',
     'slow_body_slots': '503',
@@ -82,6 +91,16 @@
     # It counts towards the memory of the process: 40 MB for all requests that
     # wait for a thread or are served.
     socket_buffer_bytes: int = 65_536
+    # Of one Thrift frame of another instance. Pages and appends have 2 MB.
+    peer_frame_bytes: int = 8_000_000
+    # Of all frames that are received or served, with what is decoded of them.
+    peer_memory_bytes: int = 32_000_000
+    # Elements of one list, set or map in a frame.
+    peer_container_items: int = 65_536
+    # From the first byte of a frame to its last, in each direction.
+    peer_frame_s: float = 10.0
+    # Without a frame. Peers reuse connections for four fifths of the default.
+    peer_idle_s: float = 60.0
 
 
 DEFAULTS = ClientLimits()
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -25,6 +25,11 @@
     address_body_share: NotRequired[float]
     held_body_bytes_per_s: NotRequired[float]
     socket_buffer_bytes: NotRequired[int]
+    peer_frame_bytes: NotRequired[int]
+    peer_memory_bytes: NotRequired[int]
+    peer_container_items: NotRequired[int]
+    peer_frame_s: NotRequired[float]
+    peer_idle_s: NotRequired[float]
 
 
 class HostSettings(TypedDict):
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -151,6 +151,10 @@
                     self._reach.reach_handler,
                 )
             ),
+            self._metrics,
+            client_limits.from_settings(
+                self._settings, client_limits.PEER_SHARE
+            ),
         )
         for follower in self._followers:
             follower.start()
--- a/baobabpond/instance.py
+++ b/baobabpond/instance.py
@@ -83,6 +83,7 @@
             peer_server.PeerHandler(
                 self._table, self._current, self._serve_peer_call
             ),
+            self._metrics,
         )
         for component in self._components:
             component.start()
--- a/baobabpond/peers/pool.py
+++ b/baobabpond/peers/pool.py
@@ -13,6 +13,9 @@
 
 CONNECT_TIMEOUT_MS = 1000
 MAX_IDLE_CONNECTIONS = 8
+# Four fifths of the time after which listeners close idle connections
+# (peer_idle_s), so that a call does not meet the end of its connection.
+MAX_IDLE_S = 48.0
 MS_PER_S = 1000
 
 Address = tuple[str, int]
@@ -30,10 +33,18 @@
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
         self._deadline = float('inf')
+        self._called_at = time.monotonic()
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the other side is likely to take another call."""
+        idle_s = time.monotonic() - self._called_at
+        return idle_s < MAX_IDLE_S and self.isOpen()
 
     def start_call(self, timeout_ms: int) -> None:
         """Set the time-out in milliseconds of the call that begins now."""
-        self._deadline = time.monotonic() + timeout_ms / MS_PER_S
+        self._called_at = time.monotonic()
+        self._deadline = self._called_at + timeout_ms / MS_PER_S
         self.setTimeout(timeout_ms)
 
     def read(self, size: int) -> bytes:
@@ -111,10 +122,10 @@
             connection.transport.close()
 
     def _acquire(self, address: Address) -> Connection[C]:
-        with self._lock:
-            idle = self._idle[address]
-            if idle:
-                return idle.pop()
+        while (pooled := self._pop_idle(address)) is not None:
+            if pooled.socket.is_reusable:
+                return pooled
+            pooled.transport.close()
         socket = DeadlineSocket(*address)
         socket.setTimeout(self._connect_timeout_ms)
         transport = TTransport.TFramedTransport(socket)
@@ -122,6 +133,11 @@
         protocol = TCompactProtocol.TCompactProtocol(transport)
         return Connection(socket, transport, self._make_client(protocol))
 
+    def _pop_idle(self, address: Address) -> Connection[C] | None:
+        with self._lock:
+            idle = self._idle[address]
+            return idle.pop() if idle else None
+
     def _release(self, address: Address, connection: Connection[C]) -> None:
         with self._lock:
             idle = self._idle[address]
--- a/baobabpond/peers/server.py
+++ b/baobabpond/peers/server.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from .. import metrics as metrics_module
+from ..edge import client_limits
 from ..gen.peer import Peer
 from ..gen.peer import ttypes
 from ..members import table as table_module
@@ -9,6 +11,11 @@
 
 from . import thrift_server
 
+# Calls of trainers carry whole batches, up to the largest frame that the
+# Thrift library sends and receives by default.
+FRAME_BYTES = 16_384_000
+MEMORY_BYTES = 64_000_000
+
 TrainerHandler = typing.Callable[[ttypes.TrainerCall], ttypes.TrainerReply]
 
 
@@ -45,6 +52,20 @@
         return self._trainer_handler(call)
 
 
-def start(address: str, port: int, handler: PeerHandler) -> None:
+def start(
+    address: str,
+    port: int,
+    handler: PeerHandler,
+    metrics: metrics_module.Metrics,
+) -> None:
     """Serve calls in background threads until the process ends."""
-    thrift_server.serve(address, port, Peer.Processor(handler))
+    limits = client_limits.from_settings({}, client_limits.PEER_SHARE)
+    thrift_server.serve(
+        address,
+        port,
+        Peer.Processor(handler),
+        metrics,
+        limits._replace(
+            peer_frame_bytes=FRAME_BYTES, peer_memory_bytes=MEMORY_BYTES
+        ),
+    )
--- /dev/null
+++ b/test/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls between instances."""
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -475,6 +475,51 @@
         unit_test='test.edge.test_untrusted.ConnectionsTest'
         '.test_address_with_most_connections_loses_them',
     ),
+    Mutant(
+        10,
+        'frames of peers are bounded',
+        'baobabpond/peers/frames.py',
+        'if self._size > self._limits.peer_frame_bytes:',
+        'if False:',
+        unit_test='test.peers.test_thrift_server'
+        '.ThriftServerTest.test_huge_announced_frame',
+    ),
+    Mutant(
+        10,
+        'a frame has a time-out as a whole',
+        'baobabpond/peers/frames.py',
+        'self._socket.settimeout(remaining_s)',
+        'self._socket.settimeout(9)',
+        unit_test='test.peers.test_thrift_server'
+        '.ThriftServerTest.test_half_a_frame',
+    ),
+    Mutant(
+        10,
+        'containers of peers are bounded',
+        'baobabpond/peers/frames.py',
+        'elements > self._limits.peer_container_items',
+        'False',
+        unit_test='test.peers.test_thrift_server'
+        '.ThriftServerTest.test_huge_announced_container',
+    ),
+    Mutant(
+        10,
+        'the frames of peers are bounded together',
+        'baobabpond/peers/connections.py',
+        'while self._used_bytes > self._memory_bytes:',
+        'while False:',
+        unit_test='test.peers.test_thrift_server'
+        '.CrowdTest.test_many_frames_that_are_not_whole',
+    ),
+    Mutant(
+        10,
+        'connections of peers are bounded',
+        'baobabpond/peers/connections.py',
+        'is_full = len(self._open) >= self._limits.connections',
+        'is_full = False',
+        unit_test='test.peers.test_thrift_server'
+        '.CrowdTest.test_many_connections',
+    ),
     Mutant(
         10,
         'the queue for threads is bounded',
