--- a/scenarios/environment.py
+++ b/scenarios/environment.py
@@ -1,5 +1,6 @@
 """Create and close a separate world for each scenario."""
 
+import logging
 import os
 import sys
 import zlib
@@ -9,6 +10,11 @@
 DEFAULT_SEED = 1
 
 
+def before_all(context):
+    """Keep warnings of the HTTP client out of the output of passed steps."""
+    logging.getLogger('urllib3.connectionpool').setLevel(logging.ERROR)
+
+
 def before_scenario(context, scenario):
     """Print the base seed and create the scenario's world."""
     base = int(os.environ.get('SCENARIO_SEED', DEFAULT_SEED))
