Count the memory that decoding a batch takes, and bound batches

JSON of many small values took 25 to 30 times its bytes when decoded, which nothing counted: batches of tiny items, of many headers and of values that are no batch took an instance with a limit of 205 MB to 358, 371 and 807 MB.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -20,6 +20,8 @@
 from ..ports import log as log_port
 from ..store import follower as follower_module
 
+from . import batch_limits
+from . import client_limits
 from . import responses
 from . import server
 
@@ -64,7 +66,10 @@
         current: current_module.CurrentConfiguration,
         metrics: metrics_module.Metrics,
         any_contact_age_s: typing.Callable[[], float] | None = None,
+        limits: client_limits.ClientLimits = client_limits.DEFAULTS,
     ) -> None:
+        self._limits = limits
+        self._excesses = client_limits.Excesses(metrics)
         # Seconds since any partition was read; the shard's alone by default.
         self._any_contact_age_s = any_contact_age_s or (
             lambda: shard.follower.contact_age_s
@@ -97,10 +102,7 @@
         """Accept a batch; respond once its records are on the log."""
         received_at = time.monotonic()
         try:
-            submission = self._protocol.submission(
-                call.request_id, exchange.read_body()
-            )
-            _validate(submission)
+            submission = self._decode(exchange, call)
         except callers.BadRequest as error:
             responses.send_refusal(
                 exchange,
@@ -129,6 +131,26 @@
         else:
             responses.send_json(exchange, 202, b'{}')
 
+    def _decode(
+        self, exchange: server.Exchange, call: callers.Call
+    ) -> callers.Submission:
+        """Return the batch of a request; raise BadRequest."""
+        try:
+            body = exchange.read_body()
+            size = batch_limits.decoding_bytes(body, self._limits)
+            try:
+                exchange.hold(size)
+            except server.BodyMemoryFull:
+                self._excesses.report('batch_decoding', exchange.address)
+                raise
+            submission = self._protocol.submission(call.request_id, body)
+            batch_limits.validate(submission, self._limits)
+        except batch_limits.BatchLimitExceeded as error:
+            self._excesses.report(error.limit, exchange.address)
+            raise
+        _validate(submission)
+        return submission
+
     def read_results(
         self,
         exchange: server.Exchange,
--- a/baobabpond/edge/body_memory.py
+++ b/baobabpond/edge/body_memory.py
@@ -203,6 +203,17 @@
         self._held += wanted
         return True
 
+    def try_hold(self, size: int, timeout_s: float = 0.0) -> bool:
+        """Reserve memory for what is made of the body."""
+        if size <= SMALL_BYTES:
+            return True
+        if not self._memory.try_grow(
+            self._held, size, timeout_s, self._address
+        ):
+            return False
+        self._held += size
+        return True
+
     @contextlib.contextmanager
     def waiting(self, waiter: Waiter) -> collections.abc.Iterator[None]:
         """Let the body be given up while it is received slowly."""
--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -28,6 +28,11 @@
 # What becomes of a client that exceeds a limit: the status of the response,
 # or its connection is closed.
 OUTCOMES = {
+    'batch_decoding': '503',
+    'batch_items': '413',
+    'batch_memory': '413',
+    'batch_text': '400',
+    'batch_values': '413',
     'chunk_framing': '400',
     'chunk_line': '400',
     'connections': 'closed',
@@ -101,6 +106,13 @@
     peer_frame_s: float = 10.0
     # Without a frame. Peers reuse connections for four fifths of the default.
     peer_idle_s: float = 60.0
+    # Items of a batch.
+    batch_items: int = 16_384
+    # Separators in the JSON of a batch: 30 for each of its items at most.
+    batch_values: int = 500_000
+    # For decoding a batch, besides its body. One of 33,554,432 bytes with as
+    # many values as are allowed takes 117 MB.
+    batch_memory_bytes: int = 120_000_000
 
 
 DEFAULTS = ClientLimits()
--- a/baobabpond/edge/server.py
+++ b/baobabpond/edge/server.py
@@ -31,6 +31,8 @@
 # Bodies in many small chunks that are read at a time. They take the time of
 # the processor, which threads share.
 SMALL_CHUNK_BODIES = 2
+# A body waits this long, with its thread, for the memory to decode it.
+HOLD_TIMEOUT_S = 0.5
 CONTENT_LENGTH = re.compile(rb'[0-9]{1,18}')
 
 LOG = structlog.get_logger(__name__)
@@ -91,6 +93,11 @@
             for name, value in self._request.inheaders.items()
         }
 
+    @property
+    def address(self) -> str:
+        """Return the address of the caller's connection."""
+        return self._request.conn.remote_addr
+
     @property
     def socket(self) -> socket.socket:
         """Return the socket of the caller's connection."""
@@ -124,6 +131,15 @@
             self._body_memory.shrink(len(body))
         return body
 
+    def hold(self, size: int) -> None:
+        """Reserve memory for what is made of the body, until the response.
+
+        Raises BodyMemoryFull.
+        """
+        memory = self._body_memory
+        if memory is not None and not memory.try_hold(size, HOLD_TIMEOUT_S):
+            raise BodyMemoryFull(size)
+
     def _waiting_for(
         self, reader: client_io.ClientReader
     ) -> contextlib.AbstractContextManager[None]:
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -30,6 +30,9 @@
     peer_container_items: NotRequired[int]
     peer_frame_s: NotRequired[float]
     peer_idle_s: NotRequired[float]
+    batch_items: NotRequired[int]
+    batch_values: NotRequired[int]
+    batch_memory_bytes: NotRequired[int]
 
 
 class HostSettings(TypedDict):
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -504,6 +504,7 @@
             self._current,
             self._metrics,
             lambda: min(f.contact_age_s for f in self._followers),
+            self._caller_limits,
         )
         self._caller_app = app_module.CallerApp(
             self._platform.callers,
--- a/standins/emulator/crowd.py
+++ b/standins/emulator/crowd.py
@@ -22,6 +22,7 @@
 MAX_CLIENT_BYTES = 60_000_000
 SETTLE_S = 8.0
 PIECE_BYTES = 65536
+MAX_BATCH_BYTES = 30_000_000
 TIMEOUT_S = 1.0
 RECONNECT_S = 0.02
 SLOW_PAUSE_S = 0.3
@@ -205,6 +206,44 @@
     return Input(b'', connections=IDLE_CONNECTIONS)
 
 
+@inputs.register('tiny_items')
+def tiny_items() -> Input:
+    """Send batches of 30 MB whose items are as small as they can be."""
+    return Input(_batch(MAX_BATCH_BYTES // 48, 0))
+
+
+@inputs.register('many_headers')
+def many_headers() -> Input:
+    """Send batches of a few MB in which each item has some headers."""
+    return Input(_batch(8000, 20))
+
+
+@inputs.register('nested_values')
+def nested_values() -> Input:
+    """Send batches of 30 MB of values that no batch has."""
+    return Input(_submit(b'{"items":[' + b'{},' * 10_000_000 + b'{}]}'))
+
+
+def _batch(items: int, headers: int) -> bytes:
+    """Return the submission of a batch."""
+    pairs = ','.join(f'"h{number}":"v{number}"' for number in range(headers))
+    texts = (
+        f'{{"id":"{number}","path":"/","headers":{{{pairs}}},"body":""}}'
+        for number in range(items)
+    )
+    return _submit(('{"items":[' + ','.join(texts) + ']}').encode())
+
+
+def _submit(body: bytes) -> bytes:
+    whole = head(
+        'POST',
+        deployment_module.ROLLOUTS,
+        f'X-Model: {deployment_module.MODEL}',
+        f'Content-Length: {len(body)}',
+    )
+    return whole + b'\r\n' + body
+
+
 def _stream() -> bytes:
     model = f'X-Model: {deployment_module.MODEL}'
     whole = head('POST', deployment_module.STREAMS, model, 'Content-Length: 1')
--- a/test/isolated/test_untrusted_clients.py
+++ b/test/isolated/test_untrusted_clients.py
@@ -213,6 +213,18 @@
         self.deployment.samplers[0].fault = 'flood'
         self.check('slowly_read_stream')
 
+    def test_tiny_items(self) -> None:
+        """Batches that take a multiple of their size when decoded."""
+        self.check('tiny_items')
+
+    def test_many_headers(self) -> None:
+        """Batches that fit alone, and together take too much memory."""
+        self.check('many_headers')
+
+    def test_nested_values(self) -> None:
+        """JSON that takes a multiple of its size and is no batch."""
+        self.check('nested_values')
+
     def test_idle(self) -> None:
         """More connections than the descriptors that there are."""
         self.check('idle')
