Refuse requests whose ids are longer than 1,024 characters

Ids of requests, streams, batches and items, and the host, become keys of tables and parts of log lines, bounded only by the 16 KB of a head. Longer ones than 1,024 characters get 400, are counted and logged with the limits of clients. A test checks each of the five names at the limit and one above it.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from .. import decoding
 from .. import metrics as metrics_module
 from .. import verdicts
 from ..accounts import decision
@@ -16,6 +17,7 @@
 from ..ports import catalogue
 
 from . import batch_handlers as batch_handlers_module
+from . import client_limits
 from . import draining
 from . import forwarder as forwarder_module
 from . import responses
@@ -35,6 +37,9 @@
 MAX_ADDRESSES = 64
 METRICS_PATH = '/metrics'
 
+# Of ids and hosts that become keys of tables and parts of log lines.
+MAX_NAME_LENGTH = decoding.MAX_TEXT_LENGTH
+
 LOG = structlog.get_logger(__name__)
 
 
@@ -64,6 +69,7 @@
             metrics,
         )
         self._drain: draining.Drain | None = None
+        self._excesses = client_limits.Excesses(metrics)
 
     def set_key_staleness_s(self, max_s: float | None) -> None:
         """Set the age of the configuration up to which keys are accepted."""
@@ -117,6 +123,13 @@
                 verdicts.bad_request('bad_request', str(error), error.status),
             )
             return
+        if any(len(name) > MAX_NAME_LENGTH for name in _names(call)):
+            self._excesses.report('name_length', exchange.address)
+            responses.send_refusal(
+                exchange,
+                verdicts.bad_request('long_name', 'an id is too long'),
+            )
+            return
         if self._current.configuration is None:
             responses.send_refusal(
                 exchange,
@@ -304,3 +317,14 @@
             return
         body = self._protocol.entries(addresses, self._ttl_s)
         responses.send_json(exchange, 200, body)
+
+
+def _names(call: callers.Call) -> tuple[str, ...]:
+    """Return what a client has chosen and the instance keeps."""
+    return (
+        call.request_id,
+        call.host,
+        call.resumed_stream,
+        call.batch,
+        call.item,
+    )
--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -41,6 +41,7 @@
     'head_time': '408',
     'header_bytes': '414 or 431',
     'header_lines': '431',
+    'name_length': '400',
     'peer_connections': 'closed',
     'peer_container': 'closed',
     'peer_frame_bytes': 'closed',
--- a/test/edge/test_app.py
+++ b/test/edge/test_app.py
@@ -86,6 +86,39 @@
             self.assertEqual(404, self.ask()[0], self.staleness_s)
 
 
+class LongNamesTest(unittest.TestCase):
+    """Refuse ids that would fill tables and log lines."""
+
+    def test_each_name_is_bounded(self) -> None:
+        """Guards against ids of any length in what the instance keeps."""
+        usual = callers.Call(
+            callers.CallKind.REQUEST, 'request-1', 'host', '/t', None
+        )
+        protocol = mock.create_autospec(callers.CallerProtocol, instance=True)
+        current = mock.create_autospec(
+            current_module.CurrentConfiguration, instance=True
+        )
+        # Calls with usual names get 503.
+        current.configuration = None
+        caller_app = app.CallerApp(
+            protocol,
+            current,
+            lambda: 0.0,
+            mock.create_autospec(batch_handlers.BatchHandlers, instance=True),
+            mock.create_autospec(forwarder.Forwarder, instance=True),
+            metrics.Metrics(),
+        )
+        for name in ('request_id', 'host', 'resumed_stream', 'batch', 'item'):
+            for length, expected in ((1024, 503), (1025, 400)):
+                protocol.call.return_value = usual._replace(
+                    **{name: 'n' * length}
+                )
+                exchange = mock.create_autospec(server.Exchange, instance=True)
+                caller_app.handle(exchange)
+                status = exchange.send_response.call_args.args[0]
+                self.assertEqual(expected, status, name)
+
+
 class UnexpectedFailureTest(unittest.TestCase):
     """Handle a request whose handler fails on an error that none expects."""
 
