Move DisconnectWatcher into a module of its own

It polls the sockets of callers and needs nothing else of the HTTP servers, so it is now in edge/disconnects.py.

--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -17,6 +17,7 @@
 from ..upstreams import load_balancer as load_balancer_module
 from ..usage import request as request_usage
 
+from . import disconnects
 from . import server
 
 
@@ -85,7 +86,7 @@
     protocol: upstream_port.UpstreamProtocol
     gateway: gateway_module.Gateway
     paths: paths_module.Paths
-    watcher: server.DisconnectWatcher
+    watcher: disconnects.DisconnectWatcher
     load_balancer: load_balancer_module.LoadBalancer
     origins: origins_module.StreamOrigins
 
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -29,6 +29,7 @@
 
 from . import attempts as attempts_module
 from . import body_memory
+from . import disconnects
 from . import placer as placer_module
 from . import refusals
 from . import responses
@@ -59,7 +60,7 @@
         gateway: gateway_module.Gateway,
         paths: paths_module.Paths,
         load_balancer: load_balancer_module.LoadBalancer,
-        watcher: server.DisconnectWatcher,
+        watcher: disconnects.DisconnectWatcher,
         guard: guard_module.CrashGuard,
         permits: permits_module.Permits,
         origins: origins_module.StreamOrigins,
--- a/baobabpond/edge/relay_handler.py
+++ b/baobabpond/edge/relay_handler.py
@@ -14,6 +14,7 @@
 from ..upstreams import connections as connections_module
 from ..upstreams import gateway as gateway_module
 
+from . import disconnects
 from . import server
 
 # Leaves this instance room for its own callers.
@@ -44,7 +45,7 @@
         gateway: gateway_module.Gateway,
         connections: connections_module.ConnectionPool,
         permits: permits_module.Permits,
-        watcher: server.DisconnectWatcher,
+        watcher: disconnects.DisconnectWatcher,
         metrics: metrics_module.Metrics,
     ) -> None:
         self._directory = directory
--- a/baobabpond/host.py
+++ b/baobabpond/host.py
@@ -24,6 +24,7 @@
 from .edge import batch_handlers
 from .edge import body_memory
 from .edge import client_limits
+from .edge import disconnects
 from .edge import forwarder
 from .edge import relay_handler
 from .edge import server
@@ -494,7 +495,7 @@
         )
 
     def _build_servers(self) -> None:
-        self._caller_watch = server.DisconnectWatcher()
+        self._caller_watch = disconnects.DisconnectWatcher()
         handlers = batch_handlers.BatchHandlers(
             self._platform.callers,
             batch_handlers.Shard(
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -17,6 +17,7 @@
 from baobabpond.crashes import sharing
 from baobabpond.crashes import unresolved
 from baobabpond.edge import body_memory
+from baobabpond.edge import disconnects
 from baobabpond.edge import forwarder as forwarder_module
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -113,7 +114,7 @@
             gateway.Gateway(platform.upstreams, directory, limits, permits),
             path_examples.DirectPaths(pool),
             balancer,
-            mock.create_autospec(server.DisconnectWatcher, instance=True),
+            mock.create_autospec(disconnects.DisconnectWatcher, instance=True),
             guard,
             permits,
             mock.create_autospec(origins.StreamOrigins, instance=True),
--- a/test/edge/test_stream_resumption.py
+++ b/test/edge/test_stream_resumption.py
@@ -9,6 +9,7 @@
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.crashes import guard
 from baobabpond.edge import body_memory
+from baobabpond.edge import disconnects
 from baobabpond.edge import forwarder as forwarder_module
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -48,7 +49,7 @@
             self.gateway,
             mock.create_autospec(paths.Paths, instance=True),
             load_balancer.LoadBalancer(),
-            mock.create_autospec(server.DisconnectWatcher, instance=True),
+            mock.create_autospec(disconnects.DisconnectWatcher, instance=True),
             mock.create_autospec(guard.CrashGuard, instance=True),
             mock.create_autospec(permits.Permits, instance=True),
             self.origins,
--- a/test/relaying/test_relay.py
+++ b/test/relaying/test_relay.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 from baobabpond.catalogue import directory as directory_module
+from baobabpond.edge import disconnects
 from baobabpond.edge import relay_handler
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -60,7 +61,7 @@
         platforms.load('users_platform', builds.ROOT / 'platform')
         platform = platforms.platforms.get('users_platform')('127.0.0.1:1')
         self.instance = examples.Instance(examples.OWNER)
-        watcher = server.DisconnectWatcher()
+        watcher = disconnects.DisconnectWatcher()
         watcher.start()
         return relay_handler.RelayHandler(
             self.directory,
