Move Exchange and the body errors into a module of their own

edge/server.py held both the servers with their connections and the view that handlers have of one request. The latter is now in edge/http_exchange.py, which most modules need instead of the server. This is a pure move: the code is unchanged, and users and tests import it from the new module.

--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -18,8 +18,8 @@
 from . import batch_handlers as batch_handlers_module
 from . import draining
 from . import forwarder as forwarder_module
+from . import http_exchange
 from . import responses
-from . import server
 
 RETRY_AFTER_S = 0.3
 # Large bodies take about this long to pass.
@@ -78,13 +78,13 @@
         """
         self._drain = drain
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Handle one request."""
         if self._drain is not None:
             exchange.close_after_response()
         try:
             self._dispatch(exchange)
-        except server.BodyError as error:
+        except http_exchange.BodyError as error:
             LOG.info(
                 'request body rejected', error=str(error), status=error.status
             )
@@ -106,7 +106,7 @@
                     verdicts.uncertain('internal', 'unexpected failure'),
                 )
 
-    def _dispatch(self, exchange: server.Exchange) -> None:
+    def _dispatch(self, exchange: http_exchange.Exchange) -> None:
         try:
             call = self._protocol.call(
                 exchange.method, exchange.target, exchange.headers
@@ -140,7 +140,7 @@
 
     def _use_batch(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission,
     ) -> None:
@@ -153,7 +153,7 @@
 
     def _route(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission,
     ) -> None:
@@ -175,12 +175,12 @@
         else:
             try:
                 self._serve(exchange, call, match, admission)
-            except server.BodyMemoryFull as error:
+            except http_exchange.BodyMemoryFull as error:
                 self._refuse_for_memory(exchange, call, error)
 
     def _serve(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
         admission: gate_module.Admission,
@@ -192,9 +192,9 @@
 
     def _refuse_for_memory(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
-        error: server.BodyMemoryFull,
+        error: http_exchange.BodyMemoryFull,
     ) -> None:
         LOG.info(
             'no memory for the body of a request',
@@ -212,7 +212,7 @@
 
     def _refuse_late(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         limit_s: float,
         is_repeatable: bool,
@@ -233,7 +233,7 @@
         return True
 
     def _refuse_unknown_route(
-        self, exchange: server.Exchange, call: callers.Call
+        self, exchange: http_exchange.Exchange, call: callers.Call
     ) -> None:
         staleness_s = self._configuration_staleness_s()
         is_known = staleness_s <= MAX_CONFIGURATION_STALENESS_S
@@ -281,7 +281,7 @@
         self._metrics = metrics
         self._ttl_s = ttl_s
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Handle one request."""
         path = urllib.parse.urlsplit(exchange.target).path
         if path == self._protocol.ready_target:
@@ -295,7 +295,7 @@
         else:
             responses.send_json(exchange, 404, b'{}')
 
-    def _send_addresses(self, exchange: server.Exchange) -> None:
+    def _send_addresses(self, exchange: http_exchange.Exchange) -> None:
         addresses = [member.callers_listen for member in self._list_members()][
             :MAX_ADDRESSES
         ]
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -18,7 +18,7 @@
 from ..usage import request as request_usage
 
 from . import disconnects
-from . import server
+from . import http_exchange
 
 
 # An attempt at an idempotent request times out after this many times the
@@ -49,7 +49,7 @@
 class RequestContext(typing.NamedTuple):
     """A request being forwarded, its route and its deadline."""
 
-    exchange: server.Exchange
+    exchange: http_exchange.Exchange
     request: upstream_port.Request
     # Recognises the request if it is sent again under another id.
     digest: str
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -20,8 +20,8 @@
 from ..ports import log as log_port
 from ..store import follower as follower_module
 
+from . import http_exchange
 from . import responses
-from . import server
 
 TOPIC = 'keyed.batches'
 # Below the largest result page that callers accept.
@@ -89,7 +89,7 @@
 
     def submit(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
@@ -131,7 +131,7 @@
 
     def read_results(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -188,7 +188,7 @@
 
     def _refuse_stale_read(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         batch: state_module.Batch,
         position: int,
     ) -> None:
@@ -219,7 +219,7 @@
 
     def read_item(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -240,7 +240,7 @@
 
     def end(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -364,7 +364,7 @@
 
     def _find_or_refuse(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         account: str | None,
     ) -> state_module.Batch | None:
@@ -440,7 +440,7 @@
     )
 
 
-def _not_found(exchange: server.Exchange, code: str) -> None:
+def _not_found(exchange: http_exchange.Exchange, code: str) -> None:
     responses.send_refusal(exchange, _unknown(code))
 
 
--- a/baobabpond/edge/forwarder.py
+++ b/baobabpond/edge/forwarder.py
@@ -30,10 +30,10 @@
 from . import attempts as attempts_module
 from . import body_memory
 from . import disconnects
+from . import http_exchange
 from . import placer as placer_module
 from . import refusals
 from . import responses
-from . import server
 from . import streams
 from . import upstream_responses
 
@@ -85,7 +85,7 @@
 
     def forward(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
@@ -414,7 +414,7 @@
 
 
 def _make_context(
-    exchange: server.Exchange,
+    exchange: http_exchange.Exchange,
     call: callers.Call,
     route: catalogue.Route,
     received_at: float,
--- a/baobabpond/edge/relay_handler.py
+++ b/baobabpond/edge/relay_handler.py
@@ -15,7 +15,7 @@
 from ..upstreams import gateway as gateway_module
 
 from . import disconnects
-from . import server
+from . import http_exchange
 
 # Leaves this instance room for its own callers.
 MAX_RELAYED = 24
@@ -61,7 +61,7 @@
         """Pass nothing new on; requests in flight go on."""
         self._is_draining = True
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Handle one relayed request."""
         if self._is_draining:
             self._end(exchange, wire.Outcome.NOT_SENT, 'shutting down')
@@ -76,11 +76,11 @@
         finally:
             self._slots.release()
 
-    def _relay(self, exchange: server.Exchange) -> None:
+    def _relay(self, exchange: http_exchange.Exchange) -> None:
         try:
             body = exchange.read_body()
             destination = wire.decode_destination(exchange.headers)
-        except (wire.MalformedRequest, server.BodyError) as error:
+        except (wire.MalformedRequest, http_exchange.BodyError) as error:
             raise Failure(wire.Outcome.NOT_SENT, str(error)) from error
         entry = self._find(destination)
         connection = self._connections.acquire((entry.host, entry.port))
@@ -144,7 +144,7 @@
 
     def _respond(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         connection: connections_module.Connection,
         response: urllib3.HTTPResponse,
     ) -> None:
@@ -162,7 +162,10 @@
         self._log(exchange, wire.Outcome.RESPONSE, '')
 
     def _end(
-        self, exchange: server.Exchange, outcome: wire.Outcome, reason: str
+        self,
+        exchange: http_exchange.Exchange,
+        outcome: wire.Outcome,
+        reason: str,
     ) -> None:
         """Report a failure, or break the response off if it has begun."""
         self._log(exchange, outcome, reason)
@@ -178,7 +181,10 @@
         )
 
     def _log(
-        self, exchange: server.Exchange, outcome: wire.Outcome, reason: str
+        self,
+        exchange: http_exchange.Exchange,
+        outcome: wire.Outcome,
+        reason: str,
     ) -> None:
         self._metrics.count(f'relaying.served.{outcome.value}')
         LOG.info(
--- a/baobabpond/edge/responses.py
+++ b/baobabpond/edge/responses.py
@@ -5,13 +5,16 @@
 
 from .. import verdicts
 
-from . import server
+from . import http_exchange
 
 JSON_TYPE = ('Content-Type', 'application/json')
 
 
 def send_json(
-    exchange: server.Exchange, status: int, body: bytes, close: bool = False
+    exchange: http_exchange.Exchange,
+    status: int,
+    body: bytes,
+    close: bool = False,
 ) -> None:
     """Send a response with a JSON body."""
     reason = http.HTTPStatus(status).phrase
@@ -19,7 +22,9 @@
 
 
 def send_refusal(
-    exchange: server.Exchange, refusal: verdicts.Refusal, close: bool = False
+    exchange: http_exchange.Exchange,
+    refusal: verdicts.Refusal,
+    close: bool = False,
 ) -> None:
     """Send a refusal as JSON, with Retry-After where it sets a delay."""
     headers = [JSON_TYPE]
--- a/standins/emulator/control.py
+++ b/standins/emulator/control.py
@@ -7,7 +7,7 @@
 import time
 import typing
 
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 
 from . import serving
 
@@ -108,7 +108,7 @@
                         found.append(call)
         return found
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: http_exchange.Exchange) -> None:
         path = serving.query(exchange).path
         fields = json.loads(exchange.read_body())
         received_at = time.monotonic()
--- a/standins/emulator/serving.py
+++ b/standins/emulator/serving.py
@@ -7,6 +7,7 @@
 import typing
 import urllib.parse
 
+from baobabpond.edge import http_exchange
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import catalogue
@@ -65,31 +66,31 @@
     return f'{host}:{port}'
 
 
-def query(exchange: server.Exchange) -> Query:
+def query(exchange: http_exchange.Exchange) -> Query:
     """Parse the path and the query parameters of a request."""
     path, _, text = exchange.target.partition('?')
     return Query(path, dict(urllib.parse.parse_qsl(text)))
 
 
 def reply(
-    exchange: server.Exchange,
+    exchange: http_exchange.Exchange,
     status: int,
     body: typing.Any = None,
-    headers: server.Headers | None = None,
+    headers: http_exchange.Headers | None = None,
 ) -> None:
     """Send a response with a JSON body; without a body if None."""
     data = b'' if body is None else json.dumps(body).encode()
     exchange.send_response(status, 'Emulated', headers or [], data)
 
 
-def close_without_response(exchange: server.Exchange) -> None:
+def close_without_response(exchange: http_exchange.Exchange) -> None:
     """Close a connection without sending a response."""
     exchange.abort()
     with contextlib.suppress(OSError):
         exchange.socket.shutdown(socket.SHUT_RDWR)
 
 
-def end_with_connection(exchange: server.Exchange) -> None:
+def end_with_connection(exchange: http_exchange.Exchange) -> None:
     """Send the response without a length; the connection ends it."""
     request = exchange._request
     # Otherwise the server would send it in chunks.
@@ -97,7 +98,7 @@
     request.close_connection = True
 
     def send_response(
-        status: int, reason: str, headers: server.Headers, body: bytes
+        status: int, reason: str, headers: http_exchange.Headers, body: bytes
     ) -> None:
         exchange.begin_stream(status, reason, headers)
         if body:
@@ -113,7 +114,9 @@
 
 
 def send_raw_response(
-    exchange: server.Exchange, headers: server.Headers, body: bytes
+    exchange: http_exchange.Exchange,
+    headers: http_exchange.Headers,
+    body: bytes,
 ) -> None:
     """Write a further response to the connection of an answered request."""
     lines = ['HTTP/1.1 200 OK', f'Content-Length: {len(body)}']
--- a/standins/emulator/spoiling.py
+++ b/standins/emulator/spoiling.py
@@ -5,7 +5,7 @@
 import random
 import typing
 
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 
 from . import serving
 
@@ -38,7 +38,7 @@
         self._rng = random.Random(seed)
         self.count = 0
 
-    def spoil(self, exchange: server.Exchange) -> bool:
+    def spoil(self, exchange: http_exchange.Exchange) -> bool:
         """Answer a request so; return whether it has been answered."""
         if self._rng.random() >= self._share:
             return False
--- a/standins/emulator/store.py
+++ b/standins/emulator/store.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+from baobabpond.edge import http_exchange
 from baobabpond.edge import server
 
 from . import serving
@@ -150,7 +151,9 @@
         """Stop the server."""
         self.server.stop()
 
-    def _handle(self, rewrite: Rewrite, exchange: server.Exchange) -> None:
+    def _handle(
+        self, rewrite: Rewrite, exchange: http_exchange.Exchange
+    ) -> None:
         query = serving.query(exchange)
         body = exchange.read_body()
         name = query.path.rpartition('/')[2]
@@ -179,13 +182,16 @@
             return self.faults.outage
         return None
 
-    def _wait_out_outage(self, exchange: server.Exchange) -> None:
+    def _wait_out_outage(self, exchange: http_exchange.Exchange) -> None:
         while self.faults.outage == 'silent':
             time.sleep(0.05)
         serving.close_without_response(exchange)
 
     def _append(
-        self, exchange: server.Exchange, query: dict[str, str], body: bytes
+        self,
+        exchange: http_exchange.Exchange,
+        query: dict[str, str],
+        body: bytes,
     ) -> None:
         if query['topic'] in OPERATOR_TOPICS:
             serving.reply(exchange, 403)
@@ -205,7 +211,7 @@
         else:
             serving.reply(exchange, status, response)
 
-    def _drop_response(self, exchange: server.Exchange) -> None:
+    def _drop_response(self, exchange: http_exchange.Exchange) -> None:
         time.sleep(1.5)
         serving.close_without_response(exchange)
 
@@ -266,7 +272,7 @@
 
     def _read(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         query: dict[str, str],
         rewrite: Rewrite,
     ) -> None:
@@ -298,7 +304,7 @@
 
     def _newest(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         query: dict[str, str],
         rewrite: Rewrite,
     ) -> None:
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -6,7 +6,7 @@
 import typing
 import uuid
 
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 
 from . import crashing as crashing_module
 from . import outputs
@@ -103,7 +103,7 @@
         self.on_crash: typing.Callable[[Upstream], None] = lambda _: None
         self._store = store
         self._recorder = recorder
-        self._exchanges: set[server.Exchange] = set()
+        self._exchanges: set[http_exchange.Exchange] = set()
         self._slots = slots
         self._checks_fence = checks_fence
         self._heartbeat_s = heartbeat_s
@@ -180,7 +180,7 @@
         threading.Thread(target=self.server.stop, daemon=True).start()
         self.on_crash(self)
 
-    def _state_headers(self) -> server.Headers:
+    def _state_headers(self) -> http_exchange.Headers:
         """Return what all responses state about the upstream."""
         headers = []
         if self.announces_leaving:
@@ -230,7 +230,7 @@
             for name, version in self.versions.items()
         ]
 
-    def _handle(self, exchange: server.Exchange) -> None:
+    def _handle(self, exchange: http_exchange.Exchange) -> None:
         body = exchange.read_body()
         if self._is_hung:
             self._hang(exchange)
@@ -262,12 +262,12 @@
         elif self.spoiler is None or not self.spoiler.spoil(exchange):
             self._handle_request(exchange, body)
 
-    def _hang(self, exchange: server.Exchange) -> None:
+    def _hang(self, exchange: http_exchange.Exchange) -> None:
         """Keep a connection without an answer until the server stops."""
         self._stopped.wait()
         serving.close_without_response(exchange)
 
-    def _handle_report(self, exchange: server.Exchange) -> None:
+    def _handle_report(self, exchange: http_exchange.Exchange) -> None:
         with self._lock:
             report = {
                 'stage': 'both',
@@ -282,7 +282,7 @@
         serving.reply(exchange, 200, report, self._state_headers())
 
     def _handle_order(
-        self, exchange: server.Exchange, order: dict[str, typing.Any]
+        self, exchange: http_exchange.Exchange, order: dict[str, typing.Any]
     ) -> None:
         self._recorder.record_order(
             recorder_module.OrderRecord(
@@ -341,7 +341,9 @@
             figures.append(round(100 * self.slow_factor))
         return ','.join(map(str, figures))
 
-    def _handle_request(self, exchange: server.Exchange, body: bytes) -> None:
+    def _handle_request(
+        self, exchange: http_exchange.Exchange, body: bytes
+    ) -> None:
         headers = exchange.headers
         request_id = headers.get('X-Request-Id', '')
         common_headers = [
@@ -390,10 +392,10 @@
 
     def _send_response(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         request_id: str,
         body: bytes,
-        common_headers: server.Headers,
+        common_headers: http_exchange.Headers,
     ) -> None:
         self._recorder.record_run(
             recorder_module.RunRecord(
@@ -435,10 +437,10 @@
 
     def _send_stream(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         request_id: str,
         model: str,
-        common_headers: server.Headers,
+        common_headers: http_exchange.Headers,
         is_crashing: bool,
     ) -> None:
         after = int(exchange.headers.get('Last-Event-Id', '0'))
@@ -492,7 +494,9 @@
             exchange.write(block.encode())
 
     def _fail_resumption(
-        self, exchange: server.Exchange, common_headers: server.Headers
+        self,
+        exchange: http_exchange.Exchange,
+        common_headers: http_exchange.Headers,
     ) -> None:
         """Answer the resumption of a stream with something else."""
         if self.resumption_fault == 'failed':
--- a/test/edge/test_app.py
+++ b/test/edge/test_app.py
@@ -8,7 +8,7 @@
 from baobabpond.edge import app
 from baobabpond.edge import batch_handlers
 from baobabpond.edge import forwarder
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
@@ -45,7 +45,7 @@
 
     def ask(self) -> tuple[int, dict[str, str]]:
         """Return the status and headers of the response."""
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         self.app.handle(exchange)
         status, _, headers, _, _ = exchange.send_response.call_args.args
         return status, dict(headers)
@@ -98,7 +98,7 @@
         failing = mock.create_autospec(forwarder.Forwarder, instance=True)
 
         def fail_in_stream(
-            exchange: server.Exchange, *_arguments: object
+            exchange: http_exchange.Exchange, *_arguments: object
         ) -> None:
             exchange.response_started = True
             raise RuntimeError('fails on purpose')
@@ -116,6 +116,6 @@
             failing,
             metrics.Metrics(),
         )
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         caller_app.handle(exchange)
         exchange.abort.assert_called_once_with()
--- a/test/edge/test_attempt_usage.py
+++ b/test/edge/test_attempt_usage.py
@@ -5,7 +5,7 @@
 from unittest import mock
 
 from baobabpond.edge import attempts
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics as metrics_module
 from baobabpond.ports import catalogue
 from baobabpond.ports import upstreams as upstream_port
@@ -94,7 +94,7 @@
         attempt = attempts.Attempt(
             self.dependencies,
             attempts.RequestContext(
-                mock.create_autospec(server.Exchange, instance=True),
+                mock.create_autospec(http_exchange.Exchange, instance=True),
                 REQUEST,
                 'd',
                 route,
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -11,7 +11,7 @@
 from baobabpond.batches import shard_state as state_module
 from baobabpond.catalogue import current as current_module
 from baobabpond.edge import batch_handlers
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import log as log_port
@@ -95,7 +95,7 @@
         self, position: int, wait_s: float = 0.0, batch: str = 'b'
     ) -> mock.Mock:
         """Read from a position and return the exchange."""
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         call = callers.Call(
             callers.CallKind.READ_RESULTS,
             'read-1',
@@ -305,7 +305,7 @@
         )
         match = mock.Mock()
         match.route.name = 'steps'
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         exchange.read_body.return_value = b''
         handlers.submit(
             exchange,
--- a/test/edge/test_body_memory.py
+++ b/test/edge/test_body_memory.py
@@ -6,6 +6,7 @@
 import unittest
 
 from baobabpond.edge import body_memory
+from baobabpond.edge import http_exchange
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import catalogue
@@ -107,11 +108,11 @@
         self.addCleanup(self.server.stop)
         self.addCleanup(self.goes_on.set)
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Hold large bodies until the test goes on."""
         try:
             body = exchange.read_body()
-        except server.BodyMemoryFull as error:
+        except http_exchange.BodyMemoryFull as error:
             exchange.send_response(error.status, 'Full', [], b'')
             return
         if len(body) > SMALL_BYTES:
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -19,7 +19,7 @@
 from baobabpond.edge import body_memory
 from baobabpond.edge import disconnects
 from baobabpond.edge import forwarder as forwarder_module
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
@@ -156,7 +156,7 @@
         admission: gate.Admission = gate.WITHOUT_ACCOUNTS,
     ) -> tuple[int, dict[str, str]]:
         """Forward a request; return the status and headers of the answer."""
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         is_stream = kind is catalogue.RouteKind.STREAMING
         exchange.method = 'POST'
         exchange.target = '/orders/a'
--- a/test/edge/test_server.py
+++ b/test/edge/test_server.py
@@ -3,6 +3,7 @@
 import socket
 import unittest
 
+from baobabpond.edge import http_exchange
 from baobabpond.edge import server
 from standins.emulator import serving
 
@@ -29,7 +30,7 @@
         """The response stays without its end."""
         for error in (RuntimeError('secret'), OSError('secret')):
 
-            def handle(exchange: server.Exchange) -> None:
+            def handle(exchange: http_exchange.Exchange) -> None:
                 exchange.begin_stream(200, 'OK', [])
                 exchange.write(b'part')
                 raise error  # noqa: B023
--- a/test/edge/test_stream_resumption.py
+++ b/test/edge/test_stream_resumption.py
@@ -11,7 +11,7 @@
 from baobabpond.edge import body_memory
 from baobabpond.edge import disconnects
 from baobabpond.edge import forwarder as forwarder_module
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
@@ -72,7 +72,7 @@
 
     def resume(self, stream: str) -> tuple[int, str]:
         """Resume a stream; return the status and the code of the refusal."""
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         exchange.method = 'POST'
         exchange.target = '/drafts/a'
         exchange.headers = {'Last-Event-Id': '3'}
--- a/test/edge/test_unread_bodies.py
+++ b/test/edge/test_unread_bodies.py
@@ -5,6 +5,7 @@
 import typing
 import unittest
 
+from baobabpond.edge import http_exchange
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import catalogue
@@ -89,14 +90,14 @@
         self.server.start_thread('test')
         self.addCleanup(self.server.stop)
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Answer with the status in the path; read the body for 200."""
         status = int(exchange.target.removeprefix('/'))
         body = b''
         if status == 200:
             try:
                 body = exchange.read_body()
-            except server.BodyError as error:
+            except http_exchange.BodyError as error:
                 status = error.status
         if status == 200:
             exchange.send_response(200, 'OK', [], b'%d' % len(body))
--- a/test/edge/test_untrusted.py
+++ b/test/edge/test_untrusted.py
@@ -9,6 +9,7 @@
 
 from baobabpond.edge import body_memory
 from baobabpond.edge import client_limits
+from baobabpond.edge import http_exchange
 from baobabpond.edge import lingering
 from baobabpond.edge import server
 from baobabpond import metrics
@@ -61,11 +62,11 @@
         self.addCleanup(self.server.stop)
         self.addCleanup(self.goes_on.set)
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Answer as the path demands."""
         try:
             body = exchange.read_body()
-        except server.BodyError as error:
+        except http_exchange.BodyError as error:
             exchange.send_response(error.status, 'Refused', [], b'')
             return
         if exchange.target == '/large':
@@ -312,7 +313,7 @@
         """What it holds of a connection is bounded."""
         sizes = []
 
-        def handle(exchange: server.Exchange) -> None:
+        def handle(exchange: http_exchange.Exchange) -> None:
             for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
                 sizes.append(
                     exchange.socket.getsockopt(socket.SOL_SOCKET, option)
--- a/test/relaying/test_relay.py
+++ b/test/relaying/test_relay.py
@@ -8,8 +8,8 @@
 
 from baobabpond.catalogue import directory as directory_module
 from baobabpond.edge import disconnects
+from baobabpond.edge import http_exchange
 from baobabpond.edge import relay_handler
-from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import platforms
 from baobabpond.relaying import connection as connection_module
@@ -86,7 +86,7 @@
         self.addCleanup(connection.close)
         return connection
 
-    def handle_upstream(self, exchange: server.Exchange) -> None:
+    def handle_upstream(self, exchange: http_exchange.Exchange) -> None:
         """Record a request and respond as the test says."""
         self.requests.append(
             types.SimpleNamespace(
@@ -142,7 +142,7 @@
     def test_cut_response_does_not_look_whole(self) -> None:
         """The upstream broke it off."""
 
-        def respond(exchange: server.Exchange) -> None:
+        def respond(exchange: http_exchange.Exchange) -> None:
             exchange.begin_stream(200, 'OK', [])
             exchange.write(b'part')
             serving.close_without_response(exchange)
@@ -207,7 +207,7 @@
         """The second one waits until the first one was read."""
         first_read = threading.Event()
 
-        def respond(exchange: server.Exchange) -> None:
+        def respond(exchange: http_exchange.Exchange) -> None:
             exchange.begin_stream(200, 'OK', [])
             exchange.write(b'one')
             if first_read.wait(TIMEOUT_S):
@@ -226,7 +226,7 @@
         """The instance that asked closes its connection."""
         left = threading.Event()
 
-        def respond(exchange: server.Exchange) -> None:
+        def respond(exchange: http_exchange.Exchange) -> None:
             exchange.begin_stream(200, 'OK', [])
             exchange.write(b'one')
             exchange.socket.settimeout(TIMEOUT_S)
