--- a/baobabpond/edge/app.py
+++ b/baobabpond/edge/app.py
@@ -20,8 +20,8 @@
 from . import client_limits
 from . import draining
 from . import forwarder as forwarder_module
+from . import http_exchange
 from . import responses
-from . import server
 
 RETRY_AFTER_S = 0.3
 # Large bodies take about this long to pass.
@@ -84,13 +84,13 @@
         """
         self._drain = drain
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Handle one request."""
         if self._drain is not None:
             exchange.close_after_response()
         try:
             self._dispatch(exchange)
-        except server.BodyError as error:
+        except http_exchange.BodyError as error:
             LOG.info(
                 'request body rejected', error=str(error), status=error.status
             )
@@ -112,7 +112,7 @@
                     verdicts.uncertain('internal', 'unexpected failure'),
                 )
 
-    def _dispatch(self, exchange: server.Exchange) -> None:
+    def _dispatch(self, exchange: http_exchange.Exchange) -> None:
         try:
             call = self._protocol.call(
                 exchange.method, exchange.target, exchange.headers
@@ -153,7 +153,7 @@
 
     def _use_batch(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission,
     ) -> None:
@@ -166,7 +166,7 @@
 
     def _route(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission,
     ) -> None:
@@ -188,12 +188,12 @@
         else:
             try:
                 self._serve(exchange, call, match, admission)
-            except server.BodyMemoryFull as error:
+            except http_exchange.BodyMemoryFull as error:
                 self._refuse_for_memory(exchange, call, error)
 
     def _serve(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
         admission: gate_module.Admission,
@@ -205,9 +205,9 @@
 
     def _refuse_for_memory(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
-        error: server.BodyMemoryFull,
+        error: http_exchange.BodyMemoryFull,
     ) -> None:
         LOG.info(
             'no memory for the body of a request',
@@ -225,7 +225,7 @@
 
     def _refuse_late(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         limit_s: float,
         is_repeatable: bool,
@@ -246,7 +246,7 @@
         return True
 
     def _refuse_unknown_route(
-        self, exchange: server.Exchange, call: callers.Call
+        self, exchange: http_exchange.Exchange, call: callers.Call
     ) -> None:
         staleness_s = self._configuration_staleness_s()
         is_known = staleness_s <= MAX_CONFIGURATION_STALENESS_S
@@ -294,7 +294,7 @@
         self._metrics = metrics
         self._ttl_s = ttl_s
 
-    def handle(self, exchange: server.Exchange) -> None:
+    def handle(self, exchange: http_exchange.Exchange) -> None:
         """Handle one request."""
         path = urllib.parse.urlsplit(exchange.target).path
         if path == self._protocol.ready_target:
@@ -308,7 +308,7 @@
         else:
             responses.send_json(exchange, 404, b'{}')
 
-    def _send_addresses(self, exchange: server.Exchange) -> None:
+    def _send_addresses(self, exchange: http_exchange.Exchange) -> None:
         addresses = [member.callers_listen for member in self._list_members()][
             :MAX_ADDRESSES
         ]
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -17,7 +17,8 @@
 from ..upstreams import load_balancer as load_balancer_module
 from ..usage import request as request_usage
 
-from . import server
+from . import disconnects
+from . import http_exchange
 
 
 # An attempt at an idempotent request times out after this many times the
@@ -48,7 +49,7 @@
 class RequestContext(typing.NamedTuple):
     """A request being forwarded, its route and its deadline."""
 
-    exchange: server.Exchange
+    exchange: http_exchange.Exchange
     request: upstream_port.Request
     # Recognises the request if it is sent again under another id.
     digest: str
@@ -85,7 +86,7 @@
     protocol: upstream_port.UpstreamProtocol
     gateway: gateway_module.Gateway
     paths: paths_module.Paths
-    watcher: server.DisconnectWatcher
+    watcher: disconnects.DisconnectWatcher
     load_balancer: load_balancer_module.LoadBalancer
     origins: origins_module.StreamOrigins
 
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -22,8 +22,8 @@
 
 from . import batch_limits
 from . import client_limits
+from . import http_exchange
 from . import responses
-from . import server
 
 TOPIC = 'keyed.batches'
 # Below the largest result page that callers accept.
@@ -94,7 +94,7 @@
 
     def submit(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         match: current_module.RouteMatch,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
@@ -132,7 +132,7 @@
             responses.send_json(exchange, 202, b'{}')
 
     def _decode(
-        self, exchange: server.Exchange, call: callers.Call
+        self, exchange: http_exchange.Exchange, call: callers.Call
     ) -> callers.Submission:
         """Return the batch of a request; raise BadRequest."""
         try:
@@ -140,7 +140,7 @@
             size = batch_limits.decoding_bytes(body, self._limits)
             try:
                 exchange.hold(size)
-            except server.BodyMemoryFull:
+            except http_exchange.BodyMemoryFull:
                 self._excesses.report('batch_decoding', exchange.address)
                 raise
             submission = self._protocol.submission(call.request_id, body)
@@ -153,7 +153,7 @@
 
     def read_results(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -210,7 +210,7 @@
 
     def _refuse_stale_read(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         batch: state_module.Batch,
         position: int,
     ) -> None:
@@ -241,7 +241,7 @@
 
     def read_item(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -262,7 +262,7 @@
 
     def end(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         admission: gate_module.Admission = gate_module.WITHOUT_ACCOUNTS,
     ) -> None:
@@ -386,7 +386,7 @@
 
     def _find_or_refuse(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         call: callers.Call,
         account: str | None,
     ) -> state_module.Batch | None:
@@ -462,7 +462,7 @@
     )
 
 
-def _not_found(exchange: server.Exchange, code: str) -> None:
+def _not_found(exchange: http_exchange.Exchange, code: str) -> None:
     responses.send_refusal(exchange, _unknown(code))
 
 
--- a/test/edge/test_forwarder.py
+++ b/test/edge/test_forwarder.py
@@ -17,8 +17,9 @@
 from baobabpond.crashes import sharing
 from baobabpond.crashes import unresolved
 from baobabpond.edge import body_memory
+from baobabpond.edge import disconnects
 from baobabpond.edge import forwarder as forwarder_module
-from baobabpond.edge import server
+from baobabpond.edge import http_exchange
 from baobabpond import metrics
 from baobabpond.ports import callers
 from baobabpond.ports import catalogue
@@ -113,7 +114,7 @@
             gateway.Gateway(platform.upstreams, directory, limits, permits),
             path_examples.DirectPaths(pool),
             balancer,
-            mock.create_autospec(server.DisconnectWatcher, instance=True),
+            mock.create_autospec(disconnects.DisconnectWatcher, instance=True),
             guard,
             permits,
             mock.create_autospec(origins.StreamOrigins, instance=True),
@@ -155,7 +156,7 @@
         admission: gate.Admission = gate.WITHOUT_ACCOUNTS,
     ) -> tuple[int, dict[str, str]]:
         """Forward a request; return the status and headers of the answer."""
-        exchange = mock.create_autospec(server.Exchange, instance=True)
+        exchange = mock.create_autospec(http_exchange.Exchange, instance=True)
         is_stream = kind is catalogue.RouteKind.STREAMING
         exchange.method = 'POST'
         exchange.target = '/orders/a'
