Shorten the account checks and state what their limits bound

Gate.admit held its counting and logging of refusals; these move to a method of their own. Doc comments of the package are one imperative line, with the reasons in comments beside the code. The word proof, which was used for the staleness of the configuration in places, is replaced. No behaviour changes.

--- a/baobabpond/accounts/decision.py
+++ b/baobabpond/accounts/decision.py
@@ -8,21 +8,21 @@
 from . import lookup
 
 RETRY_AFTER_S = 0.3
-# Part of the revocation bound that is left between the age of the proof at
-# which requests with keys are refused and the bound itself.
+# Requests with keys are refused once the staleness of the configuration is
+# within this margin of the revocation bound, since clocks may differ in speed.
 REVOCATION_MARGIN_S = 0.5
-# Of bounds that are shorter than a few times the margin.
+# Largest share of the bound that the margin takes; applies to short bounds.
 MAX_MARGIN_SHARE = 0.25
 MS_PER_S = 1000
 
 
 class Limits(typing.NamedTuple):
-    """Limit the age of the configuration that a decision relies on."""
+    """Limit the staleness of the configuration that a decision relies on."""
 
-    # One that was confirmed longer ago may lack keys that are in force.
+    # A staler configuration may lack keys that were added.
     unknown_staleness_s: float
-    # One that was confirmed longer ago may hold keys that were removed; None
-    # if keys of any age are accepted.
+    # A staler configuration may hold keys that were removed; None if keys are
+    # accepted at any staleness.
     key_staleness_s: float | None = None
 
 
@@ -36,10 +36,7 @@
 
 
 def key_staleness_s(revoke_ms: float, is_strict: bool) -> float | None:
-    """Return the age of the proof up to which keys are accepted.
-
-    None if removed keys need not be refused within a bound.
-    """
+    """Return the greatest staleness at which keys are accepted, if any."""
     if not is_strict:
         return None
     bound_s = revoke_ms / MS_PER_S
@@ -55,15 +52,14 @@
 ) -> Authenticated | verdicts.Refusal:
     """Return the account of a request, or why it is refused.
 
-    The route is None if none matches. The age of the proof must have been
-    determined before the accounts were, and after the request was received;
-    else a key that was removed in between might be accepted.
+    The staleness must be read after the request was received and before the
+    accounts; otherwise a key that was removed in between might be accepted.
     """
     if accounts is None:
         return Authenticated()
+    if key is None and route is not None and route.is_public:
+        return Authenticated('')
     if key is None:
-        if route is not None and route.is_public:
-            return Authenticated('')
         return _refuse_unknown(
             'no_key', 'the request has no key', staleness_s, limits
         )
@@ -85,10 +81,8 @@
 def _refuse_unknown(
     code: str, message: str, staleness_s: float, limits: Limits
 ) -> verdicts.Refusal:
-    """Refuse for good only by a configuration that was confirmed lately.
-
-    Callers do not retry a 401.
-    """
+    """Refuse with 401 only if the configuration is fresh, else with 503."""
+    # Callers do not retry a 401.
     if staleness_s > limits.unknown_staleness_s:
         return verdicts.unavailable(
             'accounts_stale',
@@ -99,11 +93,9 @@
 
 
 def may_use_batch(batch_account: str | None, account: str | None) -> bool:
-    """Return whether an account may use a batch.
-
-    Batches without an account are those of public requests, and of records
-    that precede the accounts; the latter need a key, but any one.
-    """
+    """Return whether an account may use a batch."""
+    # A batch account of '' is that of a public request. None is that of a
+    # record written before there were accounts: any key may use the batch.
     if account is None:
         return True
     if not account:
@@ -114,10 +106,9 @@
 def item_account(
     batch_account: str | None, configuration: catalogue.Configuration | None
 ) -> str | None:
-    """Return the account that upstreams are told for an item of a batch.
-
-    Items of records that precede the accounts must not name one themselves.
-    """
+    """Return the account that upstreams are told for an item of a batch."""
+    # With '' the headers of an item that was submitted before there were
+    # accounts cannot name one.
     if batch_account is not None or configuration is None:
         return batch_account
     return None if configuration.accounts is None else ''
--- a/baobabpond/accounts/gate.py
+++ b/baobabpond/accounts/gate.py
@@ -8,14 +8,15 @@
 from .. import verdicts
 from ..catalogue import current as current_module
 from ..ports import callers
+from ..ports import catalogue
 
 from . import decision
 from . import lookup
 
 UNKNOWN = 'unknown'
 
-# Tells whether a request without a key submitted the batch of a call; None if
-# that can't be told now.
+# Returns whether the batch of a call was submitted without a key; None if that
+# can't be determined now.
 PublicBatchCheck = typing.Callable[[callers.Call], bool | None]
 
 LOG = structlog.get_logger(__name__)
@@ -27,8 +28,8 @@
     authenticated: decision.Authenticated = decision.Authenticated()
     # None if no route matches, or the request concerns a batch.
     match: current_module.RouteMatch | None = None
-    # Authenticates once more when the body was received, since it may be sent
-    # long after the head.
+    # Authenticates again once the body has been received, which may be long
+    # after the head; returns the refusal, if any.
     recheck: typing.Callable[[], verdicts.Refusal | None] = lambda: None
 
     @property
@@ -66,9 +67,9 @@
             )
 
     def admit(self, call: callers.Call) -> Admission | verdicts.Refusal:
-        """Authenticate a request that was received."""
-        # First, since accounts that are read later are at least as new as
-        # the proof. The process may be suspended between any two lines.
+        """Authenticate a request whose head has been received."""
+        # Read before the accounts, so that these are at least as new as the
+        # staleness says. The process may be suspended between any two lines.
         staleness_s = self._staleness_s()
         match = None
         if call.kind is callers.CallKind.REQUEST:
@@ -92,27 +93,37 @@
             found = self._admit_to_batch(call, found)
         self._metrics.record('accounts.staleness', staleness_s)
         if isinstance(found, verdicts.Refusal):
-            account = call.key and lookup.find(accounts, call.key)
-            self._metrics.count(f'accounts.refused.{found.code}')
-            LOG.info(
-                'request not authenticated',
-                request=call.request_id,
-                batch=call.batch,
-                path=call.path,
-                account=account.name if account else UNKNOWN,
-                staleness_s=round(staleness_s, 3),
-                max_staleness_s=self._limits.key_staleness_s,
-                outcome=found.code,
-            )
+            self._report_refusal(call, accounts, staleness_s, found)
             return found
         return Admission(found, match, lambda: self._recheck(call))
 
+    def _report_refusal(
+        self,
+        call: callers.Call,
+        accounts: catalogue.Accounts,
+        staleness_s: float,
+        refusal: verdicts.Refusal,
+    ) -> None:
+        """Count and log a refusal, with the name of the account if known."""
+        account = call.key and lookup.find(accounts, call.key)
+        self._metrics.count(f'accounts.refused.{refusal.code}')
+        LOG.info(
+            'request not authenticated',
+            request=call.request_id,
+            batch=call.batch,
+            path=call.path,
+            account=account.name if account else UNKNOWN,
+            staleness_s=round(staleness_s, 3),
+            max_staleness_s=self._limits.key_staleness_s,
+            outcome=refusal.code,
+        )
+
     def _admit_to_batch(
         self,
         call: callers.Call,
         found: decision.Authenticated | verdicts.Refusal,
     ) -> decision.Authenticated | verdicts.Refusal:
-        """Admit a call without a key if its batch was submitted without."""
+        """Admit a call without a key if its batch was submitted so."""
         is_public = self._is_public_batch(call)
         if is_public is None:
             return verdicts.unavailable(
@@ -121,6 +132,7 @@
         return decision.Authenticated('') if is_public else found
 
     def _recheck(self, call: callers.Call) -> verdicts.Refusal | None:
+        """Refuse a request if its key was removed while its body arrived."""
         if call.key is None or self._limits.key_staleness_s is None:
             return None
         found = self.admit(call)
--- a/baobabpond/accounts/lookup.py
+++ b/baobabpond/accounts/lookup.py
@@ -19,10 +19,7 @@
 
 
 def parse_bearer(credentials: str | None) -> str | None:
-    """Return the key in an Authorization header, None if it has none.
-
-    Credentials of another scheme are no key.
-    """
+    """Return the Bearer key in an Authorization header, if it has one."""
     scheme, _, key = (credentials or '').strip().partition(' ')
     return key.strip() if scheme.lower() == BEARER else None
 
@@ -32,14 +29,15 @@
 ) -> catalogue.Account:
     """Return the account that fields of a configuration describe.
 
-    Raises MalformedData, never with a key. The name stands in a header.
+    Raises MalformedData, whose message never contains a key.
     """
     if priority is not None:
         priority = decoding.integer(priority, -decoding.MAX_INTEGER)
     return catalogue.Account(
+        # Upstreams receive the name in a header.
         decoding.name(name),
         tuple(
-            _digest_listed(decoding.name(key))
+            _parse_or_digest(decoding.name(key))
             for key in decoding.sequence(keys or [])
         ),
         priority,
@@ -65,18 +63,18 @@
 def redact(value: bytes, accounts_field: str, keys_field: str) -> bytes:
     """Replace the keys of accounts in JSON by their digests.
 
-    Raises MalformedData, never with a key.
+    Raises MalformedData, whose message never contains a key.
     """
     fields = decoding.load_json(value)
     for account in decoding.sequence(fields.get(accounts_field) or []):
         account[keys_field] = [
-            f'sha256:{_digest_listed(decoding.name(key)).hex()}'
+            f'sha256:{_parse_or_digest(decoding.name(key)).hex()}'
             for key in decoding.sequence(account.get(keys_field) or [])
         ]
     return json.dumps(fields).encode()
 
 
-def _digest_listed(key: str) -> bytes:
-    """Return the digest of a key, which may be listed by its digest."""
+def _parse_or_digest(key: str) -> bytes:
+    """Return the digest of a key, which may be given as its digest."""
     match = DIGEST.fullmatch(key)
     return bytes.fromhex(match[1]) if match else digest_key(key)
