Split the handlers of batches into shorter functions

Logging a submission, making the head of a batch and finding a batch are methods of their own; finding one returns a refusal instead of sending it. Statuses, codes and log lines are unchanged.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -26,6 +26,7 @@
 TOPIC = 'keyed.batches'
 # Below the largest result page that callers accept.
 MAX_PAGE_BYTES = 900_000
+# Of a result in a page, besides its output.
 RESULT_OVERHEAD_BYTES = 200
 RETRY_AFTER_S = 0.3
 # Attempts at an append whose outcome is not final.
@@ -77,11 +78,9 @@
 
     @property
     def _contact_age_s(self) -> float:
-        """Return the seconds since the log was last known to be reachable.
-
-        A copy that is still being loaded says nothing about it; batches are
-        accepted meanwhile, as their records are the same if they are known.
-        """
+        """Return the seconds since the log was last known to be reachable."""
+        # A copy that is still being loaded does not tell. Batches are accepted
+        # meanwhile: one that is known already is written with equal records.
         follower = self._shard.follower
         if follower.has_caught_up:
             return follower.contact_age_s
@@ -110,13 +109,35 @@
         refusal = admission.recheck()
         if refusal is None:
             refusal = self._accept(call, submission, match, admission.account)
-        took_s = time.monotonic() - received_at
+        self._report_submission(
+            call,
+            submission,
+            match.route.name,
+            admission.account,
+            refusal,
+            time.monotonic() - received_at,
+        )
+        if refusal is not None:
+            responses.send_refusal(exchange, refusal)
+        else:
+            responses.send_json(exchange, 202, b'{}')
+
+    def _report_submission(
+        self,
+        call: callers.Call,
+        submission: callers.Submission,
+        route: str,
+        account: str | None,
+        refusal: verdicts.Refusal | None,
+        took_s: float,
+    ) -> None:
+        """Measure and log the submission of a batch."""
         self._metrics.record('batches.accept', took_s)
         LOG.info(
             'batch submitted',
             request=call.request_id,
-            route=match.route.name,
-            account=admission.account,
+            route=route,
+            account=account,
             model=submission.model,
             step=submission.step,
             items=len(submission.items),
@@ -124,10 +145,6 @@
             took_s=round(took_s, 3),
             log_contact_age_s=round(self._shard.follower.contact_age_s, 3),
         )
-        if refusal is not None:
-            responses.send_refusal(exchange, refusal)
-        else:
-            responses.send_json(exchange, 202, b'{}')
 
     def read_results(
         self,
@@ -156,10 +173,7 @@
         responses.send_json(exchange, 200, self._protocol.result_page(page))
 
     def is_public(self, call: callers.Call) -> bool | None:
-        """Return whether a request without a key submitted a batch.
-
-        None if the copy may lack the batch.
-        """
+        """Return whether a batch is public; None if the copy may lack it."""
         batch = self._shard.shard_state.get(call.batch)
         if batch is None and self._has_public_submissions:
             if not self._is_copy_complete(clock.since_boot_s()):
@@ -176,13 +190,11 @@
         )
 
     def _is_copy_complete(self, asked_boot_s: float) -> bool:
-        """Wait until the copy has all that the log had at a time since boot.
-
-        Does not wait while the log is known to be out of reach.
-        """
+        """Wait until the copy has all that the log had at a boot-clock time."""
         follower = self._shard.follower
         remaining_s = asked_boot_s + MAX_CONFIRMATION_S - clock.since_boot_s()
         if not follower.is_in_contact:
+            # Waiting is pointless while the log is known to be out of reach.
             remaining_s = 0.0
         return follower.wait_complete(asked_boot_s, max(0.0, remaining_s))
 
@@ -200,7 +212,7 @@
             known=len(batch.results),
             staleness_s=round(self._shard.follower.staleness_s, 3),
         )
-        responses.send_refusal(exchange, _log_away())
+        responses.send_refusal(exchange, _log_unreachable())
 
     def _record_read(
         self, batch: state_module.Batch, page: callers.ResultPage
@@ -274,34 +286,40 @@
         if known is not None:
             if decision.may_use_batch(known.head.account, account):
                 return None
-            _log_foreign(submission.id, known.head.account, account)
+            _report_foreign_batch(submission.id, known.head.account, account)
             return _unknown('unknown_batch')
         if account is not None and not self._shard.follower.has_caught_up:
             # The id may be that of another account's batch.
-            return _log_away()
-        newest = self._current.versions.get(submission.model, 1)
-        head = records.BatchHead(
+            return _log_unreachable()
+        head = self._make_head(call, submission, match.route.name, account)
+        items = submission.items
+        if account is not None:
+            items = tuple(self._without_credentials(item) for item in items)
+        return self._append_all(records.encode_batch(head, items))
+
+    def _make_head(
+        self,
+        call: callers.Call,
+        submission: callers.Submission,
+        route: str,
+        account: str | None,
+    ) -> records.BatchHead:
+        return records.BatchHead(
             submission.id,
             call.host,
-            match.route.name,
+            route,
             time.time(),
             submission.step,
             submission.model,
             submission.min_version,
             submission.group_count,
-            newest,
+            self._current.versions.get(submission.model, 1),
             account,
         )
-        items = submission.items
-        if account is not None:
-            items = tuple(self._without_credentials(item) for item in items)
-        return self._append_all(records.encode_batch(head, items))
 
     def _without_credentials(self, item: callers.Item) -> callers.Item:
-        """Return an item without the headers that keys could stand in.
-
-        The log and the owner of the shard need no key.
-        """
+        """Return an item without the headers that may contain keys."""
+        # Neither the log nor the owner of the shard needs a key.
         dropped = self._protocol.credential_headers
         return item._replace(
             headers=tuple(
@@ -314,12 +332,10 @@
     def _append_all(
         self, new: list[log_port.Record]
     ) -> verdicts.Refusal | None:
-        """Append records, retrying if the outcome of an append is unknown.
-
-        A retry is idempotent: the records have the same keys and contents.
-        """
+        """Append records, retrying if the outcome of an append is unknown."""
+        # A retry is idempotent: the records have the same keys and contents.
         if self._contact_age_s > MAX_LOG_CONTACT_AGE_S:
-            return _log_away()
+            return _log_unreachable()
         for chunk in _split_appends(new):
             outcome = self._append_with_retries(chunk)
             if outcome is log_port.AppendOutcome.REJECTED:
@@ -368,37 +384,38 @@
         call: callers.Call,
         account: str | None,
     ) -> state_module.Batch | None:
-        """Return a batch of an account, or send a refusal and return None.
+        """Return a batch of an account, or send a refusal and return None."""
+        found = self._find(call.batch, account)
+        if isinstance(found, verdicts.Refusal):
+            responses.send_refusal(exchange, found)
+            return None
+        return found
 
-        The batch is reported as unknown only if the copy is known to be
-        complete; otherwise the refusal is temporary.
-        """
+    def _find(
+        self, batch_id: str, account: str | None
+    ) -> state_module.Batch | verdicts.Refusal:
+        """Return a batch of an account, or why it can't be used."""
         if self._shard.follower.has_missed_records:
-            # Later results would stand at other positions than elsewhere.
+            # Later results would have other positions here than elsewhere.
             LOG.error('batches not served: records are missing here')
-            responses.send_refusal(
-                exchange,
-                verdicts.unavailable(
-                    'copy_incomplete',
-                    'this instance lacks records; use another one',
-                    RETRY_AFTER_S,
-                ),
+            return verdicts.unavailable(
+                'copy_incomplete',
+                'this instance lacks records; use another one',
+                RETRY_AFTER_S,
             )
-            return None
-        batch = self._shard.shard_state.get(call.batch)
+        batch = self._shard.shard_state.get(batch_id)
         if batch is None:
+            # Only a copy that is complete shows that a batch is unknown.
             if not self._is_copy_complete(clock.since_boot_s()):
-                responses.send_refusal(exchange, _log_away())
-                return None
-            batch = self._shard.shard_state.get(call.batch)
+                return _log_unreachable()
+            batch = self._shard.shard_state.get(batch_id)
         if batch is None:
-            LOG.info('unknown batch', batch=call.batch)
+            LOG.info('unknown batch', batch=batch_id)
         elif decision.may_use_batch(batch.head.account, account):
             return batch
         else:
-            _log_foreign(call.batch, batch.head.account, account)
-        _not_found(exchange, 'unknown_batch')
-        return None
+            _report_foreign_batch(batch_id, batch.head.account, account)
+        return _unknown('unknown_batch')
 
 
 def _validate(submission: callers.Submission) -> None:
@@ -434,7 +451,7 @@
     return results
 
 
-def _log_away() -> verdicts.Refusal:
+def _log_unreachable() -> verdicts.Refusal:
     return verdicts.unavailable(
         'log_away', 'the log is out of reach', RETRY_AFTER_S
     )
@@ -448,7 +465,9 @@
     return verdicts.bad_request(code, code.replace('_', ' '), 404)
 
 
-def _log_foreign(batch: str, owner: str | None, account: str | None) -> None:
+def _report_foreign_batch(
+    batch: str, owner: str | None, account: str | None
+) -> None:
     LOG.info(
         'batch of another account',
         batch=batch,
