Bring two mutants up to date with their files

The check of reward responses moved to authenticity.is_reliable, and the recording of stream origins to StreamOrigins._record, so the original code of two mutants was no longer found. Both mutants now replace the present code.

--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -169,7 +169,7 @@
         4,
         'a score is the signature of the reward call',
         'baobabpond/pool/reward_client.py',
-        'if not head.is_from_upstream:',
+        'if not authenticity.is_reliable(call.id, response.status, head):',
         'if False:',
         unit_test='test.emulator.test_rewards.RewardTest'
         '.test_unsigned_responses_are_asked_for_again',
@@ -223,8 +223,8 @@
         4,
         'streams of a version other than the default are recorded',
         'baobabpond/streams/origins.py',
-        'if origin.software != default and not self._recorder.record(origin):',
-        'if False:',
+        'if unsettled is None and origin.software == default:',
+        'if True:',
         unit_test='test.emulator.test_software_versions.StreamResumptionTest'
         '.test_resumption_after_the_loss_of_all_instances',
     ),
