Make the usage reports and the calls of duties easier to read

Counts that the log has confirmed, and answers of the API, are typed values, and long functions are split. A request that was counted while its window was dropped was lost without a log line; the removal now returns the counts that it removed, and a test guards this. A refused token is recorded before the next call gets the lock, and the outcomes of removals on the log are counted (usage.removals), as they were swallowed.

--- a/baobabpond/duties/caller.py
+++ b/baobabpond/duties/caller.py
@@ -13,14 +13,22 @@
 from . import holder as holder_module
 
 CALL_TIMEOUT_S = 1.0
-# While the API is slow. Below the lease, so that a call that is on its way
-# when the duty is lost has ended before the next holder makes one.
+# Bound of the time-out while the API is slow. It is below the order lease of
+# 3 s, so that a call that is under way when the duty is lost has ended before
+# the next holder makes one.
 MAX_CALL_TIMEOUT_S = 2.5
 LOG = structlog.get_logger(__name__)
 
 Send = typing.Callable[[control.CallContext], control.CallResult]
 
 
+class _TimedResult(typing.NamedTuple):
+    """A result, and the seconds that its call took."""
+
+    result: control.CallResult
+    took_s: float
+
+
 class DutyCaller:
     """Make the calls of all duties, one at a time.
 
@@ -52,7 +60,8 @@
     def call(self, subject: str, send: Send) -> control.CallResult:
         """Make a call on a subject, unless another instance holds the duty.
 
-        The platform compares the tokens of calls on the same subject.
+        The platform compares the tokens of calls on the same subject. REFUSED
+        if nothing was sent.
         """
         with self._lock:
             duty = self._holder.current
@@ -61,26 +70,31 @@
                     control.Outcome.REFUSED, 'not the holder of the duty'
                 )
             self._await_quota()
-            started = time.monotonic()
-            context = control.CallContext(
-                duty,
-                lambda: self._holder.current == duty,
-                self._timeout.timeout_s,
-            )
-            result = send(context)
-            self._last_call = time.monotonic()
-            took_s = self._last_call - started
-            if result.outcome is control.Outcome.UNKNOWN:
-                if took_s >= context.timeout_s:
-                    self._timeout.record_timeout()
-            else:
-                self._timeout.record_latency(took_s)
+            result, took_s = self._send(duty, send)
+            # Within the lock, so that a waiting call sees the refusal.
+            if result.outcome is control.Outcome.FENCED:
+                self._record_refusal(subject, duty)
         self._metrics.record('duties.call', took_s)
         self._metrics.count(f'duties.calls.{result.outcome.value}')
-        if result.outcome is control.Outcome.FENCED:
-            self._record_refusal(subject, duty)
         return result
 
+    def _send(self, duty: control.Duty, send: Send) -> _TimedResult:
+        """Send a call and adapt the time-out of further ones."""
+        started = time.monotonic()
+        context = control.CallContext(
+            duty,
+            lambda: self._holder.current == duty,
+            self._timeout.timeout_s,
+        )
+        result = send(context)
+        self._last_call = time.monotonic()
+        took_s = self._last_call - started
+        if result.outcome is not control.Outcome.UNKNOWN:
+            self._timeout.record_latency(took_s)
+        elif took_s >= context.timeout_s:
+            self._timeout.record_timeout()
+        return _TimedResult(result, took_s)
+
     def _is_accepted(self, subject: str, duty: control.Duty) -> bool:
         """Return whether the platform has not refused the token."""
         return duty.token > self._refused_tokens.get(subject, -1)
--- a/baobabpond/duties/single_call.py
+++ b/baobabpond/duties/single_call.py
@@ -15,10 +15,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 65536
-# Of an answer that is logged.
+# Part of an answer that is logged.
 MAX_DETAIL_BYTES = 200
 SUCCESS = range(200, 300)
-# The API does not take such a call.
+# The API rejects the call; a repeat would be rejected as well.
 CLIENT_ERRORS = range(400, 500)
 # Closing a connection resets it and discards what was not sent yet, so that
 # no call arrives after its time-out.
@@ -42,15 +42,23 @@
     fields: dict[str, typing.Any]
 
 
+class Answer(typing.NamedTuple):
+    """The status of an answer, and its body as far as it was read."""
+
+    status: int
+    body: bytes
+
+
 def post(
     address: tuple[str, int],
     call: Call,
     by_status: dict[int, control.Outcome],
     context: control.CallContext,
 ) -> control.CallResult:
-    """Post fields as JSON; judge the answer by its status.
+    """Post fields as JSON and return the outcome for the answer's status.
 
-    Statuses without an outcome of their own mean the usual.
+    Statuses that are not in by_status: 2xx is DONE, 4xx REJECTED, others
+    UNKNOWN.
     """
     connection = bounded.BoundedConnection(
         *address,
@@ -67,22 +75,18 @@
                 control.Outcome.REFUSED, 'the duty may have been lost'
             )
         try:
-            status, data = _exchange(connection, call, context.timeout_s)
+            answer = _exchange(connection, call, context.timeout_s)
         except TRANSPORT_ERRORS as error:
             return control.CallResult(control.Outcome.UNKNOWN, repr(error))
     finally:
         connection.close()
-    text = data[:MAX_DETAIL_BYTES].decode(errors='replace')
-    return control.CallResult(
-        by_status.get(status, _usual_outcome(status)),
-        f'status {status} {text}'.strip(),
-    )
+    return _judge(answer, by_status)
 
 
 def _exchange(
     connection: bounded.BoundedConnection, call: Call, timeout_s: float
-) -> tuple[int, bytes]:
-    """Send a call; return the status, and the body as far as it came."""
+) -> Answer:
+    """Send a call and return its answer."""
     connection.timeout = timeout_s
     connection.sock.settimeout(timeout_s)
     connection.request(
@@ -95,12 +99,22 @@
     )
     response = connection.getresponse()
     data = b''
-    # The status alone tells what has become of the call.
+    # The status alone tells the outcome, so that a cut body is no failure.
     with contextlib.suppress(*TRANSPORT_ERRORS):
         connection.budget.restart(MAX_ANSWER_BYTES, timeout_s, timeout_s)
         data = response.read()
     response.close()
-    return response.status, data
+    return Answer(response.status, data)
+
+
+def _judge(
+    answer: Answer, by_status: dict[int, control.Outcome]
+) -> control.CallResult:
+    text = answer.body[:MAX_DETAIL_BYTES].decode(errors='replace')
+    return control.CallResult(
+        by_status.get(answer.status, _usual_outcome(answer.status)),
+        f'status {answer.status} {text}'.strip(),
+    )
 
 
 def _usual_outcome(status: int) -> control.Outcome:
--- a/baobabpond/usage/components.py
+++ b/baobabpond/usage/components.py
@@ -20,13 +20,13 @@
 # Pause between reads, so that one read returns the counts of many instances.
 # All instances read the counts of all; they come six times a second.
 READ_PAUSE_S = 0.3
-# A record that ends a long poll may have taken as long as that; a clock that
-# is 2 s off must be told from a late record.
+# Longest wait of a read for new records. A record may be that old when it is
+# read; the wait must be short enough to tell it from a clock that is 2 s off.
 READ_WAIT_S = 0.5
 
 
 class UsageComponents:
-    """What one instance counts, and the reports while it owns the shard."""
+    """Count requests at one instance; report them while it owns the shard."""
 
     def __init__(
         self,
@@ -90,7 +90,7 @@
         )
 
     def start(self) -> None:
-        """Start to share counts; report them as the owner."""
+        """Start the background threads of counts and reports."""
         # The first window is reported also if it has no requests.
         self._recorder.open(self._windows.at(self._time_of_day.now_unix_s()))
         self._counts_follower.start()
--- a/baobabpond/usage/recorder.py
+++ b/baobabpond/usage/recorder.py
@@ -17,6 +17,10 @@
     counts: dict[str, int]
 
 
+# Older than the counts of any window.
+NO_COUNTS = WindowCounts(-1, {})
+
+
 class Mark(typing.NamedTuple):
     """A request that was counted, so that it can be withdrawn."""
 
@@ -51,7 +55,7 @@
         self._on_change()
 
     def record(self, account: str, began_at_unix_s: float) -> Mark:
-        """Count a request that began to run at an upstream at a time."""
+        """Count a request in the window in which it began to run."""
         mark = Mark(account, self._windows.at(began_at_unix_s))
         self._add(mark, 1)
         self._metrics.count('usage.requests')
@@ -72,11 +76,12 @@
                 for window in sorted(self._counts)
             }
 
-    def drop(self, window: int) -> None:
-        """Forget a window."""
+    def drop(self, window: int) -> dict[str, int]:
+        """Forget a window and return its last counts, by account."""
         with self._lock:
-            self._counts.pop(window, None)
+            counts = self._counts.pop(window, collections.Counter())
             self._revisions.pop(window, None)
+        return dict(+counts)
 
     def _add(self, mark: Mark, amount: int) -> None:
         with self._lock:
--- a/baobabpond/usage/records.py
+++ b/baobabpond/usage/records.py
@@ -25,7 +25,10 @@
 
 
 def reports_partition(partitions: int) -> int:
-    """Return the partition of the reports, the same one if there is one."""
+    """Return the partition of the reports.
+
+    With a single partition, counts and reports share it.
+    """
     return min(COUNTS_PARTITION + 1, partitions - 1)
 
 
@@ -45,7 +48,7 @@
 
 
 def encode_counts_key(key: CountsKey) -> str:
-    """Return the key of the record of some counts."""
+    """Return the log key of a record of counts."""
     return f'{COUNTS_PREFIX}{key.window}/{key.incarnation}/{key.instance}'
 
 
@@ -58,7 +61,7 @@
 
 
 def encode_counts(key: CountsKey, value: CountsValue) -> log_port.Record:
-    """Return the record of some counts."""
+    """Return the log record of counts."""
     fields = {
         'revision': value.counts.revision,
         'counts': value.counts.counts,
--- a/baobabpond/usage/reporter.py
+++ b/baobabpond/usage/reporter.py
@@ -20,7 +20,9 @@
 from . import time_of_day as time_module
 from . import windows as windows_module
 
+# Names the calls among which the platform compares fencing tokens.
 SUBJECT = 'usage'
+# Pause between two steps.
 TICK_S = 0.2
 # A report is built this long after the end of its window. Counts are appended
 # within half a second, or two appends that time out. If the holder dies now,
@@ -29,21 +31,22 @@
 BUILD_DELAY_S = 2.5
 # After an outage of the log, the other instances append what they have.
 MIN_CONTACT_S = 1.5
-# A report does not wait for that longer than this part of the time until it
-# is due: at a slow log contact is never that long.
+# Share of the time until a report is due after which it is built even without
+# MIN_CONTACT_S: at a slow log contact is never that long.
 MAX_WAIT_SHARE = 0.65
-# Reports later than this may be given up.
+# Reports that are later are given up if the platform rejects them, and windows
+# without counts are left out.
 GIVE_UP_S = 60.0
 INITIAL_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
-# Of tombstones in one append.
+# Tombstones in one append.
 MAX_RECORDS_PER_APPEND = 500
 
 LOG = structlog.get_logger(__name__)
 
 
 class Reporter:
-    """Do the duty of the reports while this instance owns the shard."""
+    """Record and send the reports while this instance owns the shard."""
 
     def __init__(
         self,
@@ -155,7 +158,7 @@
         )
 
     def _late_s(self, window: int) -> float:
-        """Return the time since the end of a window."""
+        """Return the time since the end of a window; negative before it."""
         return self._time_of_day.now_unix_s() - self._windows.end_s(window)
 
     def _record_report(self, window: int, end: int) -> bool:
@@ -183,7 +186,7 @@
         return result.outcome is log_port.AppendOutcome.DONE
 
     def _close_reported(self) -> None:
-        """Remove the counts of reported windows; others count as late."""
+        """Close the reported windows and remove their counts from the log."""
         last = self._reports.last
         if last is None:
             return
@@ -205,11 +208,12 @@
                 ),
             ],
         )
+        self._metrics.count(f'usage.removals.{result.outcome.value}')
         if result.outcome is log_port.AppendOutcome.DONE:
             self._counts_follower.catch_up()
 
     def _log_late(self, closed: int) -> None:
-        """Log counts that the log got after the report was recorded."""
+        """Log counts that were appended after their report was recorded."""
         for report in self._reports.pending:
             if report.window <= closed:
                 continue
@@ -233,7 +237,6 @@
 
     def _send_pending(self) -> None:
         """Send the recorded reports in order until one fails."""
-        is_sent = False
         for report in self._unacknowledged():
             if not self._caller.may_call(SUBJECT):
                 break
@@ -242,9 +245,7 @@
             if not self._send(report):
                 break
             self._acknowledged.add(report.window)
-            is_sent = True
-        if is_sent or self._acknowledged:
-            self._record_acknowledged()
+        self._record_acknowledged()
 
     def _send(self, report: control.UsageReport) -> bool:
         """Send a report; return whether it needs no repeat."""
@@ -253,17 +254,8 @@
             lambda context: self._api.report_usage(report, context),
         )
         late_s = self._late_s(report.window)
-        is_done = result.outcome is control.Outcome.DONE
-        log = LOG.info if is_done else LOG.warning
-        log(
-            'usage reported' if is_done else 'usage not reported yet',
-            window=report.window,
-            requests=sum(report.counts.values()),
-            outcome=result.outcome.value,
-            detail=result.detail,
-            late_s=round(late_s, 3),
-        )
-        if is_done:
+        self._log_call(report, result, late_s)
+        if result.outcome is control.Outcome.DONE:
             self._metrics.record('usage.lateness', late_s)
             self._metrics.count('usage.reported')
             if late_s > self._due_s:
@@ -277,17 +269,37 @@
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s)
         return False
 
+    def _log_call(
+        self,
+        report: control.UsageReport,
+        result: control.CallResult,
+        late_s: float,
+    ) -> None:
+        is_done = result.outcome is control.Outcome.DONE
+        log = LOG.info if is_done else LOG.warning
+        log(
+            'usage reported' if is_done else 'usage not reported yet',
+            window=report.window,
+            requests=sum(report.counts.values()),
+            outcome=result.outcome.value,
+            detail=result.detail,
+            late_s=round(late_s, 3),
+        )
+
     def _record_given_up(self, first: int, last: int) -> None:
         self._metrics.count('usage.given_up', last - first + 1)
         LOG.error('reports of usage given up', first=first, last=last)
 
     def _record_acknowledged(self) -> None:
-        """Remove reports that the platform has; forget removed ones."""
-        recorded = {report.window for report in self._reports.pending}
-        self._acknowledged &= recorded
+        """Remove acknowledged reports from the log."""
+        # A window whose report is no longer on the log needs no removal.
+        self._acknowledged &= {
+            report.window for report in self._reports.pending
+        }
         if not self._acknowledged:
             return
-        self._log.append(
+        # Repeated at the next step while the reports are still there.
+        result = self._log.append(
             records.TOPIC,
             self._reports_partition,
             [
@@ -295,3 +307,4 @@
                 for window in sorted(self._acknowledged)
             ],
         )
+        self._metrics.count(f'usage.removals.{result.outcome.value}')
--- a/baobabpond/usage/request.py
+++ b/baobabpond/usage/request.py
@@ -5,10 +5,10 @@
 
 
 class RequestUsage:
-    """Follow the attempts at one request; it counts at most once.
+    """Follow the attempts at one request, which counts at most once.
 
-    This one counts nothing: the deployment has no accounts, or the request
-    has none, or goes on with a stream that has counted.
+    The base class counts nothing. It is used where the deployment or the
+    request has no account, and where a stream that has counted is resumed.
     """
 
     def begin_attempt(self) -> None:
@@ -64,9 +64,10 @@
 
 
 class StreamUsage(RequestUsage):
-    """Count a stream from its first event.
+    """Count a stream at its first event.
 
-    One without any counts from when it was sent, unless it has not run.
+    A stream without events counts at the time at which it was sent, unless it
+    has not run.
     """
 
     def __init__(
@@ -114,14 +115,14 @@
 
 
 class RequestCounter:
-    """Create what follows a request; this one counts no request."""
+    """Create the RequestUsage of each request; the base class counts none."""
 
     def follow(
         self, account: str | None, is_stream: bool, is_resumed: bool
     ) -> RequestUsage:
-        """Return what follows the attempts at a request.
+        """Return what counts the request during its attempts.
 
-        A resumed stream has counted when it began.
+        A resumed stream was counted when it began.
         """
         return RequestUsage()
 
@@ -140,7 +141,7 @@
     def follow(
         self, account: str | None, is_stream: bool, is_resumed: bool
     ) -> RequestUsage:
-        """Return what follows the attempts at a request."""
+        """Return what counts the request during its attempts."""
         if not account or is_resumed:
             return RequestUsage()
         kind = StreamUsage if is_stream else PlainUsage
--- a/baobabpond/usage/shared_counts.py
+++ b/baobabpond/usage/shared_counts.py
@@ -14,11 +14,10 @@
 from . import time_of_day as time_module
 
 LOG = structlog.get_logger(__name__)
-NONE = recorder_module.WindowCounts(-1, {})
 
 
 class SharedCounts:
-    """Apply the records of counts; know the windows that are closed."""
+    """Apply the records of counts and of the last closed window."""
 
     def __init__(
         self,
@@ -36,7 +35,8 @@
         self._counts: dict[
             records.CountsKey, recorder_module.WindowCounts
         ] = {}
-        # The revisions that a new reader finds.
+        # The revisions of the newest records, which are those that an instance
+        # reads that starts now; they may be lower than the highest ones.
         self._newest: dict[records.CountsKey, int] = {}
         self._closed: int | None = None
         self._on_closed: typing.Callable[[], None] = lambda: None
@@ -110,7 +110,8 @@
                 return
             value = records.decode_counts(record.value)
             self._newest[key] = value.counts.revision
-            if value.counts.revision > self._counts.get(key, NONE).revision:
+            known = self._counts.get(key, recorder_module.NO_COUNTS)
+            if value.counts.revision > known.revision:
                 self._counts[key] = value.counts
             if is_snapshot:
                 return
--- a/baobabpond/usage/sharing.py
+++ b/baobabpond/usage/sharing.py
@@ -18,27 +18,37 @@
 # Shortest time between two appends. A change after a pause is appended at
 # once, so that few counts are lost with an instance that is killed.
 INTERVAL_S = 0.5
+# Pause after an append that failed or had no answer.
 RETRY_S = 0.2
+# Without changes, how often to look for records that must be appended again.
 CHECK_S = 1.0
+# Appends that are tried before the process exits.
 FLUSH_ATTEMPTS = 3
-NONE = recorder_module.WindowCounts(-1, {})
 # Counts are appended again if they were not read back after this time.
 REPEAT_S = 1.0
 
 LOG = structlog.get_logger(__name__)
 
 
+class AppendedCounts(typing.NamedTuple):
+    """Counts that the log has confirmed."""
+
+    counts: recorder_module.WindowCounts
+    # When they were confirmed, by time.monotonic().
+    at: float
+
+
 def differences(
     counts: dict[str, int], others: dict[str, int]
 ) -> dict[str, int]:
-    """Return by how much counts exceed others, where they differ."""
+    """Return counts less others, for the accounts where they differ."""
     accounts = sorted({*counts, *others})
     found = {a: counts.get(a, 0) - others.get(a, 0) for a in accounts}
     return {account: count for account, count in found.items() if count}
 
 
 class CountSharing:
-    """Append what the log lacks; give up what came too late."""
+    """Append the counts that the log lacks; drop those of closed windows."""
 
     def __init__(
         self,
@@ -56,10 +66,8 @@
         self._shared = shared
         self._time_of_day = time_of_day
         self._metrics = metrics
-        # By window, the counts that the log has confirmed last, and when.
-        self._appended: dict[
-            int, tuple[recorder_module.WindowCounts, float]
-        ] = {}
+        # By window, the counts that the log has confirmed last.
+        self._appended: dict[int, AppendedCounts] = {}
         self._changed = threading.Event()
         recorder.set_listener(self._changed.set)
         shared.set_listener(self._changed.set)
@@ -76,20 +84,23 @@
         for window, counts in self._recorder.counts().items():
             key = self._key(window)
             if self._shared.newest_revision(key) >= counts.revision:
-                self._appended[window] = (counts, now)
+                self._appended[window] = AppendedCounts(counts, now)
                 continue
-            appended, at = self._appended.get(window, (NONE, now))
-            is_sent = appended.revision >= counts.revision
-            if is_sent and now - at < REPEAT_S:
+            appended = self._appended.get(window)
+            if (
+                appended is not None
+                and appended.counts.revision >= counts.revision
+                and now - appended.at < REPEAT_S
+            ):
                 continue
             value = records.CountsValue(counts, unix_s)
             pending.append(records.encode_counts(key, value))
         return pending
 
     def append_pending(self) -> float:
-        """Append what the log lacks; return the pause until the next append.
+        """Append what the log lacks; return the pause in s until the next one.
 
-        It is RETRY_S if the log may lack something yet.
+        RETRY_S means that the append has failed or had no answer.
         """
         self.drop_closed()
         self._metrics.gauge(
@@ -114,7 +125,7 @@
         for record in pending:
             window = records.decode_counts_key(record.key).window
             counts = records.decode_counts(record.value).counts
-            self._appended[window] = (counts, now)
+            self._appended[window] = AppendedCounts(counts, now)
         return INTERVAL_S
 
     def flush(self) -> None:
@@ -128,14 +139,14 @@
         closed = self._shared.closed
         if closed is None:
             return
-        for window, counts in self._recorder.counts().items():
+        for window in self._recorder.counts():
             if window > closed:
                 continue
-            self._recorder.drop(window)
-            appended, _ = self._appended.pop(window, (NONE, 0.0))
-            self._record_lost(
-                window, differences(counts.counts, appended.counts)
-            )
+            # The counts at the removal: requests may be counted meanwhile.
+            counts = self._recorder.drop(window)
+            appended = self._appended.pop(window, None)
+            confirmed = {} if appended is None else appended.counts.counts
+            self._record_lost(window, differences(counts, confirmed))
 
     def _record_lost(self, window: int, lost: dict[str, int]) -> None:
         """Count requests that are missing in the report of their window."""
--- a/baobabpond/usage/time_of_day.py
+++ b/baobabpond/usage/time_of_day.py
@@ -49,7 +49,10 @@
 
     @property
     def difference_s(self) -> float:
-        """Return by how much this clock is ahead of most; 0 if within."""
+        """Return the seconds by which this clock is ahead of most.
+
+        Negative if it is behind, 0 if the difference is within MARGIN_S.
+        """
         now_boot_s = clock.since_boot_s()
         own = time.time() - now_boot_s
         with self._lock:
@@ -77,7 +80,7 @@
         return own - statistics.median(offsets) - delay_s
 
     def now_unix_s(self) -> float:
-        """Return the time of day."""
+        """Return the corrected time of day, in seconds since 1970."""
         return time.time() - self.difference_s
 
     def record_own(self, unix_s: float) -> None:
@@ -91,7 +94,7 @@
     def record(self, sender: str, unix_s: float, max_delay_s: float) -> None:
         """Record the time of day that another instance has appended.
 
-        The record was not on the log before that delay.
+        The record was appended at most max_delay_s seconds ago.
         """
         now_boot_s = clock.since_boot_s()
         sample = Sample(now_boot_s, unix_s - now_boot_s, max_delay_s)
--- a/test/usage/test_sharing.py
+++ b/test/usage/test_sharing.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+import unittest.mock
 
 from baobabpond.ports import log as log_port
 from baobabpond.usage import recorder as recorder_module
@@ -105,6 +106,29 @@
         self.assertEqual(1, self.first.metrics.counter('usage.lost'))
         self.assertEqual({}, self.first.recorder.counts())
 
+    def test_request_counted_while_its_window_is_dropped(self) -> None:
+        """Guard against losing it without a log line."""
+        self.count()
+        self.cluster.run(1.0)
+        self.log.append(
+            records.TOPIC,
+            records.COUNTS_PARTITION,
+            [records.encode_window(records.CLOSED_KEY, FIRST)],
+        )
+        self.first.follower.catch_up()
+        read_counts = self.first.recorder.counts
+
+        def count_after_the_read() -> dict[int, recorder_module.WindowCounts]:
+            counts = read_counts()
+            self.count()
+            return counts
+
+        with unittest.mock.patch.object(
+            self.first.recorder, 'counts', count_after_the_read
+        ):
+            self.first.sharing.drop_closed()
+        self.assertEqual(1, self.first.metrics.counter('usage.lost'))
+
     def test_malformed_records_stop_nothing(self) -> None:
         """Another writer left them."""
         for key, value in (
