--- a/baobabpond/scaling/__init__.py
+++ b/baobabpond/scaling/__init__.py
@@ -1,1 +1,4 @@
-"""Decide how many upstreams of a service each data centre needs."""
+"""Decide how many upstreams of a service each data centre needs.
+
+Nothing calls this package yet; see docs/design/scaling.md.
+"""
--- a/baobabpond/scaling/allocation.py
+++ b/baobabpond/scaling/allocation.py
@@ -29,9 +29,9 @@
 
 
 def safe_count(counts: Counts) -> int:
-    """Return how many are left if a data centre reclaims all of a kind.
+    """Return how many are left at least after a reclaim.
 
-    The spot upstreams of a data centre may be reclaimed all at once.
+    A data centre may reclaim all its spot upstreams at once.
     """
     spot = [count for pool, count in counts.items() if pool.is_spot]
     return sum(counts.values()) - max(spot, default=0)
@@ -59,10 +59,10 @@
     at_least: Counts,
     unavailable: typing.Container[Pool] = (),
 ) -> Counts:
-    """Return the cheapest counts of which enough are left, whatever happens.
+    """Return the cheapest counts that meet a need after any one reclaim.
 
-    None is below a given count, and none of which no more are to be had is
-    above it. If the limits don't allow enough, as many as they do.
+    No count is below that of at_least; those of unavailable pools equal it.
+    If the limits don't allow enough, returns as many as they allow.
     """
     most_spot = max(
         [
@@ -94,14 +94,7 @@
 
     No data centre gets more spot upstreams than a limit.
     """
-    pools = sorted(
-        (
-            Pool(data_centre, is_spot)
-            for data_centre in scaling.prices
-            for is_spot in (True, False)
-        ),
-        key=lambda pool: (price_of(pool, scaling), pool),
-    )
+    pools = _cheapest_first(scaling)
     counts = {pool: at_least.get(pool, 0) for pool in pools}
 
     def may_add(pool: Pool) -> bool:
@@ -125,6 +118,15 @@
     return counts
 
 
+def _cheapest_first(scaling: catalogue.Scaling) -> list[Pool]:
+    pools = [
+        Pool(data_centre, is_spot)
+        for data_centre in scaling.prices
+        for is_spot in (True, False)
+    ]
+    return sorted(pools, key=lambda pool: (price_of(pool, scaling), pool))
+
+
 def _total_in(counts: Counts, data_centre: str) -> int:
     return sum(
         count
--- a/baobabpond/scaling/order_book.py
+++ b/baobabpond/scaling/order_book.py
@@ -1,4 +1,4 @@
-"""Keep track of which orders of upstreams have to be sent, and when."""
+"""Track which orders of upstreams have to be sent, and when."""
 
 from ..ports import control
 
@@ -6,7 +6,7 @@
 
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
-# Of orders that the platform does not take.
+# Pause after an order that the platform rejects, as a repeat fails as well.
 REJECTED_BACKOFF_S = 10.0
 # A call without an answer may be executed this much later, in place of what
 # was ordered meanwhile; the order in force is repeated then.
@@ -14,22 +14,22 @@
 
 
 class _PoolOrder:
-    """What was ordered in one pool."""
+    """Track the order of one pool."""
 
     def __init__(self, acknowledged: int) -> None:
         # None if the last call had no answer.
         self.acknowledged: int | None = acknowledged
         self.not_before = float('-inf')
         self.backoff_s = INITIAL_BACKOFF_S
-        # When a call without an answer has certainly had its effect.
+        # When a call without an answer can no longer take effect.
         self.repeat_at: float | None = None
 
 
 class OrderBook:
     """Compare decided counts with those that the platform has confirmed.
 
-    A new holder of the duty assumes that what serves was ordered, and orders
-    nothing that it doesn't want to change.
+    A new holder of the duty assumes that the serving upstreams are those that
+    were ordered, and sends an order only to change that.
     """
 
     def __init__(
--- a/baobabpond/scaling/prediction.py
+++ b/baobabpond/scaling/prediction.py
@@ -1,4 +1,4 @@
-"""Expect the next step of each trainer from its last ones."""
+"""Predict the next step of each trainer from its last ones."""
 
 import collections
 import statistics
@@ -6,18 +6,21 @@
 
 from . import demand
 
-# Intervals between steps from which the next one is expected.
+# Intervals between steps from which the next one is predicted.
 KEPT_INTERVALS = 5
 # A trainer that is overdue by this many intervals has ended.
 MAX_OVERDUE_INTERVALS = 3.0
 
 
 class Step(typing.NamedTuple):
-    """What a trainer submitted at a time."""
+    """Describe what a trainer submitted at once."""
 
+    # By time.monotonic().
     at: float
     items: int
+    # Time for which one item takes up a slot.
     duration_s: float
+    # Time from the submission to the deadline.
     due_s: float
 
 
@@ -37,7 +40,7 @@
     def expected(self, now: float) -> list[demand.Work]:
         """Return the next step of each trainer, as large as its largest.
 
-        One that is overdue may come at any moment.
+        A step that is overdue is expected now.
         """
         return [
             work
