--- a/baobabpond/duties/caller.py
+++ b/baobabpond/duties/caller.py
@@ -14,8 +14,8 @@
 
 CALL_TIMEOUT_S = 1.0
 # Bound of the time-out while the API is slow. It is below the usual order
-# lease, 3 s, so that a call that is under way when the duty is lost has ended before
-# the next holder makes one.
+# lease, 3 s, so that a call that is under way when the duty is lost has ended
+# before the next holder makes one.
 MAX_CALL_TIMEOUT_S = 2.5
 LOG = structlog.get_logger(__name__)
 
--- a/baobabpond/scaling/scaler.py
+++ b/baobabpond/scaling/scaler.py
@@ -8,8 +8,8 @@
 
 from . import allocation
 
-# Factor on the slots that are needed, for slow upstreams and estimates that are
-# too low.
+# Factor on the slots that are needed, for slow upstreams and for estimates
+# that are too low.
 HEADROOM = 1.25
 # Capacity is reduced only to what was needed within this time. An upstream
 # that leaves loses its cached prompts, and one costs little for a minute.
