Split long functions of the pool and clarify its comments

The building of attempts and requests and the log line at the end of a reward call are functions of their own. Comments on waiting items, migration and locks use the usual terms. The mutant on late counts follows the code of SharedCounts. The behaviour is unchanged.

--- a/baobabpond/pool/migration_policy.py
+++ b/baobabpond/pool/migration_policy.py
@@ -5,25 +5,26 @@
 FIRST_EVENT_LIMIT_S = 1.0
 # A run is stalled after this time beyond the usual time between events.
 STALL_LIMIT_S = 0.6
-# Silence that noise explains, relative to the usual time between events.
+# A silence is noise up to this multiple of the usual time between events.
 NOISE_FACTOR = 4
 # Runs leave an upstream that is slower than the best one by this factor;
 # estimates that differ by less may be equal.
 SLOW_FACTOR = 1.4
 # Time saved beyond the cost for a migration to be worth the risk.
 MIN_SAVING_S = 0.4
-# Estimates of the remaining time are exceeded by up to this factor.
+# The remaining time exceeds its estimate by up to this factor.
 ESTIMATE_MARGIN = 1.5
 MAX_MIGRATIONS = 3
 # At most this share of the runs leaves a slow upstream within a second: it is
 # slow but works, and others must not be crowded.
 MAX_DEPARTED_SHARE = 0.5
-# Noise lasts less than half as long.
+# An upstream counts as slow only after this time of observation, more than
+# twice as long as noise lasts.
 MIN_OBSERVED_S = 1.5
 # Reading a prompt again takes 2 to 10 ms for 1,000 tokens on an idle upstream.
 # The loss of the prefix that the group shares costs as much again.
 REREAD_S_PER_TOKEN = 2 * 0.010 / 1000
-# A new connection, and the wait for the first event.
+# Time for a new connection and the wait for the first event.
 RESTART_S = 0.05
 
 STALLED = 'stalled'
@@ -51,7 +52,8 @@
     due_in_s: float = 0.0
     # Items wait for a slot.
     has_waiting_items: bool = False
-    # Runs on the upstream, and those that lately left it since it is slow.
+    # Runs on the upstream, and those that it lost within DEPARTURE_WINDOW_S
+    # because it is slow.
     running: int = 1
     departed: int = 0
 
--- a/baobabpond/pool/migrator.py
+++ b/baobabpond/pool/migrator.py
@@ -14,7 +14,8 @@
 from . import state
 
 CHECK_INTERVAL_S = 0.1
-# Runs that left a slow upstream count for this time.
+# A run that left a slow upstream counts against MAX_DEPARTED_SHARE for this
+# time.
 DEPARTURE_WINDOW_S = 1.0
 
 LOG = structlog.get_logger(__name__)
--- a/baobabpond/pool/reward_stage.py
+++ b/baobabpond/pool/reward_stage.py
@@ -72,7 +72,7 @@
 class RewardStage:
     """Queue reward calls, and send them as far as the service has room.
 
-    The scheduler's lock guards all calls, but those of rank.
+    Callers hold the scheduler's lock, except for rank.
     """
 
     def __init__(
@@ -297,19 +297,7 @@
         took_s: float,
     ) -> None:
         task = attempt.task
-        call = typing.cast(callers.RewardCall, task.item.reward_call)
-        LOG.info(
-            'reward call ends',
-            request=task.id,
-            batch=task.batch.head.id,
-            call=call.id,
-            upstream=attempt.entry.id,
-            ending=response.outcome.value,
-            earlier_failures=task.reward_failures,
-            waited_s=round(attempt.started_at - task.unscored_since, 3),
-            timeout_s=round(attempt.timeout_s, 3),
-            took_s=round(took_s, 3),
-        )
+        _log_end(attempt, response, took_s)
         if task.reward_attempt is attempt:
             task.reward_attempt = None
         if attempt.is_cancelled or task.result is not None:
@@ -375,3 +363,24 @@
     """Return the delay of the next attempt after a number of retries."""
     doubled_s = INITIAL_BACKOFF_S * 2 ** min(retries, MAX_DOUBLINGS)
     return min(MAX_BACKOFF_S, doubled_s)
+
+
+def _log_end(
+    attempt: state.RewardAttempt,
+    response: reward_client.RewardResponse,
+    took_s: float,
+) -> None:
+    task = attempt.task
+    call = typing.cast(callers.RewardCall, task.item.reward_call)
+    LOG.info(
+        'reward call ends',
+        request=task.id,
+        batch=task.batch.head.id,
+        call=call.id,
+        upstream=attempt.entry.id,
+        ending=response.outcome.value,
+        earlier_failures=task.reward_failures,
+        waited_s=round(attempt.started_at - task.unscored_since, 3),
+        timeout_s=round(attempt.timeout_s, 3),
+        took_s=round(took_s, 3),
+    )
--- a/baobabpond/pool/run_stage.py
+++ b/baobabpond/pool/run_stage.py
@@ -67,7 +67,7 @@
 class RunStage:
     """Start and migrate runs, and process their events and outcomes.
 
-    The scheduler's lock guards the calls, but those of on_event and rank.
+    Callers hold the scheduler's lock, except for on_event and rank.
     """
 
     def __init__(
@@ -119,8 +119,7 @@
     def assign(self, tasks: Tasks, order: waiting.Order | None) -> None:
         """Migrate runs and start waiting items in order of priority.
 
-        Looks at as many items as there are free slots, and at a few more that
-        wait.
+        Besides the items that may start, reviews REVIEWED_ITEMS waiting ones.
         """
         self._cancel_lost_runs()
         self._migrator.check([run.task for run in self._active])
@@ -145,16 +144,10 @@
             self._waiting.start_in_order(
                 is_waiting, lambda task: self._try_start(task, now)
             )
-        self._review(
-            [
-                task
-                for task in self._waiting.next_to_review(
-                    tasks.values(), REVIEWED_ITEMS
-                )
-                if is_waiting(task)
-            ],
-            now,
+        next_tasks = self._waiting.next_to_review(
+            tasks.values(), REVIEWED_ITEMS
         )
+        self._review(filter(is_waiting, next_tasks), now)
 
     def _find_service(self, task: state.Task) -> str | None:
         route = self._route(task.batch.head, task.item.target)
@@ -303,7 +296,7 @@
             self._listener.fail(task, 'route removed')
 
     def _room(self, task: state.Task, service: str) -> Room:
-        """Find out where an item could go on, or begin again."""
+        """Return where an item could continue or restart."""
         tokens = self._kv_capacity_tokens(service)
         own = self._fleet.candidates(service, task, tokens)
         other = self._fleet.candidates(
@@ -369,19 +362,7 @@
         task.run = run
         upstream.runs.add(run)
         self._active[run] = None
-        attempt = runner_module.Attempt(
-            run,
-            runner_module.build_request(
-                task,
-                decision.item_account(
-                    task.batch.head.account, self._current.configuration
-                ),
-            ),
-            permit,
-            remaining_s,
-            ITEM_PRIORITY,
-            task.required_version,
-        )
+        attempt = self._attempt(run, permit, remaining_s)
         LOG.info(
             'run starts',
             request=task.id,
@@ -401,6 +382,21 @@
             daemon=True,
         ).start()
 
+    def _attempt(
+        self, run: state.Run, permit: permits_module.Permit, remaining_s: float
+    ) -> runner_module.Attempt:
+        account = decision.item_account(
+            run.task.batch.head.account, self._current.configuration
+        )
+        return runner_module.Attempt(
+            run,
+            runner_module.build_request(run.task, account),
+            permit,
+            remaining_s,
+            ITEM_PRIORITY,
+            run.task.required_version,
+        )
+
     def _execute(self, attempt: runner_module.Attempt) -> None:
         run = attempt.run
         try:
--- a/baobabpond/pool/runner.py
+++ b/baobabpond/pool/runner.py
@@ -125,6 +125,23 @@
             outcome = RunOutcome.INTERRUPTED
         return RunOutcome.CANCELLED if run.cancel_reason else outcome
 
+    def _outgoing(self, attempt: Attempt) -> gateway_module.Outgoing:
+        return gateway_module.Outgoing(
+            attempt.request.id,
+            attempt.request.method,
+            attempt.request.target,
+            self._protocol.request_headers(
+                attempt.request,
+                attempt.run.upstream.id,
+                attempt.remaining_s,
+                len(attempt.run.task.events),
+                attempt.priority,
+                attempt.expected_version,
+            ),
+            attempt.request.body,
+            is_for_incarnation=True,
+        )
+
     def _exchange(
         self,
         attempt: Attempt,
@@ -136,21 +153,7 @@
             connection,
             run.upstream.entry,
             attempt.permit,
-            gateway_module.Outgoing(
-                attempt.request.id,
-                attempt.request.method,
-                attempt.request.target,
-                self._protocol.request_headers(
-                    attempt.request,
-                    run.upstream.id,
-                    attempt.remaining_s,
-                    len(run.task.events),
-                    attempt.priority,
-                    attempt.expected_version,
-                ),
-                attempt.request.body,
-                is_for_incarnation=True,
-            ),
+            self._outgoing(attempt),
             READ_TIMEOUT_S,
         )
         if not authenticity.is_reliable(
--- a/baobabpond/pool/waiting.py
+++ b/baobabpond/pool/waiting.py
@@ -14,17 +14,18 @@
 from . import queue
 from . import state
 
-# Share of the time that is spent on putting items into order.
+# Maximum share of the time that is spent on putting items into order.
 MAX_ORDER_SHARE = 0.1
-# An item that has just begun to wait is not in the order yet.
+# Maximum pause between two orderings: an item that has just begun to wait is
+# not in the order yet.
 MAX_ORDER_AGE_S = 0.5
 
 
 class Requirements(typing.NamedTuple):
-    """What an item needs of an upstream; alike items can start at the same.
+    """Describe the upstreams at which an item can start.
 
-    The group and the tokens of an item influence the choice, but don't exclude
-    an upstream.
+    Items with the same requirements can start at the same upstreams. The group
+    and the tokens of an item influence the choice among them only.
     """
 
     service: str
@@ -36,7 +37,7 @@
 
 
 def requirements(service: str, task: state.Task) -> Requirements:
-    """Return what an item needs that runs at a service."""
+    """Return the requirements of an item that runs at a service."""
     return Requirements(
         service,
         task.model,
@@ -47,7 +48,7 @@
 
 
 class Snapshot(typing.NamedTuple):
-    """The items of a moment, and what their order depends on."""
+    """The items at one time, and what their order depends on."""
 
     tasks: list[state.Task]
     estimator: state.EventEstimator
@@ -55,14 +56,14 @@
     limited_services: set[str]
 
 
-# Items that can start at the same upstreams, each with its position among all.
+# Items by requirements, each with its position in the order of all items.
 Queues = dict[
     collections.abc.Hashable, collections.deque[tuple[int, state.Task]]
 ]
 
 
 class Order(typing.NamedTuple):
-    """Waiting items in order of priority, by what they need."""
+    """Waiting items in order of priority, by requirements."""
 
     queues: Queues
     # Items past the time at which they are given up.
@@ -73,14 +74,15 @@
 
 # Returns the service that runs an item, None without a route.
 FindService = collections.abc.Callable[[state.Task], str | None]
-# Starts an item; returns False if alike items can't start now either.
+# Starts an item; returns False if no item with the same requirements can start
+# now.
 Start = collections.abc.Callable[[state.Task], bool]
 
 
 def rank(snapshot: Snapshot, find_service: FindService) -> Order:
     """Put waiting items into order; needs no lock.
 
-    What has changed meanwhile is checked again when an item starts.
+    Items that have changed meanwhile are checked again before they start.
     """
     now = time.monotonic()
     services: dict[state.Task, str | None] = {}
@@ -114,9 +116,9 @@
     ],
     since: float,
 ) -> Order:
-    """Part items by what they need; those that need None can't start.
+    """Group ordered items by requirements; leave out those without any.
 
-    Finding their order began at a monotonic time.
+    The ordering began at the monotonic time since.
     """
     queues: Queues = {}
     overdue = []
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -340,7 +340,7 @@
         3,
         'an older count that arrives late does not replace a newer one',
         'baobabpond/usage/shared_counts.py',
-        'if value.counts.revision > self._counts.get(key, NONE).revision:',
+        'if value.counts.revision > known.revision:',
         'if True:',
         unit_test='test.usage.test_sharing',
     ),
