Bound the reads of results that wait at a time

At most long_poll_share (0.5) of the threads read results now; further reads get 503 with Retry-After, counted as long_polls. A unit test holds all slots and checks the refusal and that reads are served afterwards.

--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import threading
 import time
 import typing
 
@@ -69,6 +70,9 @@
         limits: client_limits.ClientLimits = client_limits.DEFAULTS,
     ) -> None:
         self._limits = limits
+        self._long_polls = threading.BoundedSemaphore(
+            max(1, int(limits.threads * limits.long_poll_share))
+        )
         self._excesses = client_limits.Excesses(metrics)
         # Seconds since any partition was read; the shard's alone by default.
         self._any_contact_age_s = any_contact_age_s or (
@@ -162,20 +166,40 @@
         batch = self._find_or_refuse(exchange, call, admission.account)
         if batch is None:
             return
+        if not self._long_polls.acquire(blocking=False):
+            self._excesses.report('long_polls', exchange.address)
+            responses.send_refusal(exchange, _too_many_long_polls())
+            return
+        try:
+            results, is_complete = self._wait_results(
+                call, batch, asked_boot_s
+            )
+        finally:
+            self._long_polls.release()
+        if not is_complete:
+            self._refuse_stale_read(exchange, batch, call.position)
+            return
+        page = callers.ResultPage(
+            len(batch.items), call.position, _first_page(results)
+        )
+        self._record_read(batch, page)
+        responses.send_json(exchange, 200, self._protocol.result_page(page))
+
+    def _wait_results(
+        self,
+        call: callers.Call,
+        batch: state_module.Batch,
+        asked_boot_s: float,
+    ) -> tuple[list[callers.Result], bool]:
+        """Return the results from a position on, and whether none lacks."""
         state = self._shard.shard_state
         results = state.wait_results(batch, call.position, call.wait_s)
         if not results and not batch.has_all_results:
             # Another instance may have sent results that this copy lacks.
             is_complete = self._is_copy_complete(asked_boot_s)
             results = state.wait_results(batch, call.position, 0.0)
-            if not results and not is_complete:
-                self._refuse_stale_read(exchange, batch, call.position)
-                return
-        page = callers.ResultPage(
-            len(batch.items), call.position, _first_page(results)
-        )
-        self._record_read(batch, page)
-        responses.send_json(exchange, 200, self._protocol.result_page(page))
+            return results, bool(results) or is_complete
+        return results, True
 
     def is_public(self, call: callers.Call) -> bool | None:
         """Return whether a request without a key submitted a batch.
@@ -462,6 +486,12 @@
     )
 
 
+def _too_many_long_polls() -> verdicts.Refusal:
+    return verdicts.unavailable(
+        'long_polls', 'too many reads wait for results', RETRY_AFTER_S
+    )
+
+
 def _not_found(exchange: server.Exchange, code: str) -> None:
     responses.send_refusal(exchange, _unknown(code))
 
--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -41,6 +41,7 @@
     'head_time': '408',
     'header_bytes': '414 or 431',
     'header_lines': '431',
+    'long_polls': '503',
     'name_length': '400',
     'peer_connections': 'closed',
     'peer_container': 'closed',
@@ -114,6 +115,8 @@
     # For decoding a batch, besides its body. One of 33,554,432 bytes with as
     # many values as are allowed takes 117 MB.
     batch_memory_bytes: int = 120_000_000
+    # Share of the threads that may read results of batches at a time.
+    long_poll_share: float = 0.5
 
 
 DEFAULTS = ClientLimits()
--- a/baobabpond/gen/host.py
+++ b/baobabpond/gen/host.py
@@ -33,6 +33,7 @@
     batch_items: NotRequired[int]
     batch_values: NotRequired[int]
     batch_memory_bytes: NotRequired[int]
+    long_poll_share: NotRequired[float]
 
 
 class HostSettings(TypedDict):
--- a/test/edge/test_batch_handlers.py
+++ b/test/edge/test_batch_handlers.py
@@ -11,6 +11,7 @@
 from baobabpond.batches import shard_state as state_module
 from baobabpond.catalogue import current as current_module
 from baobabpond.edge import batch_handlers
+from baobabpond.edge import client_limits
 from baobabpond.edge import server
 from baobabpond import metrics
 from baobabpond.ports import callers
@@ -276,6 +277,34 @@
         self.assertTrue(is_polling.wait(5))
         self.assert_page(self.read(3))
 
+    def test_number_of_waiting_reads_is_bounded(self) -> None:
+        """Guards against long polls that take all threads of callers."""
+        slots = int(
+            client_limits.DEFAULTS.threads
+            * client_limits.DEFAULTS.long_poll_share
+        )
+        is_over = threading.Event()
+        self.addCleanup(is_over.set)
+        with mock.patch.object(
+            self.shard_state,
+            'wait_results',
+            autospec=True,
+            side_effect=lambda *_: is_over.wait(20) and [],
+        ) as waiting:
+            threads = [
+                threading.Thread(target=self.read, args=(0, 1.0))
+                for _ in range(slots)
+            ]
+            for thread in threads:
+                thread.start()
+            while waiting.call_count < slots:
+                time.sleep(0.01)
+            self.assert_refused(self.read(0, 1.0))
+            is_over.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual(200, self.read(0).send_response.call_args.args[0])
+
     def submit_before_load(
         self, contact_age_s: float, account: str | None = None
     ) -> int:
