--- a/baobabpond/edge/batch_limits.py
+++ b/baobabpond/edge/batch_limits.py
@@ -13,7 +13,7 @@
 # A single character outside ASCII makes a text of four bytes a character,
 # and escapes are checked on a copy that is encoded again.
 WIDE_COPIES = 10
-# Of a value with what the plugin makes of it. Bodies of 10 MB took 43 to 94
+# Of a value with what the plugin makes of it. Bodies of 10 MB took 35 to 94
 # bytes for each of their separators, besides twice the body (Python 3.11).
 VALUE_BYTES = 100
 # Each value but the first follows one of these. Those within texts count too,
