State units and reasons in the limits of the edge

Comments of constants that were fragments say what is limited and why. The two methods that remove the first waiting connection share one piece of code, and the message to an upstream is made apart from sending it. Names such as note and give way are replaced by the usual terms. No behaviour changes.

--- a/baobabpond/edge/acceptor.py
+++ b/baobabpond/edge/acceptor.py
@@ -1,4 +1,4 @@
-"""Wait for whole request heads, without threads that wait for one client.
+"""Receive request heads in one thread for all connections.
 
 Takes the place of the connection manager of the HTTP library. One thread
 accepts connections and receives heads; a connection is passed to a worker
@@ -18,7 +18,7 @@
 
 READABLE = select.EPOLLIN | select.EPOLLRDHUP
 TICK_S = 0.25
-# Connections that are accepted in a row before others are looked at.
+# Connections that are accepted in a row before heads are received again.
 MAX_ACCEPTS = 64
 # Pause when no descriptor is left and no connection can be closed.
 EXHAUSTED_PAUSE_S = 0.05
@@ -142,10 +142,7 @@
         self._receive(connection)
 
     def _evict(self) -> bool:
-        """Close a waiting connection of the address that has most of them.
-
-        Returns whether there was one.
-        """
+        """Close a waiting connection; return whether there was one."""
         with self._lock:
             connection = self._waiting.pop_victim()
         if connection is None:
@@ -178,7 +175,7 @@
             self._receive(connection)
 
     def _receive(self, connection: typing.Any) -> None:
-        """Receive what is there of a head."""
+        """Receive the available bytes of a head."""
         pending = connection.rfile.pending()
         room = self._server.max_request_header_size + 1 - len(pending)
         try:
@@ -197,7 +194,7 @@
         self._bound_head_bytes()
 
     def _bound_head_bytes(self) -> None:
-        """Close connections while too much of heads is held."""
+        """Close connections while incomplete heads exceed their memory."""
         limit = self._server.client_limits.head_memory_bytes
         while self._waiting.head_bytes > limit:
             with self._lock:
@@ -207,7 +204,7 @@
             self._close_waiting(connection, 'head_memory')
 
     def _proceed(self, connection: typing.Any, is_ended: bool = False) -> None:
-        """Pass a connection on if a worker can decide about its request."""
+        """Queue a connection for a worker once its head can be parsed."""
         head = connection.rfile.pending()
         if not (
             is_ended
--- a/baobabpond/edge/attempts.py
+++ b/baobabpond/edge/attempts.py
@@ -65,7 +65,7 @@
     account: str | None = None
     # Of the account, or of the route if the account has none.
     priority: int = 0
-    # Whether the request counts as used by its account.
+    # Counts the request for its account; counts nothing by default.
     usage: request_usage.RequestUsage = request_usage.RequestUsage()
 
     @property
@@ -177,7 +177,6 @@
         a timeout is given, also bounds the wait for the response headers.
         Raises ConnectionFailed or ResponseFailed.
         """
-        request = self._context.request
         usage = self._context.usage
         usage.begin_attempt()
         try:
@@ -185,20 +184,7 @@
                 self.connection,
                 self.entry,
                 self._permit,
-                gateway_module.Outgoing(
-                    request.id,
-                    request.method,
-                    request.target,
-                    self._dependencies.protocol.request_headers(
-                        request, self.entry.id, remaining_s, last_event
-                    ),
-                    request.body or None,
-                    is_for_incarnation=(
-                        self._context.route.kind
-                        is catalogue.RouteKind.STREAMING
-                        and self._context.route.resumable
-                    ),
-                ),
+                self._make_outgoing(remaining_s, last_event),
                 remaining_s if timeout_s is None else timeout_s,
             )
         except connections_module.ConnectionFailed:
@@ -208,6 +194,23 @@
         self._record_usage(response.status, head)
         return response, head
 
+    def _make_outgoing(
+        self, remaining_s: float, last_event: int
+    ) -> gateway_module.Outgoing:
+        request, route = self._context.request, self._context.route
+        return gateway_module.Outgoing(
+            request.id,
+            request.method,
+            request.target,
+            self._dependencies.protocol.request_headers(
+                request, self.entry.id, remaining_s, last_event
+            ),
+            request.body or None,
+            is_for_incarnation=(
+                route.kind is catalogue.RouteKind.STREAMING and route.resumable
+            ),
+        )
+
     def _record_usage(
         self, status: int, head: upstream_port.ResponseHead
     ) -> None:
--- a/baobabpond/edge/batch_handlers.py
+++ b/baobabpond/edge/batch_handlers.py
@@ -190,7 +190,7 @@
         )
 
     def _is_copy_complete(self, asked_boot_s: float) -> bool:
-        """Wait until the copy has all that the log had at a boot-clock time."""
+        """Wait until the copy has all that the log had at a time."""
         follower = self._shard.follower
         remaining_s = asked_boot_s + MAX_CONFIRMATION_S - clock.since_boot_s()
         if not follower.is_in_contact:
--- a/baobabpond/edge/body_memory.py
+++ b/baobabpond/edge/body_memory.py
@@ -9,25 +9,25 @@
 
 from .. import metrics as metrics_module
 
-# Smaller bodies don't count: a body for each thread is little.
+# Smaller bodies are not counted: even one for each thread takes little.
 SMALL_BYTES = 65536
 # While a body is put together from its parts, these and the whole exist side
 # by side.
 COPIES = 2
 BYTES_PER_MB = 1_000_000
-# Of the memory limit of a process, for the bodies of requests, and as much
-# for those of responses, unless the settings tell it.
+# Share of the memory limit of the process for the bodies of requests, and the
+# same again for those of responses, unless the settings give a limit.
 DEFAULT_SHARE = 0.175
-# An address that asked for memory this long ago may ask again.
+# An address competes for memory for this long after its last request for some.
 CONTENTION_S = 10.0
-# A body has to be waited for this long in total to count as slow.
+# A body is slow only after its client has been waited for this long in total.
 SLOW_BODY_S = 2.0
-# Without a memory limit.
+# Limit for bodies of one direction where the process has no memory limit.
 DEFAULT_MB = 512.0
 
 
 class Waiter(typing.Protocol):
-    """What waits for the bytes of a body."""
+    """Wait for the bytes of a body."""
 
     @property
     def waited_s(self) -> float:
@@ -40,7 +40,7 @@
         ...
 
     def evict(self) -> None:
-        """Give the body up."""
+        """Stop receiving the body; called from another thread."""
         ...
 
 
@@ -91,7 +91,7 @@
         """Reserve more for a body that holds some; wait for it if asked."""
         ends_at = time.monotonic() + timeout_s
         with self._changed:
-            self._note(address)
+            self._record_demand(address)
             while not self._has_room(held, size, address):
                 remaining_s = ends_at - time.monotonic()
                 if remaining_s <= 0:
@@ -118,17 +118,17 @@
         return not is_contended or used + size <= self._address_bytes
 
     def add_waiter(self, waiter: Waiter, reservation: 'Reservation') -> None:
-        """Note that the body of a reservation is being received."""
+        """Record that the body of a reservation is being received."""
         with self._changed:
             self._waiters[waiter] = reservation
 
     def remove_waiter(self, waiter: Waiter) -> None:
-        """Note that a body is no longer being received."""
+        """Record that a body is no longer being received."""
         with self._changed:
             self._waiters.pop(waiter, None)
 
     def _evict_slowest(self) -> None:
-        """Make room for the next body, if one arrives slowly."""
+        """Evict the slowest body, if any is slow, to free its memory."""
         slow = [
             waiter
             for waiter, reservation in self._waiters.items()
@@ -141,10 +141,10 @@
             del self._waiters[slowest]
             slowest.evict()
 
-    def _note(self, address: str) -> None:
-        """Remember for a while that an address has asked for memory."""
+    def _record_demand(self, address: str) -> None:
+        """Record that an address asks for memory, and forget old demands."""
         now = time.monotonic()
-        # The address that asked last is the last one.
+        # Kept in the order of the last demand.
         self._asked_at.pop(address, None)
         self._asked_at[address] = now
         while True:
--- a/baobabpond/edge/chunked.py
+++ b/baobabpond/edge/chunked.py
@@ -7,10 +7,11 @@
 from . import client_limits
 
 CRLF = b'\r\n'
-# Bytes in chunks that allow for one byte of framing.
+# Framing (lines before chunks and the ends of chunks) may take one byte for
+# each of this many bytes of the body.
 BYTES_PER_FRAMING_BYTE = 4
-# Framing, besides that quarter, that costs little time; after as much again
-# the thread pauses.
+# The thread pauses each time the excess framing has grown by this much, since
+# parsing small chunks costs processor time.
 FREE_FRAMING_BYTES = 4096
 PAUSE_S = 0.005
 SIZE = re.compile(rb'[0-9A-Fa-f]{1,16}')
@@ -93,14 +94,14 @@
         if excess > self._limits.chunk_framing_bytes:
             raise LimitExceeded('chunk_framing', 'the chunks are too small')
         if excess > self._pause_at:
-            self._give_way()
+            self._yield_processor()
         size = line.partition(b';')[0].strip(b' \t\r\n')
         if not line.endswith(CRLF) or not SIZE.fullmatch(size):
             raise ValueError('the size of a chunk is invalid')
         return int(size, 16)
 
-    def _give_way(self) -> None:
-        """Let other threads run, as small chunks cost processor time."""
+    def _yield_processor(self) -> None:
+        """Pause, so that other threads run between small chunks."""
         if not self._has_small_chunks:
             self._has_small_chunks = True
             self._begin_small_chunks()
--- a/baobabpond/edge/client_limits.py
+++ b/baobabpond/edge/client_limits.py
@@ -10,19 +10,21 @@
 from .. import metrics as metrics_module
 from ..gen import host as host_schema
 
-# Kept free of connections of clients, for files and the store.
+# Descriptors that connections of clients leave for files and the store.
 RESERVED_DESCRIPTORS = 200
-# Of the other descriptors, for connections of callers; what is left is for
+# Share of the other descriptors for connections of callers; the rest is for
 # the other listeners, upstreams and peers.
 CALLER_SHARE = 0.5
-# Connections of other listeners, for each of callers: that for requests of
-# other instances, each of those for operators, and that for calls of peers.
+# Connections of other listeners relative to those of callers: the listener for
+# requests of other instances, each one for operators, and the one for calls of
+# peers.
 RELAY_SHARE = 0.25
 OPERATOR_SHARE = 0.1
 PEER_SHARE = 0.25
 MIN_CONNECTIONS = 32
-# Without a limit of descriptors.
+# At most this many, also without a limit of descriptors.
 MAX_CONNECTIONS = 20_000
+# A limit that is exceeded again is not logged again within this time.
 LOG_INTERVAL_S = 5.0
 
 # What becomes of a client that exceeds a limit: the status of the response,
@@ -109,10 +111,7 @@
 def from_settings(
     settings: host_schema.HostSettings, share: float = 1.0
 ) -> ClientLimits:
-    """Return the limits of a listener that the settings ask for.
-
-    The share is that of the connections of callers.
-    """
+    """Return the limits of a listener, with a share of the connections."""
     given = settings.get('client_limits', {})
     connections = given.get('connections', caller_connections())
     return DEFAULTS._replace(
--- a/baobabpond/edge/pace.py
+++ b/baobabpond/edge/pace.py
@@ -16,7 +16,7 @@
 # How soon a thread notices that its client has lost its slot.
 EVICTION_POLL_S = 0.1
 MS_PER_S = 1000
-# Understood by the HTTP library.
+# The HTTP library recognises a time-out by this message.
 TIMED_OUT = 'timed out'
 
 
@@ -112,7 +112,7 @@
         self._bytes += size
 
     def evict(self) -> None:
-        """End the wait, from another thread."""
+        """End the wait for the client; called from another thread."""
         self._is_evicted = True
         self._report(f'slow_{self._kind}_slots')
 
@@ -141,7 +141,7 @@
         raise TimeoutError(TIMED_OUT)
 
     def end(self) -> None:
-        """Count from the start again, without a slot."""
+        """Reset the counts and give back the slot after a body or response."""
         if self._has_slot:
             self._slow_clients.leave(self)
             self._has_slot = False
--- a/baobabpond/edge/waiting.py
+++ b/baobabpond/edge/waiting.py
@@ -4,7 +4,7 @@
 
 
 class Waiting(typing.NamedTuple):
-    """A connection, and since when it waits in monotonic time."""
+    """Hold a connection and the monotonic times since which it waits."""
 
     connection: typing.Any
     # Since its last request, or since it was opened.
@@ -28,7 +28,7 @@
 
     @property
     def head_bytes(self) -> int:
-        """Return the bytes of heads that are not whole."""
+        """Return the bytes of incomplete heads."""
         return self._head_bytes
 
     def get(self, fd: int) -> typing.Any:
@@ -76,24 +76,19 @@
         return [entry.connection for _, entry in entries]
 
     def pop_victim(self) -> typing.Any:
-        """Remove the oldest connection of the address that has the most.
-
-        Callers may all share one address; it is then the oldest of all.
-        Returns None if there is none.
-        """
-        if not self._idle:
-            return None
-        most = max(self._idle.values(), key=len)
-        fd = next(iter(most))
-        connection = self.get(fd)
-        self.pop(fd)
-        return connection
+        """Remove the oldest connection of the address that has the most."""
+        # Where all callers share one address, this is the oldest of all.
+        return self._pop_first(max(self._idle.values(), key=len, default={}))
 
     def pop_oldest_head(self) -> typing.Any:
         """Remove the connection whose head began first; None if none."""
-        if not self._heads:
+        return self._pop_first(self._heads)
+
+    def _pop_first(self, fds: dict[int, None]) -> typing.Any:
+        """Remove and return the connection of the first descriptor, if any."""
+        if not fds:
             return None
-        fd = next(iter(self._heads))
+        fd = next(iter(fds))
         connection = self.get(fd)
         self.pop(fd)
         return connection
@@ -109,7 +104,7 @@
         return late
 
     def find_idle(self, since_before: float) -> list[typing.Any]:
-        """Return connections without a head that wait for too long."""
+        """Return connections without a head that are idle since a time."""
         idle = []
         for entry in self._by_fd.values():
             if entry.idle_since > since_before:
