State in the peer listener what is evicted and why

Choosing the connection whose incomplete frame began first is a method of its own. Doc comments say which calls raise because a connection was evicted, and what the memory for elements and the pause after a failed accept are for. No behaviour changes.

--- a/baobabpond/peers/connections.py
+++ b/baobabpond/peers/connections.py
@@ -10,7 +10,8 @@
 
 # While a frame is decoded, its bytes and its strings exist side by side.
 FRAME_COPIES = 2
-# Of elements, so that the largest frame fits while no other is held.
+# Memory for decoded elements besides the largest frame, so that this frame
+# fits while no other is held.
 MIN_ELEMENT_BYTES = 1_000_000
 
 
@@ -81,7 +82,7 @@
             self._evict_waiting()
 
     def wait_for_bytes(self, connection: Connection) -> None:
-        """Note that a connection waits for its next frame."""
+        """Release the last frame; raise ConnectionClosed if evicted."""
         with self._lock:
             self._used_bytes -= connection.held_bytes
             connection.held_bytes = 0
@@ -90,22 +91,19 @@
                 raise ConnectionClosed()
 
     def begin_frame(self, connection: Connection) -> None:
-        """Note the first byte of a frame."""
+        """Record when the first byte of a frame arrived."""
         with self._lock:
             connection.waits_since = time.monotonic()
 
     def begin_service(self, connection: Connection) -> None:
-        """Note that a frame is whole; raise ConnectionClosed if too late."""
+        """Protect a whole frame; raise ConnectionClosed if evicted."""
         with self._lock:
             if connection.is_evicted:
                 raise ConnectionClosed()
             connection.waits_since = None
 
     def grow(self, connection: Connection, size: int) -> None:
-        """Count memory for a frame; raise ConnectionClosed without any.
-
-        The frames that began first make room.
-        """
+        """Count memory for a frame; raise ConnectionClosed if evicted."""
         with self._lock:
             if connection.is_evicted:
                 raise ConnectionClosed()
@@ -113,26 +111,27 @@
             connection.held_bytes += size
             is_full = self._used_bytes > self._memory_bytes
             while self._used_bytes > self._memory_bytes:
-                receiving = [
-                    c
-                    for c in self._open
-                    if c.waits_since is not None and c.held_bytes
-                ]
-                # Without others, the one that asks ends.
-                self._evict(
-                    min(
-                        receiving,
-                        key=lambda c: c.waits_since,
-                        default=connection,
-                    )
-                )
+                # Where no frame is being received, this one is dropped.
+                self._evict(self._oldest_receiving() or connection)
         if is_full:
             self._excesses.report('peer_memory', connection.address)
         if connection.is_evicted:
             raise ConnectionClosed()
 
+    def _oldest_receiving(self) -> Connection | None:
+        """Return the connection whose incomplete frame began first."""
+        return min(
+            (
+                c
+                for c in self._open
+                if c.waits_since is not None and c.held_bytes
+            ),
+            key=lambda c: c.waits_since,
+            default=None,
+        )
+
     def _evict_waiting(self) -> bool:
-        """Close what waits longest, of the address with the most."""
+        """Close the longest waiting connection of the busiest address."""
         by_address: dict[str, list[Connection]] = collections.defaultdict(list)
         for connection in self._open:
             if connection.waits_since is not None:
--- a/baobabpond/peers/thrift_server.py
+++ b/baobabpond/peers/thrift_server.py
@@ -16,7 +16,7 @@
 from . import connections
 from . import frames
 
-# How long no connection is accepted while there are no descriptors.
+# Pause after a failed accept, which usually means that no descriptor is left.
 PAUSE_S = 0.05
 
 # The library logs each closed connection; counters suffice.
@@ -76,7 +76,8 @@
         try:
             while True:
                 transport.receive()
-                # Of each message alone, whatever the last one left.
+                # A new one for each message: the last one may have ended in
+                # the middle of a field.
                 protocol = frames.BoundedProtocol(transport)
                 self._processor.process(protocol, protocol)
         except connections.ConnectionClosed:
