Record failures of upstreams in their statistics

Ejection and the periodic report of learnt capacity leave record_outcome, which was longer than a screen. The method that compares a reported load with a sample says that it scores a prediction.

--- a/baobabpond/upstreams/capacity/estimator.py
+++ b/baobabpond/upstreams/capacity/estimator.py
@@ -105,7 +105,9 @@
         self._times.observe(kind, idle_s, now)
         log_slowness = math.log(idle_s / self._times.seconds(kind))
         speed = self.speed(now)
-        self._reports.prove(log_slowness - math.log(speed.slowness), now)
+        self._reports.score_prediction(
+            log_slowness - math.log(speed.slowness), now
+        )
         self._window.add(log_slowness, now)
         if now - self._observed_at > RECENT_S:
             self._recent_log = math.log(self.speed(now).slowness)
--- a/baobabpond/upstreams/capacity/reports.py
+++ b/baobabpond/upstreams/capacity/reports.py
@@ -1,4 +1,4 @@
-"""Use the load that upstreams report while it is fresh and proves right."""
+"""Use the load that upstreams report while it is fresh and accurate."""
 
 import math
 
@@ -65,8 +65,9 @@
             and self._error_with < self._error_without
         )
 
-    def prove(self, log_error: float, now: float) -> None:
-        """Compare a sample with its prediction without a report."""
+    def score_prediction(self, log_error: float, now: float) -> None:
+        """Compare the errors of prediction with and without the report."""
+        # The error is that without it: sample less learnt, as logarithms.
         log_factor = self._log_factor(now)
         if not log_factor:
             return
--- a/baobabpond/upstreams/load_balancer.py
+++ b/baobabpond/upstreams/load_balancer.py
@@ -88,6 +88,15 @@
         capacity = self.background if kind == BACKGROUND else self.capacity
         capacity.observe(kind, latency_s, running, now)
 
+    def record_result(self, failed: bool, now: float) -> None:
+        """Count a failure and eject the upstream, or end the failures."""
+        if not failed:
+            self.consecutive_failures = 0
+            return
+        ejection_s = BASE_EJECTION_S * 2**self.consecutive_failures
+        self.consecutive_failures += 1
+        self.ejected_until = now + min(MAX_EJECTION_S, ejection_s)
+
     def _load_factor(self, slots: int, now: float) -> float:
         return (1 + self.busy(now) / slots) * (1 + self.in_flight)
 
@@ -119,14 +128,11 @@
         tried: set[str],
         kind: str = '',
     ) -> catalogue.UpstreamEntry | None:
-        """Return the better one of two untried upstreams drawn at random.
-
-        Ejected ones come last; None if there is none. Requests of different
-        kinds take different times.
-        """
+        """Return the better one of two untried upstreams drawn at random."""
         now = time.monotonic()
         untried = [entry for entry in entries if entry.id not in tried]
         with self._lock:
+            # Ejected ones are used only if all others have been tried.
             sound = [
                 entry
                 for entry in untried
@@ -146,10 +152,7 @@
     def choose_for_background(
         self, entries: list[catalogue.UpstreamEntry]
     ) -> catalogue.UpstreamEntry | None:
-        """Return the best upstream with room for a request without a caller.
-
-        Returns None while callers need all of them, or all have failed.
-        """
+        """Return the best upstream with room for a background request."""
         now = time.monotonic()
         with self._lock:
             free = [
@@ -210,10 +213,8 @@
         load: upstream_port.ReportedLoad | None,
         kind: str = '',
     ) -> None:
-        """Record the end of a request sent to a chosen upstream.
-
-        Whether it failed is None if that says nothing about the upstream.
-        """
+        """Record the end of a request sent to a chosen upstream."""
+        # A failure of None says nothing about the upstream.
         now = time.monotonic()
         with self._lock:
             stats = self._stats_of(entry)
@@ -223,17 +224,18 @@
                 stats.record_latency(kind, latency_s, running, now)
             if load is not None:
                 stats.capacity.observe_report(load, now)
-            if self._reporter.is_due(now):
-                self._forget_unused(now)
-                self._reporter.report(
-                    [(key[0], s.capacity) for key, s in self._stats.items()],
-                    now,
-                )
-            if failed is None:
-                return
-            if not failed:
-                stats.consecutive_failures = 0
-                return
-            ejection_s = BASE_EJECTION_S * 2**stats.consecutive_failures
-            stats.consecutive_failures += 1
-            stats.ejected_until = now + min(MAX_EJECTION_S, ejection_s)
+            self._report_if_due(now)
+            if failed is not None:
+                stats.record_result(failed, now)
+
+    def _report_if_due(self, now: float) -> None:
+        if not self._reporter.is_due(now):
+            return
+        self._forget_unused(now)
+        self._reporter.report(
+            [
+                (upstream, stats.capacity)
+                for (upstream, _), stats in self._stats.items()
+            ],
+            now,
+        )
