Split long functions of the stand-ins and measurements

The settings and the process of an instance, refusals of the emulated upstream, rows of the experiment's table and clients of the untrusted measurement are built by functions of their own; pools of ordered upstreams are a typed value and routes of measurements name their fields. The table has the same text as before for the same outcomes. Comments state units and use the usual terms.

--- a/measure/accounts.py
+++ b/measure/accounts.py
@@ -16,23 +16,23 @@
 
 CHECKS = 20_000
 KEYS_PER_ACCOUNT = 2
-# Numbers of accounts; none where the deployment has no accounts.
+# Numbers of accounts; None for a deployment without accounts.
 SIZES = (None, 10, 1_000, 100_000)
 US_PER_S = 1e6
 ROUTE = catalogue.Route(
-    'r',
-    'h',
-    '/',
-    catalogue.RouteKind.IDEMPOTENT,
-    (catalogue.ServiceWeight('s', 1.0),),
-    2.0,
-    0.1,
-    0,
-    1,
-    False,
-    False,
-    1.0,
-    60.0,
+    name='r',
+    host='h',
+    prefix='/',
+    kind=catalogue.RouteKind.IDEMPOTENT,
+    shares=(catalogue.ServiceWeight('s', 1.0),),
+    timeout_s=2.0,
+    target_latency_s=0.1,
+    priority=0,
+    max_attempts=1,
+    resumable=False,
+    single_version=False,
+    due_s=1.0,
+    give_up_after_s=60.0,
 )
 
 
@@ -62,10 +62,10 @@
     )
     return gate_module.Gate(
         current,
-        lambda: 0.5,
-        lambda call: False,
-        decision.Limits(2.5, 4.5),
-        metrics.Metrics(),
+        staleness_s=lambda: 0.5,
+        is_public_batch=lambda call: False,
+        limits=decision.Limits(unknown_staleness_s=2.5, key_staleness_s=4.5),
+        metrics=metrics.Metrics(),
     )
 
 
--- a/measure/scheduling.py
+++ b/measure/scheduling.py
@@ -32,7 +32,7 @@
 SLOTS = 8
 GROUP_SIZE = 8
 PASSES = 10
-# How many runs end between two passes, in turn.
+# Runs that end between two passes.
 FREED = (0, 4)
 HOST = 'h'
 MODEL = 'm'
@@ -40,7 +40,7 @@
 
 
 class Timed(threading.Condition):
-    """Note how long the lock was held each time."""
+    """Record how long the lock was held each time."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -143,20 +143,8 @@
     current = current_module.CurrentConfiguration(
         mock.create_autospec(catalogue.CatalogueDecoder, instance=True)
     )
-    fields = dict.fromkeys(catalogue.Route._fields, 0)
-    fields.update(
-        host=HOST,
-        prefix='/fit/',
-        kind=catalogue.RouteKind.ROLLOUT,
-        shares=(catalogue.ServiceWeight(SERVICE, 1.0),),
-        due_s=7.5,
-        give_up_after_s=3600.0,
-        max_attempts=3,
-    )
     current.apply_if_newer(
-        catalogue.Configuration(
-            1, (catalogue.Route(**fields),), {}, catalogue.Limits()
-        )
+        catalogue.Configuration(1, (_route(),), {}, catalogue.Limits())
     )
     stage = run_stage.RunStage(
         lock,
@@ -170,6 +158,20 @@
     return stage, fleet
 
 
+def _route() -> catalogue.Route:
+    fields = dict.fromkeys(catalogue.Route._fields, 0)
+    fields.update(
+        host=HOST,
+        prefix='/fit/',
+        kind=catalogue.RouteKind.ROLLOUT,
+        shares=(catalogue.ServiceWeight(SERVICE, 1.0),),
+        due_s=7.5,
+        give_up_after_s=3600.0,
+        max_attempts=3,
+    )
+    return catalogue.Route(**fields)
+
+
 def _tasks(count: int) -> dict[tuple[str, str], state.Task]:
     items = tuple(
         callers.Item(
--- a/measure/untrusted.py
+++ b/measure/untrusted.py
@@ -20,8 +20,10 @@
 MEMORY_MB = 205
 MAX_DESCRIPTORS = 1638
 CLIENTS = (12, 200)
-# As in the table that was measured before there were bounds.
+# Duration of a measurement, the same as before there were bounds, so that the
+# figures can be compared.
 OPEN_AFTER_S = 12.0
+# Interval of samples, and pause between ordinary requests.
 SAMPLE_S = 0.1
 KB_PER_MB = 1000
 MS_PER_S = 1000
@@ -93,20 +95,7 @@
         if kind.endswith('_stream'):
             deployment.samplers[0].fault = 'flood'
         process = psutil.Process(instance.process.pid)
-        arguments = [] if reconnects else ['--once']
-        attackers = subprocess.Popen(
-            [
-                sys.executable,
-                '-m',
-                'standins.emulator.crowd',
-                instance.address,
-                kind,
-                '--clients',
-                str(count),
-                *arguments,
-            ],
-            stdout=subprocess.DEVNULL,
-        )
+        attackers = _start_clients(instance.address, kind, count, reconnects)
         try:
             with Sampler(process) as sampler:
                 latencies, failed = _send_ordinary(instance.address)
@@ -127,6 +116,19 @@
         }
 
 
+def _start_clients(
+    address: str, kind: str, count: int, reconnects: bool
+) -> subprocess.Popen[bytes]:
+    """Start the process that sends hostile input."""
+    arguments = [address, kind, '--clients', str(count)]
+    if not reconnects:
+        arguments.append('--once')
+    return subprocess.Popen(
+        [sys.executable, '-m', 'standins.emulator.crowd', *arguments],
+        stdout=subprocess.DEVNULL,
+    )
+
+
 def _send_ordinary(address: str) -> tuple[list[float], int]:
     """Send lookups one by one; return their latencies and how many failed."""
     latencies: list[float] = []
--- a/standins/emulator/accounts.py
+++ b/standins/emulator/accounts.py
@@ -1,4 +1,4 @@
-"""Emulate callers with keys, and tell what they have really used."""
+"""Emulate callers with keys, and compute the usage to be reported."""
 
 import collections
 import math
@@ -98,7 +98,7 @@
         return self._client.send(address, 'POST', target, headers, body).status
 
     def bounds(self, window: int) -> dict[str, Bounds]:
-        """Return what may have been counted in a window, by account."""
+        """Return the bounds of the counts of a window, by account."""
         low: collections.Counter[str] = collections.Counter()
         high: collections.Counter[str] = collections.Counter()
         length_s = deployment_module.USAGE_WINDOW_S
--- a/standins/emulator/control.py
+++ b/standins/emulator/control.py
@@ -13,7 +13,7 @@
 
 REPORT_PATH = '/usage'
 ORDER_PATH = '/scale'
-# The response of a call that is lost would have come after this time.
+# A connection whose response is lost is closed after this time.
 LOST_S = 0.2
 
 
@@ -47,7 +47,7 @@
         # None, or one of 'refused' (503), 'reset' (the connection closes, and
         # nothing is executed) and 'limited' (429).
         self.outage: str | None = None
-        # Before the call is executed.
+        # Delay before a call is executed.
         self.delay_s = 0.0
         # Share of the calls that are executed without an answer, and how
         # much later that happens.
@@ -89,9 +89,10 @@
             ]
 
     def returns_within(self, lease_s: float) -> list[CallRecord]:
-        """Return calls of holders that called before another one did.
+        """Return the calls of holders that took turns within the lease.
 
-        Between both calls of the same holder, less than the lease passed.
+        Such a holder called before and after a call of another one, and less
+        than lease_s seconds passed between its two calls.
         """
         found = []
         with self._lock:
@@ -176,7 +177,7 @@
 
 
 def _subject(path: str, fields: dict[str, typing.Any]) -> str:
-    """Return what the tokens of calls are compared for."""
+    """Return the subject among whose calls tokens are compared."""
     if path == REPORT_PATH:
         return path
     return f'{path} {fields["service"]} {fields["zone"]}'
--- a/standins/emulator/crowd.py
+++ b/standins/emulator/crowd.py
@@ -1,8 +1,8 @@
 """Send one kind of hostile input over many connections, until killed.
 
-A process of its own: python -m standins.emulator.crowd ADDRESS KIND. Writes a
-line to standard output once every client has sent what it sends at most, or
-has been at it for SETTLE_S.
+Runs as a separate process: python -m standins.emulator.crowd ADDRESS KIND. It
+writes a line to standard output once every client has sent MAX_CLIENT_BYTES or
+has been sending for SETTLE_S.
 """
 
 import argparse
@@ -31,12 +31,13 @@
 # More connections than the test's limit of descriptors.
 IDLE_CONNECTIONS = 50
 
-# Of all clients, each in a thread; more met the limit of threads of a machine.
+# Bound for all clients together. Each client has a thread; more of them
+# reached the limit of threads of a machine.
 MAX_CONNECTIONS = 600
 
 
 class Input(typing.NamedTuple):
-    """What a client sends on each connection, and how it reads."""
+    """Describe what a client sends on each connection, and how it reads."""
 
     # Sent once.
     opening: bytes
@@ -47,7 +48,7 @@
     reads: bool = True
     # If above 0, one byte of the response is read after each pause.
     read_pause_s: float = 0.0
-    # Of each client, at a time.
+    # Open connections of each client.
     connections: int = 1
 
 
--- a/standins/emulator/deployment.py
+++ b/standins/emulator/deployment.py
@@ -298,15 +298,36 @@
     ) -> Instance:
         """Start an instance whose connection to the store can be cut.
 
-        Its time of day is ahead by some seconds.
+        Its time of day is ahead by clock_ahead_s seconds.
         """
         links = links_module.Links() if self._has_links else None
         store_relay = self._relay_to_store(links)
+        settings = self._instance_settings(name, store_relay)
+        folder = pathlib.Path(self._folder.name)
+        path = folder / f'{name}.json5'
+        path.write_text(json.dumps(settings), encoding='utf-8')
+        log_path = folder / f'{name}-{len(self.instances)}.log'
+        process = self._start_process(path, log_path, clock_ahead_s)
+        instance = Instance(name, process, settings['callers_listen'])
+        instance.ready_address = settings['ready_listen']
+        instance.entries_address = settings['entries_listen']
+        metrics_port = settings['metrics_port']
+        instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
+        relay_port = settings['relay_port']
+        instance.relay_address = f'{serving.ADDRESS}:{relay_port}'
+        instance.store_relay = store_relay
+        instance.links = links
+        instance.log_path = log_path
+        self.instances.append(instance)
+        return instance
+
+    def _instance_settings(
+        self, name: str, store_relay: relay.Relay
+    ) -> dict[str, typing.Any]:
+        """Return the settings of an instance, with free ports."""
         listen_addresses = [
-            f'{serving.ADDRESS}:{serving.free_port()}' for _ in 'abc'
+            f'{serving.ADDRESS}:{serving.free_port()}' for _ in range(3)
         ]
-        metrics_port = serving.free_port()
-        relay_port = serving.free_port()
         settings = {
             'instance': name,
             'data_centre': 'kl-bengkel',
@@ -315,9 +336,9 @@
             'callers_listen': listen_addresses[0],
             'ready_listen': listen_addresses[1],
             'entries_listen': listen_addresses[2],
-            'metrics_port': metrics_port,
+            'metrics_port': serving.free_port(),
             'peer_port': serving.free_port(),
-            'relay_port': relay_port,
+            'relay_port': serving.free_port(),
             'plugin_folder': str(self.build.root / 'platform'),
             'plugin': 'users_platform',
             'store_address': store_relay.url.removeprefix('http://'),
@@ -338,36 +359,30 @@
                 'control_duties': ['usage_report'],
                 'usage_window_s': USAGE_WINDOW_S,
             }
+        return settings
+
+    def _start_process(
+        self,
+        settings_path: pathlib.Path,
+        log_path: pathlib.Path,
+        clock_ahead_s: float,
+    ) -> subprocess.Popen[bytes]:
         module = ['-m', 'baobabpond.ui.host']
         if clock_ahead_s:
             module = ['-c', SHIFTED_CLOCK, str(clock_ahead_s)]
-        folder = pathlib.Path(self._folder.name)
-        path = folder / f'{name}.json5'
-        path.write_text(json.dumps(settings), encoding='utf-8')
-        log_path = folder / f'{name}-{len(self.instances)}.log'
         with log_path.open('wb') as output:
-            process = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, *module],
                 cwd=self.build.root,
                 env={
                     **os.environ,
                     'PYTHONPATH': self.build.python_path,
-                    'BAOBABPOND_CONFIG': str(path),
+                    'BAOBABPOND_CONFIG': str(settings_path),
                 },
                 stdout=output,
                 stderr=output,
                 preexec_fn=self._limit_descriptors,
             )
-        instance = Instance(name, process, listen_addresses[0])
-        instance.ready_address = listen_addresses[1]
-        instance.entries_address = listen_addresses[2]
-        instance.metrics_address = f'{serving.ADDRESS}:{metrics_port}'
-        instance.relay_address = f'{serving.ADDRESS}:{relay_port}'
-        instance.store_relay = store_relay
-        instance.links = links
-        instance.log_path = log_path
-        self.instances.append(instance)
-        return instance
 
     def _limit_descriptors(self) -> None:
         if self.max_descriptors:
--- a/standins/emulator/ordering.py
+++ b/standins/emulator/ordering.py
@@ -11,6 +11,13 @@
 DRAIN_S = 2.0
 
 
+class Pool(typing.NamedTuple):
+    """The upstreams of one kind in a data centre."""
+
+    zone: str
+    is_spot: bool
+
+
 class OrderedUpstreams:
     """The upstreams of one service, by data centre and kind."""
 
@@ -22,25 +29,25 @@
         self._max_count = max_count
         self._boot_s = boot_s
         self._lock = threading.Lock()
-        self._counts: dict[tuple[str, bool], int] = {}
+        self._counts: dict[Pool, int] = {}
         self._serving: list[upstream_module.Upstream] = []
         self._is_stopped = False
-        # Pools of which no more are to be had.
-        self.unavailable: set[tuple[str, bool]] = set()
+        # Pools in which no more upstreams are available.
+        self.unavailable: set[Pool] = set()
 
     def adopt(self, upstream: upstream_module.Upstream) -> None:
-        """Count an upstream that is there from the start."""
+        """Count an upstream that has served from the start."""
         with self._lock:
-            pool = (upstream.zone, upstream.is_spot)
+            pool = _pool(upstream)
             self._counts[pool] = self._counts.get(pool, 0) + 1
             self._serving.append(upstream)
 
     def order(self, zone: str, is_spot: bool, count: int) -> bool:
-        """Set how many there should be; return whether they are to be had."""
-        pool = (zone, is_spot)
+        """Set how many there should be; return whether they are available."""
+        pool = Pool(zone, is_spot)
         with self._lock:
             present = self._counts.get(pool, 0)
-            others = self._counts.get((zone, not is_spot), 0)
+            others = self._counts.get(Pool(zone, not is_spot), 0)
             if count > present and pool in self.unavailable:
                 return False
             if count + others > self._max_count:
@@ -56,7 +63,7 @@
 
     def reclaim(self, zone: str, leaves_s: float) -> int:
         """Take away all spot upstreams of a data centre; return how many."""
-        pool = (zone, True)
+        pool = Pool(zone, is_spot=True)
         with self._lock:
             self._counts[pool] = 0
             reclaimed = [u for u in self._serving if _pool(u) == pool]
@@ -72,7 +79,7 @@
 
     def _boot(self, zone: str, is_spot: bool) -> None:
         with self._lock:
-            pool = (zone, is_spot)
+            pool = Pool(zone, is_spot)
             present = sum(
                 _pool(upstream) == pool for upstream in self._serving
             )
@@ -98,5 +105,5 @@
         timer.start()
 
 
-def _pool(upstream: upstream_module.Upstream) -> tuple[str, bool]:
-    return upstream.zone, upstream.is_spot
+def _pool(upstream: upstream_module.Upstream) -> Pool:
+    return Pool(upstream.zone, upstream.is_spot)
--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -76,7 +76,7 @@
         self.fault: str | None = None
         # If set, spoils a share of the responses to requests.
         self.spoiler: spoiling.Spoiler | None = None
-        # If set, the load in responses has a fourth figure.
+        # Whether the load in responses has a fourth value, the slowness.
         self.states_slowness = False
         # If set, all responses state that the upstream is leaving.
         self.announces_leaving = False
@@ -351,29 +351,11 @@
         ]
         common_headers += self._state_headers()
         if headers.get('X-Target-Instance') not in (None, self.id):
-            serving.reply(
-                exchange,
-                421,
-                None,
-                [('X-Not-Executed', '1'), *self._state_headers()],
-            )
+            self._refuse(exchange, 421)
             return
         model = headers.get('X-Model')
-        with self._lock:
-            is_full = self._running >= self._slots or self.fault == 'full'
-            if is_full or (model and model == self._loading_model):
-                is_refused = True
-            else:
-                is_refused = False
-                self._running += 1
-                self._exchanges.add(exchange)
-        if is_refused:
-            serving.reply(
-                exchange,
-                503,
-                None,
-                [('X-Not-Executed', '1'), *self._state_headers()],
-            )
+        if not self._take_slot(exchange, model):
+            self._refuse(exchange, 503)
             return
         try:
             if model:
@@ -388,6 +370,25 @@
                 self._running -= 1
                 self._exchanges.discard(exchange)
 
+    def _take_slot(self, exchange: server.Exchange, model: str | None) -> bool:
+        """Count a request as running; return False if it is refused."""
+        with self._lock:
+            is_full = self._running >= self._slots or self.fault == 'full'
+            if is_full or (model and model == self._loading_model):
+                return False
+            self._running += 1
+            self._exchanges.add(exchange)
+            return True
+
+    def _refuse(self, exchange: server.Exchange, status: int) -> None:
+        """Answer that the request has not run."""
+        serving.reply(
+            exchange,
+            status,
+            None,
+            [('X-Not-Executed', '1'), *self._state_headers()],
+        )
+
     def _send_response(
         self,
         exchange: server.Exchange,
@@ -416,10 +417,18 @@
             return
         if is_failing:
             exchange.send_response(500, 'Failed', common_headers, b'failed')
-            return
-        if self.fault == 'answer_lost':
+        elif self.fault == 'answer_lost':
             serving.close_without_response(exchange)
-            return
+        else:
+            self._send_success(exchange, request_id, body, common_headers)
+
+    def _send_success(
+        self,
+        exchange: server.Exchange,
+        request_id: str,
+        body: bytes,
+        common_headers: server.Headers,
+    ) -> None:
         signature = dict(common_headers)['X-Server-Seal']
         if self.fault == 'unsigned':
             common_headers.remove(('X-Server-Seal', signature))
--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -1,6 +1,7 @@
 """Simulate workloads with several policies and seeds in parallel."""
 
 import argparse
+import collections.abc
 import concurrent.futures
 import logging
 import statistics
@@ -103,38 +104,35 @@
             *headers, 'moves', 'loads', 'cancelled', 'groups', 'item', 'idle'
         )
     ]
-    for result in results:
-        utilities = [outcome.utility for outcome in result.outcomes]
-        lookups = [outcome.lookups_in_aim for outcome in result.outcomes]
-        lines.append(
-            row_format.format(
-                result.workload,
-                result.variant,
-                f'{statistics.mean(utilities):.3f}',
-                f'{min(utilities):.3f}',
-                f'{max(utilities):.3f}',
-                f'{min(o.min_utility for o in result.outcomes):.3f}',
-                f'{statistics.mean(lookups):.3f}',
-                round(statistics.mean(o.moves for o in result.outcomes)),
-                round(
-                    statistics.mean(o.weight_loads for o in result.outcomes)
-                ),
-                *(
-                    f'{statistics.mean(values):.3f}'
-                    for values in zip(
-                        *(
-                            (o.cancelled, o.groups_in_time, o.item_s)
-                            for o in result.outcomes
-                        ),
-                        strict=True,
-                    )
-                ),
-                sum(o.idle_waits for o in result.outcomes),
-            )
-        )
+    lines += [row_format.format(*_row(result)) for result in results]
     return '\n'.join(lines)
 
 
+def _row(result: VariantResult) -> list[object]:
+    """Return the cells of a row of the table."""
+    outcomes = result.outcomes
+    utilities = [outcome.utility for outcome in outcomes]
+    return [
+        result.workload,
+        result.variant,
+        _mean(utilities),
+        f'{min(utilities):.3f}',
+        f'{max(utilities):.3f}',
+        f'{min(outcome.min_utility for outcome in outcomes):.3f}',
+        _mean(outcome.lookups_in_aim for outcome in outcomes),
+        round(statistics.mean(outcome.moves for outcome in outcomes)),
+        round(statistics.mean(outcome.weight_loads for outcome in outcomes)),
+        _mean(outcome.cancelled for outcome in outcomes),
+        _mean(outcome.groups_in_time for outcome in outcomes),
+        _mean(outcome.item_s for outcome in outcomes),
+        sum(outcome.idle_waits for outcome in outcomes),
+    ]
+
+
+def _mean(values: collections.abc.Iterable[float]) -> str:
+    return f'{statistics.mean(values):.3f}'
+
+
 def draw_chart(results: list[VariantResult], path: str) -> None:
     """Draw the mean utility of the variants on each workload as SVG."""
     from baobabpond.reports import plots
--- a/standins/experiment/edge.py
+++ b/standins/experiment/edge.py
@@ -14,7 +14,7 @@
 
 SERVICE = 'plain'
 KIND = 'lookup'
-# What an upstream that reports false figures claims.
+# Slowness that an upstream reports falsely.
 FALSE_SLOWNESS = 0.4
 
 
@@ -165,9 +165,10 @@
 
 
 class EdgeOutcome(typing.NamedTuple):
-    """Describe what callers got."""
+    """Describe the latencies of the requests."""
 
     requests: int
+    # Shares of the requests within the aim and within the deadline.
     in_aim: float
     in_deadline: float
     mean_s: float
@@ -182,7 +183,7 @@
     duration_s: float,
     advance_clock: clock.AdvanceClock,
 ) -> EdgeOutcome:
-    """Send requests from random instances; equal arguments, equal outcome."""
+    """Send requests from random instances; the outcome is deterministic."""
     scheduler = clock.Scheduler(advance_clock)
     rng = random.Random(f'edge-{seed}')
     plain = {
@@ -217,11 +218,20 @@
 
     scheduler.call_later(0.0, send)
     scheduler.run(duration_s)
+    return _evaluate(
+        spec, latencies_s, [upstream.requests for upstream in plain.values()]
+    )
+
+
+def _evaluate(
+    spec: load_module.EdgeSpec, latencies_s: list[float], requests: list[int]
+) -> EdgeOutcome:
+    """Return the outcome from latencies and requests by upstream."""
     total = max(1, len(latencies_s))
     return EdgeOutcome(
         total,
         sum(took_s <= spec.aim_s for took_s in latencies_s) / total,
         sum(took_s <= spec.deadline_s for took_s in latencies_s) / total,
         sum(latencies_s) / total,
-        tuple(upstream.requests / total for upstream in plain.values()),
+        tuple(count / total for count in requests),
     )
--- a/standins/experiment/load.py
+++ b/standins/experiment/load.py
@@ -62,10 +62,12 @@
     deadline_s: float = 2.012
     # Speeds of the upstreams, repeated as often as necessary.
     speeds: tuple[float, ...] = (1.0,)
+    # Share of the time in which noise makes an upstream slower.
     noise_share: float = 0.0
+    # Duration of one period of noise.
     noise_s: float = 0.6
     noise_factor: float = 2.5
-    # They report their load; the first ones report false figures.
+    # Whether upstreams report their load, and how many report a false one.
     reports: bool = False
     false_reports: int = 0
 
@@ -79,11 +81,12 @@
     noise_share: float = 0.0
     noise_s: float = 0.6
     noise_factor: float = 2.5
-    # Samplers that are slower by the factor beyond a share of their slots.
+    # Number of samplers that are slower by knee_factor while more than
+    # knee_share of their slots are in use.
     kneed: int = 0
     knee_share: float = 0.5
     knee_factor: float = 2.2
-    # They report their load; the first ones report false figures.
+    # Whether upstreams report their load, and how many report a false one.
     reports: bool = False
     false_reports: int = 0
 
--- a/standins/experiment/moving_average.py
+++ b/standins/experiment/moving_average.py
@@ -7,8 +7,9 @@
 from baobabpond.ports import upstreams
 from baobabpond.upstreams.capacity import estimator
 
+# Weight of the newest sample.
 WEIGHT = 0.08
-# For the decision on migrations.
+# Thresholds of the first version for migrations.
 MIN_SAMPLES = 10
 SLOW_FACTOR = 1.8
 MIN_SAVING_S = 0.4
@@ -42,7 +43,7 @@
         return self._gap_s
 
     def present_factor(self, now: float) -> float:
-        """Return that the average is all that is known."""
+        """Return 1.0, as the average does not tell the present speed."""
         return 1.0
 
 
--- a/tools/checks.py
+++ b/tools/checks.py
@@ -20,7 +20,7 @@
 SCENARIO_TIMEOUT_S = 1800
 # Folder of the tests that run alone, after all other checks.
 ISOLATED = 'isolated'
-# Of the message of a failed check, in characters.
+# Characters of the message of a failed check that are printed.
 MAX_DETAIL = 300
 
 
