Count windows that are left out once if their append is repeated

After a time without any instance, the windows without counts are left out. If the append of the next report was refused or had no answer, the same windows were logged and counted again with each attempt.

--- a/baobabpond/usage/reporter.py
+++ b/baobabpond/usage/reporter.py
@@ -79,6 +79,8 @@
         self._metrics = metrics
         self._backoff_s = INITIAL_BACKOFF_S
         self._send_not_before = float('-inf')
+        # The last window that was logged as left out; -1 if none was.
+        self._skipped_until = -1
         # Windows whose acknowledgement may not be on the log yet.
         self._acknowledged: set[int] = set()
 
@@ -143,8 +145,11 @@
         first = self._shared.first_window(window - 1)
         if first is not None:
             needed = min(needed, first)
-        if needed > window:
-            self._record_given_up(window, needed - 1)
+        # The append of the next report may fail, and is then tried again.
+        first_unlogged = max(window, self._skipped_until + 1)
+        if needed > first_unlogged:
+            self._record_given_up(first_unlogged, needed - 1)
+            self._skipped_until = needed - 1
         return max(needed, window)
 
     def _is_due(self, window: int) -> bool:
--- a/test/usage/test_reporter.py
+++ b/test/usage/test_reporter.py
@@ -4,6 +4,7 @@
 import unittest
 
 from baobabpond.ports import control
+from baobabpond.ports import log as log_port
 from baobabpond.usage import records
 
 from . import examples
@@ -173,6 +174,18 @@
         self.assertGreaterEqual(len(windows), 12)
         self.assertGreater(self.first.metrics.counter('usage.given_up'), 700)
 
+    def test_windows_are_given_up_once_if_the_append_fails(self) -> None:
+        """Guard against counting them again with each attempt."""
+        self.cluster.run(10.0)
+        self.cluster.time.advance(3600.0)
+        outcomes = self.log.partitions[1].outcomes
+        outcomes += [log_port.AppendOutcome.REFUSED] * 3
+        self.cluster.run(3.0)
+        windows = sorted(self.api.reported)
+        missing = windows[-1] - windows[0] + 1 - len(windows)
+        self.assertGreater(missing, 700)
+        self.assertEqual(missing, self.first.metrics.counter('usage.given_up'))
+
     def test_rejected_report_is_given_up_after_a_minute(self) -> None:
         """It must not hold up the later ones for good."""
         self.api.before_call = lambda: self.api.outcomes.extend(
