--- a/standins/emulator/upstream.py
+++ b/standins/emulator/upstream.py
@@ -372,7 +372,9 @@
                 self._running -= 1
                 self._exchanges.discard(exchange)
 
-    def _take_slot(self, exchange: server.Exchange, model: str | None) -> bool:
+    def _take_slot(
+        self, exchange: http_exchange.Exchange, model: str | None
+    ) -> bool:
         """Count a request as running; return False if it is refused."""
         with self._lock:
             is_full = self._running >= self._slots or self.fault == 'full'
@@ -382,7 +384,7 @@
             self._exchanges.add(exchange)
             return True
 
-    def _refuse(self, exchange: server.Exchange, status: int) -> None:
+    def _refuse(self, exchange: http_exchange.Exchange, status: int) -> None:
         """Answer that the request has not run."""
         serving.reply(
             exchange,
@@ -426,10 +428,10 @@
 
     def _send_success(
         self,
-        exchange: server.Exchange,
+        exchange: http_exchange.Exchange,
         request_id: str,
         body: bytes,
-        common_headers: server.Headers,
+        common_headers: http_exchange.Headers,
     ) -> None:
         signature = dict(common_headers)['X-Server-Seal']
         if self.fault == 'unsigned':
