Split the wiring of host.py by groups of components

One class of 600 lines created everything. What sends requests to upstreams, the followers of the log, the pool with its ownership, the duties and the HTTP servers are now wired up in components.py of their packages, next to those that exist; host.py keeps the order of starting and stopping. Settings, metrics, log lines and thread names are unchanged; test_directory reads the two constants from the module that they moved to.

--- a/test/catalogue/test_directory.py
+++ b/test/catalogue/test_directory.py
@@ -6,10 +6,10 @@
 import freezegun
 
 from baobabpond.catalogue import directory as directory_module
-from baobabpond import host
 from baobabpond.ports import catalogue
 from baobabpond.ports import log as log_port
 from baobabpond.ports import upstreams
+from baobabpond.store import components as store_components
 from baobabpond.store import contact
 from baobabpond.store import follower
 
@@ -126,8 +126,8 @@
         registered meanwhile.
         """
         longest_s = (
-            host.UPSTREAMS_READ_WAIT_S
-            + host.DIRECTORY_READ_PAUSE_S
+            store_components.UPSTREAMS_READ_WAIT_S
+            + store_components.DIRECTORY_READ_PAUSE_S
             + HEARTBEAT_S
             + follower.RETRY_S
         )
