--- a/baobabpond/edge/acceptor.py
+++ b/baobabpond/edge/acceptor.py
@@ -136,8 +136,8 @@
             self._open += 1
             is_full = self._open > self._server.client_limits.connections
         if is_full and not self._evict():
-            self._server.excesses.report('connections', connection.remote_addr)
             connection.close()
+            self._server.excesses.report('connections', connection.remote_addr)
             return
         self._receive(connection)
 
@@ -151,9 +151,9 @@
         return True
 
     def _close_waiting(self, connection: typing.Any, limit: str) -> None:
-        self._server.excesses.report(limit, connection.remote_addr)
         self._unregister(connection)
         connection.close()
+        self._server.excesses.report(limit, connection.remote_addr)
 
     def _wait_for(self, connection: typing.Any) -> None:
         """Look at a connection again once there is something to read."""
--- a/baobabpond/edge/placer.py
+++ b/baobabpond/edge/placer.py
@@ -95,10 +95,12 @@
             entry
             for entry in entries
             if entry.id not in request.tried
-            and not self._permits.is_limited(entry)
             and self._load_balancer.has_free_slot(entry)
         ]
-        return roomy or entries
+        unlimited = [
+            entry for entry in roomy if not self._permits.is_limited(entry)
+        ]
+        return unlimited or roomy or entries
 
     def _usable(
         self, request: PlacementRequest
