--- a/baobabpond/members/roster.py
+++ b/baobabpond/members/roster.py
@@ -156,9 +156,7 @@
         self._may_announce.wait()
         while True:
             own = self._own
-            record = log_port.Record(
-                own.instance, json.dumps(own._asdict()).encode()
-            )
+            record = log_port.Record(own.instance, _encode(own))
             result = self._log.append(TOPIC, PARTITION, [record])
             if result.outcome is not log_port.AppendOutcome.DONE:
                 LOG.debug(
@@ -168,6 +166,17 @@
                 self._changed.clear()
 
 
+def _encode(member: Member) -> bytes:
+    """Encode a heartbeat, without cores that are not told.
+
+    Builds up to d3df2d6 skip heartbeats with fields that they don't know.
+    """
+    fields = member._asdict()
+    if not member.cores:
+        del fields['cores']
+    return json.dumps(fields).encode()
+
+
 @decoding.decoder('heartbeat')
 def _decode(value: bytes) -> Member:
     """Return the member of a heartbeat; raise MalformedData."""
