--- a/review/common_2/play.py
+++ b/review/common_2/play.py
@@ -27,6 +27,7 @@
 SLOTS = 12
 HEARTBEAT_S = 1.2
 LEASE_MS = 3000
+CONTACT_S = 3.0
 GAP_S = 0.1
 # Of the rule LOST.
 ABSENCE_S = 5.0
@@ -187,8 +188,9 @@
             self.say(f'sampler {sampler.id} with {SLOTS} slots')
         for instance in self.deployment.instances:
             self.say(f'process {instance.name} pid {instance.process.pid}')
-        # The samplers register their slots with the next heartbeat.
-        time.sleep(HEARTBEAT_S + 0.5)
+        # The samplers register their slots with the next heartbeat, and the
+        # machines are in touch contact-ms after their start.
+        time.sleep(CONTACT_S + 0.5)
 
     def send(
         self,
