--- a/review/common_2/play.py
+++ b/review/common_2/play.py
@@ -223,7 +223,9 @@
                 instance,
             )
             status = answer.status
-            shown = batch.id if len(batch.id) < 40 else f'{len(batch.id)} chars'
+            shown = (
+                batch.id if len(batch.id) < 40 else f'{len(batch.id)} chars'
+            )
             self.say(
                 f'{who}: batch {shown} of {len(batch.items)} items: {status}'
             )
@@ -292,11 +294,7 @@
                 default=began,
             )
             absent_s = until - max(last, began)
-            if (
-                absent_s < ABSENCE_S
-                or not others & begun
-                or most * 2 >= slots
-            ):
+            if absent_s < ABSENCE_S or not others & begun or most * 2 >= slots:
                 continue
             lost.append(item.id)
             self.say(
@@ -366,7 +364,9 @@
     ]
 
 
-def main(folder: pathlib.Path, play_case: typing.Callable[[Play], int]) -> None:
+def main(
+    folder: pathlib.Path, play_case: typing.Callable[[Play], int]
+) -> None:
     """Play a case and exit with its outcome.
 
     Starts again if another program has taken a port meanwhile.
