Move what bounds responses below all that reads them

The store and the calls of duties import the bounds of responses from upstreams/, which is above them, and the clients of the standalone program do not use them.

--- a/baobabpond/duties/single_call.py
+++ b/baobabpond/duties/single_call.py
@@ -10,8 +10,8 @@
 import urllib3
 
 from ..ports import control
-from ..upstreams import bounded
-from ..upstreams import sockets
+from ..transport import bounded
+from ..transport import sockets
 
 CONNECT_TIMEOUT_S = 0.5
 MAX_ANSWER_BYTES = 65536
--- a/baobabpond/edge/disconnects.py
+++ b/baobabpond/edge/disconnects.py
@@ -5,7 +5,7 @@
 import threading
 import typing
 
-from ..upstreams import sockets
+from ..transport import sockets
 
 
 class DisconnectWatcher:
--- a/baobabpond/edge/upstream_responses.py
+++ b/baobabpond/edge/upstream_responses.py
@@ -8,8 +8,8 @@
 from .. import verdicts
 from ..crashes import unresolved
 from ..ports import upstreams as upstream_port
+from ..transport import bounded
 from ..upstreams import authenticity
-from ..upstreams import bounded
 from ..upstreams import connections as connections_module
 
 from . import attempts as attempts_module
--- a/baobabpond/store/http_calls.py
+++ b/baobabpond/store/http_calls.py
@@ -5,8 +5,8 @@
 
 import urllib3
 
-from ..upstreams import bounded
-from ..upstreams import sockets
+from ..transport import bounded
+from ..transport import sockets
 
 CONNECT_TIMEOUT_S = 0.5
 POOL_CONNECTIONS = 32
--- /dev/null
+++ b/baobabpond/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Open connections to other processes and read their answers."""
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -13,9 +13,8 @@
 
 from .. import decoding
 from .. import metrics as metrics_module
-
-from . import bounded
-from . import sockets
+from ..transport import bounded
+from ..transport import sockets
 
 CONNECT_TIMEOUT_S = 0.5
 # Below the idle time-outs that servers commonly use.
--- a/standins/emulator/crowd.py
+++ b/standins/emulator/crowd.py
@@ -13,7 +13,7 @@
 import typing
 
 from baobabpond import registry
-from baobabpond.upstreams import sockets
+from baobabpond.transport import sockets
 
 from . import deployment as deployment_module
 
--- a/standins/emulator/endless.py
+++ b/standins/emulator/endless.py
@@ -8,7 +8,7 @@
 import time
 import typing
 
-from baobabpond.upstreams import sockets
+from baobabpond.transport import sockets
 
 from . import outputs
 from . import serving
--- /dev/null
+++ b/test/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Test how the answers of other processes are read."""
--- a/test/upstreams/test_bounded.py
+++ b/test/transport/test_bounded.py
@@ -13,7 +13,7 @@
 from baobabpond.gen.peer import LogRelay
 from baobabpond import metrics
 from baobabpond.peers import pool as peer_pool
-from baobabpond.upstreams import bounded
+from baobabpond.transport import bounded
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import events
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -273,10 +273,10 @@
     Mutant(
         4,
         'the end of a connection does not end a head',
-        'baobabpond/upstreams/bounded.py',
+        'baobabpond/transport/bounded.py',
         'if count == 0 and self._has_data and not self.may_end:',
         'if False:',
-        unit_test='test.upstreams.test_framing',
+        unit_test='test.transport.test_framing',
     ),
     Mutant(
         8,
