Refuse answers whose status line has not the form of one

But other lines were read as a success or passed on: of 25 status lines that RFC 9112 does not allow, the connection to upstreams took 13 for a 200, among them "+200", "0200", "2_00", a leading blank, "HTTP/1.x", a NUL or a carriage return in the reason, and handed on 600 and 999, which no response may have.

Cause: http.client splits the line at any blank and gives the second word to int(), which reads signs, underscores and leading zeros.

Evidence: StatusLinesTest on the commit before, red in 13 lines at nine readers and in 15 at the two that do not ask for a 200. On the emulated platform services that answer so with their mark made a client read "of nobody" as the response to its own request (test_status_of_none, red).

Why this works: transport/heads compares the whole line with the form of one, final or interim, before the library reads it. Three digits from 100 to 599 are a status; RFC 9110 asks a client to treat any other as a server error, and a failed attempt is that: the caller gets another attempt or a 502, never the number. A missing reason, with or without its blank, stays readable.

After: test_heads, test_framing (15 tests) and test_spoilt_answers (5) passed.

--- a/baobabpond/transport/heads.py
+++ b/baobabpond/transport/heads.py
@@ -13,7 +13,11 @@
 MAX_LINE_BYTES = 65536
 # Part of a malformed line that an error shows.
 MAX_SHOWN_BYTES = 60
-INTERIM_STATUS_LINE = re.compile(rb'HTTP/1\.[0-9] 100(?: .*)?')
+# The reason, and the blank before it, may be missing.
+STATUS_LINE = re.compile(
+    rb'HTTP/1\.[0-9] (?P<status>[1-5][0-9]{2})(?: [\t \x21-\x7e\x80-\xff]*)?'
+)
+CONTINUE = 100
 # A token, and a value of visible characters, blanks and bytes beyond ASCII.
 # Folded lines are obsolete, and a gateway may refuse them.
 FIELD_LINE = re.compile(
@@ -42,8 +46,9 @@
     """
     while True:
         status_line = _read_line(reader)
+        status = _parse_status(status_line)
         fields = _read_fields(reader)
-        if not INTERIM_STATUS_LINE.fullmatch(status_line):
+        if status != CONTINUE:
             lines = [b'%b: %b' % field for field in fields]
             return LINE_END.join([status_line, *lines, b'', b''])
 
@@ -56,6 +61,14 @@
     return Field(found['name'], found['value'].strip(BLANKS))
 
 
+def _parse_status(status_line: bytes) -> int:
+    found = STATUS_LINE.fullmatch(status_line)
+    if found is None:
+        shown = status_line[:MAX_SHOWN_BYTES]
+        raise MalformedResponse(f'status line {shown!r}')
+    return int(found['status'])
+
+
 def strip_end(line: bytes) -> bytes:
     """Return a line without its end; raise MalformedResponse.
 
--- a/standins/emulator/spoiling.py
+++ b/standins/emulator/spoiling.py
@@ -13,12 +13,9 @@
 EVENT = b'id: 1\ndata: of nobody\n\n'
 # Stands for the id of the request.
 REQUEST_ID = b'<id>'
-# A success with what an upstream adds to its responses, and its rest.
-MARKED = (
-    b'HTTP/1.1 200 OK\r\n'
-    b'X-Server-Seal: seal.spoilt\r\n'
-    b'X-Request-Id: ' + REQUEST_ID + b'\r\n'
-)
+# What an upstream adds to its responses, and the rest of one.
+MARK = b'X-Server-Seal: seal.spoilt\r\nX-Request-Id: ' + REQUEST_ID + b'\r\n'
+MARKED = b'HTTP/1.1 200 OK\r\n' + MARK
 REST = b'Content-Length: %d\r\n\r\n%b' % (len(EVENT), EVENT)
 
 
@@ -37,6 +34,9 @@
     BLANK_IN_NAME = MARKED + b'A b: c\r\n' + REST
     CONTROL_IN_NAME = MARKED + b'A\x01b: c\r\n' + REST
     CONTROL_IN_VALUE = MARKED + b'A: b\x00c\r\n' + REST
+    ZERO_STATUS = b'HTTP/1.1 000 OK\r\n' + MARK + REST
+    SIGNED_STATUS = b'HTTP/1.1 +200 OK\r\n' + MARK + REST
+    UNKNOWN_STATUS = b'HTTP/1.1 999 OK\r\n' + MARK + REST
 
 
 class Spoiler:
--- a/test/emulator/test_spoilt_answers.py
+++ b/test/emulator/test_spoilt_answers.py
@@ -1,6 +1,7 @@
 """Test upstreams that answer with bytes that no upstream means to send."""
 
 import itertools
+import typing
 
 from standins.emulator import deployment as deployment_module
 from standins.emulator import outputs
@@ -13,6 +14,7 @@
 STRONG_SHARE = 0.4
 WEAK_SHARE = 0.1
 REQUESTS = 30
+FINAL_STATUSES = range(200, 600)
 
 
 class SpoiltAnswersTest(base.DeploymentTestCase):
@@ -21,14 +23,15 @@
     INSTANCES = 2
 
     def spoil(
-        self, upstreams: list[upstream_module.Upstream], share: float
+        self,
+        upstreams: list[upstream_module.Upstream],
+        share: float,
+        kinds: typing.Iterable[spoiling.Kind] = spoiling.Kind,
     ) -> list[spoiling.Spoiler]:
-        """Spoil answers of upstreams in all ways."""
+        """Spoil answers of upstreams, in all ways unless some are given."""
         spoilers = []
         for number, upstream in enumerate(upstreams):
-            upstream.spoiler = spoiling.Spoiler(
-                share, spoiling.Kind, SEED + number
-            )
+            upstream.spoiler = spoiling.Spoiler(share, kinds, SEED + number)
             spoilers.append(upstream.spoiler)
         return spoilers
 
@@ -57,12 +60,30 @@
     def test_plain_responses_are_those_of_upstreams(self) -> None:
         """Whatever is answered with success is the upstream's."""
         self.spoil(self.deployment.plain_services, STRONG_SHARE)
+        self.check_plain_responses()
+
+    def test_status_of_none(self) -> None:
+        """No status is passed on, or read as another, that no answer has."""
+        self.spoil(
+            self.deployment.plain_services,
+            STRONG_SHARE,
+            (
+                spoiling.Kind.ZERO_STATUS,
+                spoiling.Kind.SIGNED_STATUS,
+                spoiling.Kind.UNKNOWN_STATUS,
+            ),
+        )
+        self.check_plain_responses()
+
+    def check_plain_responses(self) -> None:
+        """Check that most requests are served, with their own responses."""
         served = 0
         for number in range(REQUESTS):
             request_id = f'plain-{number}'
             response = self.send_request(
                 f'{deployment_module.LOOKUPS}{request_id}', request_id
             )
+            self.assertIn(response.status, FINAL_STATUSES)
             if response.status != 200:
                 continue
             served += 1
--- a/test/transport/test_heads.py
+++ b/test/transport/test_heads.py
@@ -52,6 +52,40 @@
     b'A: \x80\xff',
     b'A: !"#$%&\'()*+,-./:;<=>?@[\\]^_`{|}~',
 ]
+BROKEN_STATUS_LINES = [
+    b'HTTP/1.1 000 OK',
+    b'HTTP/1.1 099 OK',
+    b'HTTP/1.1 +200 OK',
+    b'HTTP/1.1 -200 OK',
+    b'HTTP/1.1 0200 OK',
+    b'HTTP/1.1 2_00 OK',
+    b'HTTP/1.1 20 OK',
+    b'HTTP/1.1 2000 OK',
+    b'HTTP/1.1 600 OK',
+    b'HTTP/1.1 999 OK',
+    b'HTTP/1.1 \xb2\xb0\xb0 OK',
+    b'HTTP/1.1 OK',
+    b'HTTP/1.1',
+    b'HTTP/1.1  200 OK',
+    b'HTTP/1.1\t200 OK',
+    b' HTTP/1.1 200 OK',
+    b'HTTP/1.x 200 OK',
+    b'HTTP/1. 200 OK',
+    b'HTTP/1.10 200 OK',
+    b'HTTP/2.0 200 OK',
+    b'HTTP/0.9 200 OK',
+    b'http/1.1 200 OK',
+    b'HTTP/1.1 200 O\x00K',
+    b'HTTP/1.1 200 O\rK',
+    b'HTTP/1.1 200 O\x7fK',
+]
+SOUND_STATUS_LINES = [
+    b'HTTP/1.1 200 OK',
+    b'HTTP/1.0 200 OK',
+    b'HTTP/1.1 200 ',
+    b'HTTP/1.1 200',
+    b'HTTP/1.1 200 It is so \xfc\tber!',
+]
 OK = b'HTTP/1.1 200 OK\r\n'
 INTERIM = b'HTTP/1.1 100 Continue\r\n'
 
@@ -166,5 +200,30 @@
                 self.check(name, heads * 2 + answer, True)
 
 
+class StatusLinesTest(HeadsTestCase):
+    """Begin heads, final and interim, with sound and other lines."""
+
+    def test_broken_status_lines(self) -> None:
+        """None of them is taken for a success."""
+        for name, reader in readers.readers.items():
+            for line in BROKEN_STATUS_LINES:
+                answer = line + b'\r\n' + with_length(reader.body)
+                self.check(name, answer, False)
+
+    def test_broken_interim_status_lines(self) -> None:
+        """What follows them is no answer either."""
+        for name, reader in readers.readers.items():
+            for line in (b'HTTP/1.1 +100 OK', b'HTTP/1.1 0100 OK'):
+                answer = line + b'\r\n\r\n' + OK + with_length(reader.body)
+                self.check(name, answer, False)
+
+    def test_sound_status_lines(self) -> None:
+        """With and without a reason."""
+        for name, reader in readers.readers.items():
+            for line in SOUND_STATUS_LINES:
+                answer = line + b'\r\n' + with_length(reader.body)
+                self.check(name, answer, True)
+
+
 if __name__ == '__main__':
     unittest.main()
