Refuse a declared length before memory is set aside for it

MemoryError left the call of the store, of a duty, of a poll, a request or an order of the standalone program, of the log client and of both lists, none of which expects it; a declared 2^70 bytes raised OverflowError there. A thread that polls or follows ends with it.

Cause: http.client reads a declared number of bytes in one call, for which the buffered reader sets aside the memory at once; the bound on what is read counts bytes only as they come.

Why this works: a declared number is compared with what the response may still read before any memory is set aside, and beyond it the response fails with the error that an oversized one has, which all readers expect. Bytes that are in the buffer already are counted, so that a body of the full limit is still read.

--- a/baobabpond/transport/bounded.py
+++ b/baobabpond/transport/bounded.py
@@ -82,7 +82,11 @@
     def consume(self, count: int) -> None:
         """Count bytes that were read; raise OversizedResponse."""
         self._remaining_bytes -= count
-        if self._remaining_bytes < 0:
+        self.check(0)
+
+    def check(self, count: int) -> None:
+        """Raise OversizedResponse if some more bytes may not be read."""
+        if count > self._remaining_bytes:
             raise OversizedResponse('the response exceeds its size limit')
 
 
@@ -159,6 +163,16 @@
         self._reader.may_end = not self.chunked and self.length is None
         self._budget.begin_body()
 
+    def _safe_read(self, amt: int) -> bytes:
+        """Read a number of bytes that was declared.
+
+        The library sets memory aside for all of them. Raises
+        OversizedResponse.
+        """
+        # Some of them may be in the buffer, and are counted already.
+        self._budget.check(amt - io.DEFAULT_BUFFER_SIZE)
+        return super()._safe_read(amt)
+
     def _check_framing(self) -> None:
         """Raise MalformedResponse if the end of the body is in doubt."""
         lengths = set(self.headers.get_all('Content-Length', []))
--- a/test/transport/test_bounded.py
+++ b/test/transport/test_bounded.py
@@ -221,6 +221,15 @@
             b'10000\r\n' + CHUNK + b'\r\n',
         )
 
+    def test_declared_lengths(self) -> None:
+        """No memory is set aside for more bytes than may be read."""
+        chunked = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        for size in (99_999_999_999, 2**70):
+            with self.subTest(size):
+                length = b'Content-Length: %d\r\n\r\n' % size
+                self.check(HEAD + length, CHUNK)
+                self.check(chunked + b'%x\r\n' % size, CHUNK)
+
     def test_interim_heads(self) -> None:
         """No answer follows them."""
         self.check(b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 100)
