Bound the reports that upstreams send

One such answer at a time was given up on the platform's path; a crowd of them was not measured before.

Cause: before a stream is sent on a new connection, the upstream is asked which process it is. That report is read whole with the limit of any body, 16 MiB, by each request by itself and outside the memory for bodies.

Evidence: test/isolated/test_endless_answers lets two upstreams send as fast as they can to an instance with 205 MB, under 40 clients for 4 s (bounds and crowd as fixed before this change).

Why this works: a report, and the answer to an order, is read with a limit of its own, 256 KiB, some thousands of models. Beyond it the report fails as one that was cut, which the log names ("no report").

--- a/baobabpond/pool/orders.py
+++ b/baobabpond/pool/orders.py
@@ -249,7 +249,7 @@
                 gateway_module.Outgoing('', method, target, headers, body),
                 CALL_TIMEOUT_S,
             )
-            data = b''.join(connection.iter_body(response, CALL_TIMEOUT_S))
+            data = connection.read_report(response, CALL_TIMEOUT_S)
         except (
             connections_module.ConnectionFailed,
             connections_module.ResponseFailed,
--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -22,6 +22,8 @@
 KEEP_ALIVE_MARGIN_S = 0.7
 READ_BYTES = 65536
 MAX_REFUSAL_BYTES = 256 * 1024
+# Reports are read whole, for many requests at the same time.
+MAX_REPORT_BYTES = 256 * 1024
 MIN_TIMEOUT_S = 0.001
 
 Address = tuple[str, int]
@@ -206,6 +208,17 @@
             self.close()
             raise _response_error(error) from error
 
+    def read_report(
+        self, response: urllib3.HTTPResponse, timeout_s: float
+    ) -> bytes:
+        """Read the body of a report, or of the answer to an order.
+
+        Raises ResponseFailed.
+        """
+        return b''.join(
+            self.iter_body(response, timeout_s, max_bytes=MAX_REPORT_BYTES)
+        )
+
     def drain_body(
         self, response: urllib3.HTTPResponse, timeout_s: float
     ) -> None:
--- a/baobabpond/upstreams/gateway.py
+++ b/baobabpond/upstreams/gateway.py
@@ -206,7 +206,7 @@
             raise NoPermit('no permit that is still valid')
         report = self._report_request(entry)
         response = self._send(connection, entry, report, REPORT_TIMEOUT_S)
-        body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+        body = connection.read_report(response, REPORT_TIMEOUT_S)
         return self._protocol.report(body).born
 
     def _report_request(self, entry: catalogue.UpstreamEntry) -> Outgoing:
@@ -233,7 +233,7 @@
                 report,
                 REPORT_TIMEOUT_S,
             )
-            body = b''.join(connection.iter_body(response, REPORT_TIMEOUT_S))
+            body = connection.read_report(response, REPORT_TIMEOUT_S)
             born = self._protocol.report(body).born
             if not connection.is_reusable_after(response):
                 self._reconnect(connection, entry, asked_at_boot_s)
--- a/standins/emulator/endless.py
+++ b/standins/emulator/endless.py
@@ -20,6 +20,9 @@
 # Pause of a fault that sends something now and then.
 PAUSE_S = 0.1
 LONG_PAUSE_S = 1.0
+FLOOD_BYTES = 65536
+# Of what one connection is sent.
+MAX_FLOOD_BYTES = 200_000_000
 
 Pieces = collections.abc.Iterator[bytes]
 Fault = collections.abc.Callable[[bytes, bytes], Pieces]
@@ -27,13 +30,17 @@
 # By name: what follows a request. Takes the head of the request and that of a
 # sound response, which lacks its framing; silence follows the last piece.
 faults: dict[str, Fault] = {}
+# Those that send as fast as the instance reads.
+floods: dict[str, Fault] = {}
 
 
-def register(name: str) -> collections.abc.Callable[[Fault], Fault]:
-    """Add a fault to the registry."""
+def register(
+    name: str, registry: dict[str, Fault] = faults
+) -> collections.abc.Callable[[Fault], Fault]:
+    """Add a fault to a registry."""
 
     def add(fault: Fault) -> Fault:
-        faults[name] = fault
+        registry[name] = fault
         return fault
 
     return add
@@ -135,6 +142,42 @@
     yield from repeat(b'x', LONG_PAUSE_S)
 
 
+def flood(piece: bytes) -> Pieces:
+    """Yield a piece up to a total size."""
+    for _ in range(MAX_FLOOD_BYTES // len(piece)):
+        yield piece
+
+
+@register('flood in a head', floods)
+def _flood_head(request: bytes, head: bytes) -> Pieces:
+    yield head
+    yield from flood(b'X-More: 1\r\n' * 5000)
+
+
+@register('flood of interim responses', floods)
+def _flood_interim(request: bytes, head: bytes) -> Pieces:
+    yield from flood(b'HTTP/1.1 100 Continue\r\n\r\n' * 2000)
+
+
+@register('flood until the close', floods)
+def _flood_body(request: bytes, head: bytes) -> Pieces:
+    yield head + b'\r\n'
+    yield from flood(b'x' * FLOOD_BYTES)
+
+
+@register('flood of chunks', floods)
+def _flood_chunks(request: bytes, head: bytes) -> Pieces:
+    yield head + b'Transfer-Encoding: chunked\r\n\r\n'
+    yield from flood(chunk(b'x' * FLOOD_BYTES))
+
+
+@register('flood in an event', floods)
+def _flood_event(request: bytes, head: bytes) -> Pieces:
+    yield from begin_stream(request, head)
+    yield chunk(f'id: {last_event(request) + 2}\ndata: '.encode())
+    yield from flood(chunk(b'x' * FLOOD_BYTES))
+
+
 class EndlessUpstream:
     """Register as an upstream and answer each request with a fault."""
 
@@ -147,10 +190,13 @@
         fault: Fault,
         answers_reports: bool = True,
         reads_after_s: float = 0.0,
+        spoils_reports: bool = False,
     ) -> None:
         self._fault = fault
         self._name = name
         self._answers_reports = answers_reports
+        # Whether reports are answered with the fault.
+        self._spoils_reports = spoils_reports
         # Pause before a body is read; infinite if it never is.
         self._reads_after_s = reads_after_s
         self._listener = socket.create_server(
@@ -190,11 +236,12 @@
         with contextlib.suppress(OSError), connection:
             while request := _read_head(connection):
                 is_report = request.startswith(b'GET /api/report')
-                if is_report and self._answers_reports:
+                is_spoilt = self._spoils_reports or not is_report
+                if self._answers_reports and not is_spoilt:
                     connection.sendall(_report(self._name))
                     continue
                 self._wait_to_read(connection)
-                if not is_report:
+                if is_spoilt:
                     for piece in self._fault(request, self._head(request)):
                         connection.sendall(piece)
                 while connection.recv(READ_BYTES):
