Limit the heaps that keep the pieces of large bodies

Cause: the memory for bodies admits one such response after the other, but the C library gives most threads a heap of their own. The response is read in pieces that are too small to be mapped by themselves, so that each thread's heap keeps what the pieces of its largest response took, though all of it is free.

Why this works: the process asks for at most two heaps, as it does already for the blocks that are mapped by themselves. What one thread frees the next one takes. One thread at a time allocates, so that more heaps serve nobody.

--- a/baobabpond/allocator.py
+++ b/baobabpond/allocator.py
@@ -1,4 +1,4 @@
-"""Keep the memory of large blocks out of the C library's heaps."""
+"""Keep the C library's heaps small."""
 
 import ctypes
 
@@ -6,18 +6,26 @@
 
 # Of mallopt in glibc's malloc.h.
 M_MMAP_THRESHOLD = -3
+M_ARENA_MAX = -8
 LARGE_BLOCK_BYTES = 1_000_000
+# Enough, as the interpreter's lock lets one thread at a time allocate.
+MAX_HEAPS = 2
 
 LOG = structlog.get_logger(__name__)
 
 
-def map_large_blocks() -> None:
-    """Map each large block by itself, so that it is returned when freed.
+def limit_heaps() -> None:
+    """Limit what the heaps keep of the memory that was freed.
 
-    By default the library raises its threshold with the first large block
-    freed, and each thread's heap keeps what its largest request took.
+    By default most threads have a heap of their own, and each keeps what the
+    pieces of its largest body took. Large blocks are mapped by themselves, so
+    that they are returned when freed; by default the library raises its
+    threshold for them with the first one freed.
     """
     library = ctypes.CDLL(None)
     mallopt = getattr(library, 'mallopt', None)
-    if mallopt is None or not mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES):
-        LOG.warning('the allocator may keep the memory of large bodies')
+    if mallopt is None or not (
+        mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
+        and mallopt(M_ARENA_MAX, MAX_HEAPS)
+    ):
+        LOG.warning('the allocator may keep the memory of bodies')
--- a/baobabpond/ui/host.py
+++ b/baobabpond/ui/host.py
@@ -34,7 +34,7 @@
     settings = check.load_host(path)
     output = logs.BoundedOutput(sys.stdout)
     logs.configure(settings['log_level'], settings['instance'], output)
-    allocator.map_large_blocks()
+    allocator.limit_heaps()
     try:
         instance = host_module.Host(settings)
         settings_file = watch.SettingsFile(str(path), instance.apply_settings)
--- a/standins/emulator/endless.py
+++ b/standins/emulator/endless.py
@@ -23,6 +23,8 @@
 FLOOD_BYTES = 65536
 # Of what one connection is sent.
 MAX_FLOOD_BYTES = 200_000_000
+# Just below the limit for a response.
+LARGE_BODY_BYTES = 16_000_000
 
 Pieces = collections.abc.Iterator[bytes]
 Fault = collections.abc.Callable[[bytes, bytes], Pieces]
@@ -171,6 +173,18 @@
     yield from flood(chunk(b'x' * FLOOD_BYTES))
 
 
+@register('flood of a declared length', floods)
+def _flood_length(request: bytes, head: bytes) -> Pieces:
+    yield head + b'Content-Length: 99999999999\r\n\r\n'
+    yield from flood(b'x' * FLOOD_BYTES)
+
+
+@register('large body', floods)
+def _large_body(request: bytes, head: bytes) -> Pieces:
+    yield head + b'Content-Length: %d\r\n\r\n' % LARGE_BODY_BYTES
+    yield b'x' * LARGE_BODY_BYTES
+
+
 @register('flood in an event', floods)
 def _flood_event(request: bytes, head: bytes) -> Pieces:
     yield from begin_stream(request, head)
--- a/test/isolated/test_endless_answers.py
+++ b/test/isolated/test_endless_answers.py
@@ -146,6 +146,14 @@
         """Chunks without end."""
         self.check('flood of chunks', 'idempotent')
 
+    def test_declared_lengths(self) -> None:
+        """Bodies with a length that nobody can hold."""
+        self.check('flood of a declared length', 'idempotent')
+
+    def test_large_bodies(self) -> None:
+        """Bodies that end just below the limit, and are sound."""
+        self.check('large body', 'idempotent')
+
     def test_events(self) -> None:
         """Streams with an event without end."""
         self.check('flood in an event', 'resumable')
