Give up at once a response that declares more than its limit

Evidence: test_length_beyond_the_limit, red before: the attempt ends with a time-out. A declared length of 99,999,999,999 bytes cost 16 MiB of reading for each attempt.

Why this works: the declared length is compared with the limit of the body before the first read, for whole responses, reports and refusals alike. The attempt fails as one that was cut, and another upstream is tried at once.

After: test/transport (31 tests), test_forwarder, test_timeouts and test_gateway (21) passed.

--- a/baobabpond/upstreams/connections.py
+++ b/baobabpond/upstreams/connections.py
@@ -199,6 +199,7 @@
                 read_timeout_s,
                 read_timeout_s if total_s is None else total_s,
             )
+            self._http.budget.check(response.length_remaining or 0)
             if response.chunked:
                 yield from response.stream(READ_BYTES)
                 return
--- a/test/transport/test_bounded.py
+++ b/test/transport/test_bounded.py
@@ -121,6 +121,17 @@
                 server = self.serve(prefix, block, pause_s=0.2)
                 self.check_failure(lambda s=server: self.read(s))
 
+    def test_length_beyond_the_limit(self) -> None:
+        """Nothing is waited for if it would be too much."""
+        size = bounded.MAX_BODY_BYTES + 1
+        length = b'Content-Length: %d\r\n\r\n' % size
+        server = self.serve(HEAD + length, b'x', pause_s=4 * TIMEOUT_S)
+        with self.assertRaises(connections.ResponseFailed) as raised:
+            self.read(server)
+        self.assertNotIsInstance(
+            raised.exception, connections.ResponseTimedOut
+        )
+
     def test_refusal_without_end(self) -> None:
         """The body of a refusal is discarded up to its limit."""
         server = self.serve(b'HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n\r\n')
