--- a/baobabpond/transport/heads.py
+++ b/baobabpond/transport/heads.py
@@ -61,14 +61,6 @@
     return Field(found['name'], found['value'].strip(BLANKS))
 
 
-def _parse_status(status_line: bytes) -> int:
-    found = STATUS_LINE.fullmatch(status_line)
-    if found is None:
-        shown = status_line[:MAX_SHOWN_BYTES]
-        raise MalformedResponse(f'status line {shown!r}')
-    return int(found['status'])
-
-
 def strip_end(line: bytes) -> bytes:
     """Return a line without its end; raise MalformedResponse.
 
@@ -79,6 +71,14 @@
     return line[:-1].removesuffix(b'\r')
 
 
+def _parse_status(status_line: bytes) -> int:
+    found = STATUS_LINE.fullmatch(status_line)
+    if found is None:
+        shown = status_line[:MAX_SHOWN_BYTES]
+        raise MalformedResponse(f'status line {shown!r}')
+    return int(found['status'])
+
+
 def _read_line(reader: io.BufferedIOBase) -> bytes:
     line = reader.readline(MAX_LINE_BYTES)
     if not line:
