--- a/test/pool/test_orders.py
+++ b/test/pool/test_orders.py
@@ -90,8 +90,8 @@
             permits_module.NoLimits, instance=True
         )
         pool = mock.create_autospec(connections.ConnectionPool, instance=True)
-        pool.acquire.return_value.iter_body.side_effect = (
-            lambda response, timeout_s: [response.body]
+        pool.acquire.return_value.read_report.side_effect = (
+            lambda response, timeout_s: response.body
         )
         self.client = orders_module.OrderClient(
             'a',
