Test the pool that the clients use, not one built like it

test_bounded made a pool of the library and put the bounded connection into it, as the store did before. Since the store uses pools.BoundedPool, which is that pool; the test now uses it too, and its assertions are the same.

test_bounded, test_heads, test_framing and test_orders: 35 tests passed; formatter and linter clean.

--- a/test/transport/test_bounded.py
+++ b/test/transport/test_bounded.py
@@ -11,6 +11,7 @@
 from baobabpond import metrics
 from baobabpond.peers import pool as peer_pool
 from baobabpond.transport import bounded
+from baobabpond.transport import pools
 from baobabpond.upstreams import connections
 from baobabpond.upstreams import events
 from standins import raw_server
@@ -166,13 +167,10 @@
 class PooledConnectionTest(unittest.TestCase):
     """Bound the responses to a client of the library, as for the store."""
 
-    def make_pool(
-        self, server: raw_server.RawServer
-    ) -> urllib3.HTTPConnectionPool:
+    def make_pool(self, server: raw_server.RawServer) -> pools.BoundedPool:
         """Return a pool of bounded connections to a server."""
         self.addCleanup(server.close)
-        pool = urllib3.HTTPConnectionPool(*server.address, retries=False)
-        pool.ConnectionCls = bounded.BoundedConnection
+        pool = pools.BoundedPool(*server.address, retries=False)
         self.addCleanup(pool.close)
         return pool
 
