Do not take an interim head for the answer

Callers saw, on the emulated platform: a sampler's head with status 101, or 103, and the mark of an upstream reached the client as the answer (new kinds of `spoiling`; `test_spoilt_answers`: "101 not found in range(200, 600)", two tests failed).

Cause: `heads.read_head` passed over heads with status 100 alone, as the library does. RFC 9110 has a client read past any head of the class 1xx, also one that it did not ask for; 101 answers a request for another protocol, and no request of ours is one.

Now heads 102 to 199 are read past, their fields checked like those of 100, within the limit of a head; 101 is refused as malformed, so that its attempt counts as cut.

--- a/baobabpond/transport/heads.py
+++ b/baobabpond/transport/heads.py
@@ -17,7 +17,10 @@
 STATUS_LINE = re.compile(
     rb'HTTP/1\.[0-9] (?P<status>[1-5][0-9]{2})(?: [\t \x21-\x7e\x80-\xff]*)?'
 )
-CONTINUE = 100
+# Of heads that come before that of the answer.
+INTERIM_STATUSES = range(100, 200)
+# No request asks for another protocol.
+SWITCHING_PROTOCOLS = 101
 # A token, and a value of visible characters, blanks and bytes beyond ASCII.
 # Folded lines are obsolete, and a gateway may refuse them.
 FIELD_LINE = re.compile(
@@ -48,7 +51,9 @@
         status_line = _read_line(reader)
         status = _parse_status(status_line)
         fields = _read_fields(reader)
-        if status != CONTINUE:
+        if status == SWITCHING_PROTOCOLS:
+            raise MalformedResponse('another protocol')
+        if status not in INTERIM_STATUSES:
             lines = [b'%b: %b' % field for field in fields]
             return LINE_END.join([status_line, *lines, b'', b''])
 
--- a/standins/emulator/spoiling.py
+++ b/standins/emulator/spoiling.py
@@ -37,6 +37,8 @@
     ZERO_STATUS = b'HTTP/1.1 000 OK\r\n' + MARK + REST
     SIGNED_STATUS = b'HTTP/1.1 +200 OK\r\n' + MARK + REST
     UNKNOWN_STATUS = b'HTTP/1.1 999 OK\r\n' + MARK + REST
+    INTERIM_STATUS = b'HTTP/1.1 103 Early Hints\r\n' + MARK + b'\r\n'
+    SWITCHED_PROTOCOL = b'HTTP/1.1 101 Other\r\n' + MARK + b'\r\n' + EVENT
 
 
 class Spoiler:
--- a/test/emulator/test_spoilt_answers.py
+++ b/test/emulator/test_spoilt_answers.py
@@ -71,6 +71,8 @@
                 spoiling.Kind.ZERO_STATUS,
                 spoiling.Kind.SIGNED_STATUS,
                 spoiling.Kind.UNKNOWN_STATUS,
+                spoiling.Kind.INTERIM_STATUS,
+                spoiling.Kind.SWITCHED_PROTOCOL,
             ),
         )
         self.check_plain_responses()
--- a/test/transport/test_heads.py
+++ b/test/transport/test_heads.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from baobabpond.upstreams import connections
 from standins import raw_server
 from test.transport import readers
 
@@ -88,6 +89,12 @@
 ]
 OK = b'HTTP/1.1 200 OK\r\n'
 INTERIM = b'HTTP/1.1 100 Continue\r\n'
+OTHER_INTERIM = [
+    b'HTTP/1.1 102 Processing\r\n',
+    b'HTTP/1.1 103 Early Hints\r\n',
+    b'HTTP/1.1 199 Unknown\r\n',
+]
+SWITCHED = b'HTTP/1.1 101 Switching Protocols\r\n'
 
 
 def with_length(body: bytes) -> bytes:
@@ -199,6 +206,33 @@
                 self.check(name, heads + answer, True)
                 self.check(name, heads * 2 + answer, True)
 
+    def test_other_interim_heads(self) -> None:
+        """They are read like the one that nobody asked for either."""
+        for name, reader in readers.readers.items():
+            answer = OK + with_length(reader.body)
+            for line in OTHER_INTERIM:
+                head = line + b'Link: </a>\r\n\r\n'
+                self.check(name, head + answer, True)
+                self.check(name, INTERIM + b'\r\n' + head + answer, True)
+
+    def test_interim_heads_alone(self) -> None:
+        """They are no answer, nor is a protocol that nobody asked for."""
+        for line in (INTERIM, *OTHER_INTERIM, SWITCHED):
+            self.check_no_answer(line + b'\r\n')
+            self.check_no_answer(line + b'X-Server-Seal: s\r\n\r\n')
+        self.check_no_answer(SWITCHED + b'\r\n' + OK + with_length(b'abc'))
+
+    def check_no_answer(self, sent: bytes) -> None:
+        """Check that no status is passed on of what an upstream sent."""
+        server = raw_server.RawServer(sent)
+        self.addCleanup(server.close)
+        connection = connections.Connection(server.address)
+        self.addCleanup(connection.close)
+        connection.connect()
+        with self.subTest(sent=sent):
+            with self.assertRaises(connections.ResponseFailed):
+                connection.exchange('GET', '/', [], None, readers.TIMEOUT_S)
+
 
 class StatusLinesTest(HeadsTestCase):
     """Begin heads, final and interim, with sound and other lines."""
