--- a/test/transport/test_framing.py
+++ b/test/transport/test_framing.py
@@ -87,6 +87,8 @@
     b'b;a\x00',
     b'b;a\r',
 )
+# Of the bytes behind those of a chunk.
+MALFORMED_ENDS = (b'xx', b'\n\n', b'\r\r', b'\n\r', b'0\r', b'\n', b'')
 SIZES = (b'b', b'B', b'00b', b'b;a', b'b ;a=b', b'b\t; a="b"', b'b ')
 
 
@@ -211,6 +213,18 @@
                     body = self.read([data], 'GET', False)
                     self.assertEqual(BODY if is_sound else None, body)
 
+    def test_ends_of_chunks(self) -> None:
+        """A chunk with more or fewer bytes than its size is none."""
+        first_head = head('200 OK', 'Transfer-Encoding: chunked')
+        for end in MALFORMED_ENDS:
+            for data in (
+                b'5\r\nhello' + end + b'6\r\n world\r\n0\r\n\r\n',
+                b'b\r\nhello world' + end + b'0\r\n\r\n',
+            ):
+                with self.subTest(data=data):
+                    read = self.read([first_head + data], 'GET', False)
+                    self.assertIsNone(read)
+
     def test_abort_ends_an_answer_that_closes_its_connection(self) -> None:
         """A caller that leaves does not wait for the rest of the body."""
         ended = threading.Event()
--- a/test/transport/test_heads.py
+++ b/test/transport/test_heads.py
@@ -234,6 +234,34 @@
                 connection.exchange('GET', '/', [], None, readers.TIMEOUT_S)
 
 
+class ChunksTest(HeadsTestCase):
+    """Send bodies in chunks."""
+
+    def test_ends_of_chunks(self) -> None:
+        """All readers refuse a chunk that is longer than its size."""
+        for name, reader in readers.readers.items():
+            answer = OK + with_chunks(reader.body, b'')
+            # The status of a duty's answer is all that counts.
+            if name != 'duty':
+                longer = answer.replace(b'\r\n0\r\n\r\n', b'xx0\r\n\r\n')
+                self.check(name, longer, False)
+            self.check(name, answer, True)
+
+    def test_several_chunks(self) -> None:
+        """Chunks of any size are joined, those of two bytes too."""
+        for name, reader in readers.readers.items():
+            for size in (1, 2, 3):
+                chunks = [
+                    reader.body[start : start + size]
+                    for start in range(0, len(reader.body), size)
+                ]
+                body = b''.join(
+                    b'%x\r\n%b\r\n' % (len(chunk), chunk) for chunk in chunks
+                )
+                answer = OK + b'Transfer-Encoding: chunked\r\n\r\n' + body
+                self.check(name, answer + b'0\r\n\r\n', True)
+
+
 class StatusLinesTest(HeadsTestCase):
     """Begin heads, final and interim, with sound and other lines."""
 
