--- a/test/upstreams/test_load_balancer.py
+++ b/test/upstreams/test_load_balancer.py
@@ -1,6 +1,8 @@
 """Test the choice of upstreams for callers and for background requests."""
 
+import random
 import time
+import typing
 import unittest
 
 import freezegun
@@ -103,5 +105,44 @@
         self.assertIn(self.entries[0], self.fill())
 
 
+class FirstInOrder(random.Random):
+    """Draw without chance: the first ones, in their order."""
+
+    def sample(
+        self, population: typing.Any, k: int, **_: typing.Any
+    ) -> list[typing.Any]:
+        """Return the first elements."""
+        return list(population)[:k]
+
+
+class FirstRequestsTest(unittest.TestCase):
+    """Send a caller's requests one after the other to new upstreams."""
+
+    REQUESTS = 8
+    FIRST_LATENCY_S = 0.095
+    # That of the upstream that is drawn first.
+    SLOW_LATENCY_S = 0.081
+    FAST_LATENCY_S = 0.011
+
+    def test_fast_upstream_is_found(self) -> None:
+        """An upstream that was never tried is, beside one that is slow."""
+        slow, fast = entry('slow'), entry('fast')
+        balancer = load_balancer.LoadBalancer(rng=FirstInOrder())
+        used = []
+        with freezegun.freeze_time() as clock:
+            for number in range(self.REQUESTS):
+                chosen = balancer.choose([slow, fast], set())
+                used.append(chosen.id)
+                latency_s = self.FAST_LATENCY_S
+                if chosen is slow:
+                    latency_s = self.SLOW_LATENCY_S
+                if not number:
+                    # It connects.
+                    latency_s = self.FIRST_LATENCY_S
+                clock.tick(latency_s)
+                balancer.record_outcome(chosen, latency_s, False, None)
+        self.assertIn(fast.id, used)
+
+
 if __name__ == '__main__':
     unittest.main()
