Refuse transfer codings other than chunks alone

Seen: an answer whose head names two transfer codings, "chunked" and then "gzip" or "chunked" again, was read as a body in chunks: what was passed on was still in the second coding. An answer of HTTP/1.0 with chunks, which that version doesn't know, was read too, where RFC 9112 (6.1) has clients treat its framing as faulty.

Cause: the library looks at the first of several fields of a name, and `_check_framing` asked it whether the body is in chunks.

Evidence: of ten contradicting heads test_framing found two read (two_codings, chunks_twice), and the one of HTTP/1.0; they failed before the change. The test now sends a body in chunks behind each of these heads too, which a reader that ignores the contradiction would take for a whole one.

Now `bounded` compares all fields with the one coding that is read, and looks at the version.

--- a/baobabpond/transport/bounded.py
+++ b/baobabpond/transport/bounded.py
@@ -21,6 +21,10 @@
 # Default for bodies that are read as a whole.
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MIN_TIMEOUT_S = 0.001
+# The only transfer coding that is read, and the first version that knows it,
+# as the library numbers them.
+CHUNKED = 'chunked'
+FIRST_WITH_CHUNKS = 11
 
 
 class OversizedResponse(OSError):
@@ -179,9 +183,13 @@
         codings = self.headers.get_all('Transfer-Encoding', [])
         if len(lengths) > 1 or not all(_is_length(text) for text in lengths):
             raise heads.MalformedResponse(f'length {sorted(lengths)}')
-        if codings and (lengths or not self.chunked):
+        if not codings:
+            return
+        is_chunked = [coding.lower() for coding in codings] == [CHUNKED]
+        if lengths or not is_chunked or self.version < FIRST_WITH_CHUNKS:
             raise heads.MalformedResponse(
-                f'transfer encoding {codings}, length {sorted(lengths)}'
+                f'transfer encoding {codings}, length {sorted(lengths)}, '
+                f'version {self.version}'
             )
 
 
--- a/test/transport/test_framing.py
+++ b/test/transport/test_framing.py
@@ -42,20 +42,15 @@
 WITH_TRAILER = b'b\r\nhello world\r\n0\r\nX-Sum: 1\r\n\r\n'
 SEAL = 'X-Server-Seal: s'
 CLOSE = 'Connection: close'
+CHUNKS = 'Transfer-Encoding: chunked'
 LENGTH = f'Content-Length: {len(BODY)}'
 ANSWERS = {
     'length': Answer(head('200 OK', SEAL, LENGTH), BODY, BODY),
     'length_close': Answer(head('200 OK', LENGTH, CLOSE), BODY, BODY),
     'error_close': Answer(head('500 Failed', LENGTH, CLOSE), BODY, BODY),
-    'chunked': Answer(
-        head('200 OK', 'Transfer-Encoding: chunked', SEAL), CHUNKED, BODY
-    ),
-    'chunked_close': Answer(
-        head('200 OK', CLOSE, 'Transfer-Encoding: chunked'), CHUNKED, BODY
-    ),
-    'trailer': Answer(
-        head('200 OK', 'Transfer-Encoding: chunked'), WITH_TRAILER, BODY
-    ),
+    'chunked': Answer(head('200 OK', CHUNKS, SEAL), CHUNKED, BODY),
+    'chunked_close': Answer(head('200 OK', CLOSE, CHUNKS), CHUNKED, BODY),
+    'trailer': Answer(head('200 OK', CHUNKS), WITH_TRAILER, BODY),
     'no_length': Answer(head('200 OK', SEAL), BODY, BODY, True),
     'no_length_close': Answer(head('200 OK', CLOSE), BODY, BODY, True),
     'empty': Answer(head('200 OK', 'Content-Length: 0', SEAL), b'', b''),
@@ -72,8 +67,11 @@
     'no_number': ('Content-Length: abc',),
     'negative': ('Content-Length: -1',),
     'signed': ('Content-Length: +11',),
-    'length_and_chunks': (LENGTH, 'Transfer-Encoding: chunked'),
+    'length_and_chunks': (LENGTH, CHUNKS),
     'other_coding': ('Transfer-Encoding: gzip',),
+    'coding_before': ('Transfer-Encoding: gzip, chunked',),
+    'two_codings': (CHUNKS, 'Transfer-Encoding: gzip'),
+    'chunks_twice': (CHUNKS, CHUNKS),
 }
 
 
@@ -200,22 +198,28 @@
         """Nothing of such a response is passed on."""
         for name, lines in MALFORMED.items():
             with self.subTest(name):
-                data = head('200 OK', *lines) + BODY
-                self.assertIsNone(self.read([data], 'GET', False))
+                for body in (BODY, CHUNKED):
+                    data = head('200 OK', *lines) + body
+                    self.assertIsNone(self.read([data], 'GET', False))
+
+    def test_chunks_of_an_older_version(self) -> None:
+        """HTTP/1.0 knows none, so that something has changed the head."""
+        data = head('200 OK', CHUNKS).replace(b'1.1', b'1.0') + CHUNKED
+        self.assertIsNone(self.read([data], 'GET', False))
 
     def test_sizes_of_chunks(self) -> None:
         """Nothing but digits is read as a size."""
         for is_sound, sizes in ((True, SIZES), (False, MALFORMED_SIZES)):
             for size in sizes:
                 with self.subTest(size=size):
-                    data = head('200 OK', 'Transfer-Encoding: chunked')
+                    data = head('200 OK', CHUNKS)
                     data += b'%b\r\n%b\r\n0\r\n\r\n' % (size, BODY)
                     body = self.read([data], 'GET', False)
                     self.assertEqual(BODY if is_sound else None, body)
 
     def test_ends_of_chunks(self) -> None:
         """A chunk with more or fewer bytes than its size is none."""
-        first_head = head('200 OK', 'Transfer-Encoding: chunked')
+        first_head = head('200 OK', CHUNKS)
         for end in MALFORMED_ENDS:
             for data in (
                 b'5\r\nhello' + end + b'6\r\n world\r\n0\r\n\r\n',
