--- a/test/transport/test_heads.py
+++ b/test/transport/test_heads.py
@@ -50,7 +50,7 @@
     b'A: \t b c\t ',
     b'A:',
     b'A: ',
-    b'A: \x80\xff',
+    b'A: ' + bytes(range(0x80, 0x100)),
     b'A: !"#$%&\'()*+,-./:;<=>?@[\\]^_`{|}~',
 ]
 BROKEN_STATUS_LINES = [
