--- a/standins/emulator/endless.py
+++ b/standins/emulator/endless.py
@@ -1,15 +1,15 @@
 """Emulate upstreams whose responses do not end."""
 
 import collections.abc
-import contextlib
 import json
 import socket
-import threading
 import time
 import typing
 
 from baobabpond.transport import sockets
 
+from .. import listening
+
 from . import outputs
 from . import serving
 from . import store as store_module
@@ -213,11 +213,10 @@
         self._spoils_reports = spoils_reports
         # Pause before a body is read; infinite if it never is.
         self._reads_after_s = reads_after_s
-        self._listener = socket.create_server(
-            (serving.ADDRESS, serving.free_port())
+        self._listener = listening.Listener(
+            (serving.ADDRESS, serving.free_port()), self._serve
         )
-        host, port = self._listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        host, port = self._listener.address
         entry = {
             'service': service,
             'address': f'{host}:{port}',
@@ -234,33 +233,22 @@
 
     def stop(self) -> None:
         """Stop listening."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._serve, args=(connection,), daemon=True
-                ).start()
-
     def _serve(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            while request := _read_head(connection):
-                is_report = request.startswith(b'GET /api/report')
-                is_spoilt = self._spoils_reports or not is_report
-                if self._answers_reports and not is_spoilt:
-                    connection.sendall(_report(self._name))
-                    continue
-                self._wait_to_read(connection)
-                if is_spoilt:
-                    for piece in self._fault(request, self._head(request)):
-                        connection.sendall(piece)
-                while connection.recv(READ_BYTES):
-                    pass
-                return
+        while request := _read_head(connection):
+            is_report = request.startswith(b'GET /api/report')
+            is_spoilt = self._spoils_reports or not is_report
+            if self._answers_reports and not is_spoilt:
+                connection.sendall(_report(self._name))
+                continue
+            self._wait_to_read(connection)
+            if is_spoilt:
+                for piece in self._fault(request, self._head(request)):
+                    connection.sendall(piece)
+            while connection.recv(READ_BYTES):
+                pass
+            return
 
     def _wait_to_read(self, connection: socket.socket) -> None:
         ends_at = time.monotonic() + self._reads_after_s
--- a/standins/raw_server.py
+++ b/standins/raw_server.py
@@ -1,10 +1,10 @@
 """Answer requests with given bytes, sound or not, with or without an end."""
 
-import contextlib
 import socket
-import threading
 import time
 
+from . import listening
+
 ADDRESS = '127.0.0.1'
 READ_BYTES = 65536
 BLOCK = b'x' * 65536
@@ -29,31 +29,19 @@
         self._block = block
         self._delay_s = delay_s
         self._pause_s = pause_s
-        self._listener = socket.create_server((ADDRESS, 0))
-        self.address: tuple[str, int] = self._listener.getsockname()
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listener = listening.Listener((ADDRESS, 0), self._answer)
+        self.address = self._listener.address
 
     def close(self) -> None:
         """Stop listening."""
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
-    def _accept(self) -> None:
-        with contextlib.suppress(OSError):
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(
-                    target=self._answer, args=(connection,), daemon=True
-                ).start()
-
     def _answer(self, connection: socket.socket) -> None:
-        with contextlib.suppress(OSError), connection:
-            connection.recv(READ_BYTES)
-            time.sleep(self._delay_s)
-            connection.sendall(self._prefix)
-            if self._block:
-                self._repeat(connection)
+        connection.recv(READ_BYTES)
+        time.sleep(self._delay_s)
+        connection.sendall(self._prefix)
+        if self._block:
+            self._repeat(connection)
 
     def _repeat(self, connection: socket.socket) -> None:
         for _ in range(MAX_REPEATED_BYTES // len(self._block)):
--- a/test/isolated/test_endless_answers.py
+++ b/test/isolated/test_endless_answers.py
@@ -5,25 +5,19 @@
 """
 
 import concurrent.futures
-import pathlib
 import time
 
 from standins.emulator import clients
 from standins.emulator import deployment as deployment_module
 from standins.emulator import endless
-from standins.emulator import lookups
-from test.emulator import base
+from test.emulator import one_instance
 
-MEMORY_MB = 205
-KB_PER_MB = 1000
 UPSTREAMS = 2
 TIMEOUT_MS = 1500
 # Clients, each with one request at a time.
 CLIENTS = 40
 SECONDS = 4.0
 DISCOVERY_S = 2.0
-ORDINARY_S = 60.0
-PAUSE_S = 0.2
 SERVICE = 'flooding'
 KINDS = {
     'idempotent': {'route-type': 'idempotent'},
@@ -31,17 +25,11 @@
 }
 
 
-class EndlessAnswersTest(base.DeploymentTestCase):
+class EndlessAnswersTest(one_instance.OneInstanceTestCase):
     """Many requests at the same time, under one fault."""
 
-    INSTANCES = 1
-    SAMPLERS = 1
     PLAIN_SERVICES = 1
 
-    def prepare(self, deployment: deployment_module.Deployment) -> None:
-        """Set the limit of memory."""
-        deployment.memory_mb = MEMORY_MB
-
     def start_flooding(self, name: str, spoils_reports: bool) -> None:
         """Start upstreams with a fault, and publish routes to them."""
         for index in range(UPSTREAMS):
@@ -95,26 +83,6 @@
             sent += 1
         return sent
 
-    def peak_mb(self) -> float:
-        """Return the most memory that the instance has used so far."""
-        pid = self.deployment.instances[0].process.pid
-        status = pathlib.Path(f'/proc/{pid}/status').read_text('utf-8')
-        _, _, rest = status.partition('VmHWM:')
-        return int(rest.split()[0]) / KB_PER_MB
-
-    def send_ordinary(self) -> int:
-        """Return the status of a lookup, tried until it is served."""
-        ends_at = time.monotonic() + ORDINARY_S
-        address = self.deployment.instances[0].address
-        status, tries = 0, 0
-        while status != 200 and time.monotonic() < ends_at:
-            tries += 1
-            status = lookups.send(
-                self.client, address, f'ordinary-{tries}'
-            ).status
-            time.sleep(PAUSE_S)
-        return status
-
     def check(
         self, name: str, kind: str, spoils_reports: bool = False
     ) -> None:
@@ -124,11 +92,9 @@
             sent = sum(
                 executor.map(lambda n: self.send(kind, n), range(CLIENTS))
             )
-        [instance] = self.deployment.instances
         self.assertGreater(sent, CLIENTS)
-        self.assertIsNone(instance.process.poll(), 'it has exited')
-        self.assertLess(self.peak_mb(), MEMORY_MB, 'memory in MB')
-        self.assertEqual(200, self.send_ordinary())
+        self.check_alive()
+        self.assertEqual(200, self.send_ordinary('ordinary'))
 
     def test_heads(self) -> None:
         """Fields without end."""
--- a/test/isolated/test_untrusted_clients.py
+++ b/test/isolated/test_untrusted_clients.py
@@ -11,22 +11,14 @@
 import subprocess
 import sys
 import threading
-import time
 
 from standins.emulator import deployment as deployment_module
-from standins.emulator import lookups
-from test.emulator import base
+from test.emulator import one_instance
 
-MEMORY_MB = 205
 MAX_DESCRIPTORS = 400
 # Of the descriptors, these stay free for files and for upstreams.
 FREE_DESCRIPTORS = 40
-KB_PER_MB = 1000
 SAMPLE_S = 0.05
-# How long one ordinary request is tried; none takes longer unless the
-# instance hangs.
-ORDINARY_S = 60.0
-PAUSE_S = 0.2
 
 
 class DescriptorWatch:
@@ -55,16 +47,14 @@
                 self.peak = max(self.peak, count)
 
 
-class UntrustedClientsTest(base.DeploymentTestCase):
+class UntrustedClientsTest(one_instance.OneInstanceTestCase):
     """Twelve clients that each send the same kind of input."""
 
-    INSTANCES = 1
-    SAMPLERS = 1
     PLAIN_SERVICES = 1
 
     def prepare(self, deployment: deployment_module.Deployment) -> None:
         """Lower the limits of the instance."""
-        deployment.memory_mb = MEMORY_MB
+        super().prepare(deployment)
         deployment.max_descriptors = MAX_DESCRIPTORS
 
     @contextlib.contextmanager
@@ -88,36 +78,12 @@
             process.kill()
             process.wait()
 
-    def peak_mb(self) -> float:
-        """Return the most memory that the instance has used so far."""
-        pid = self.deployment.instances[0].process.pid
-        status = pathlib.Path(f'/proc/{pid}/status')
-        [line] = [
-            line
-            for line in status.read_text(encoding='utf-8').splitlines()
-            if line.startswith('VmHWM:')
-        ]
-        return int(line.split()[1]) / KB_PER_MB
-
-    def send_ordinary(self, name: str) -> int:
-        """Return the status of a lookup, tried until it is served."""
-        ends_at = time.monotonic() + ORDINARY_S
-        address = self.deployment.instances[0].address
-        status, tries = 0, 0
-        while status != 200 and time.monotonic() < ends_at:
-            tries += 1
-            status = lookups.send(
-                self.client, address, f'{name}-{tries}'
-            ).status
-            if status != 200:
-                time.sleep(PAUSE_S)
-        return status
-
     def wait_ready(self) -> None:
         """Wait until the readiness check is answered."""
         [instance] = self.deployment.instances
         deployment_module.wait_for(
-            lambda: self.deployment.is_ready(instance), ORDINARY_S
+            lambda: self.deployment.is_ready(instance),
+            one_instance.ORDINARY_S,
         )
 
     def check(self, kind: str, address: str = '') -> None:
@@ -134,8 +100,7 @@
                 served = self.send_ordinary(f'{kind}-beside')
                 self.wait_ready()
             served_after = self.send_ordinary(f'{kind}-after')
-        self.assertIsNone(instance.process.poll(), 'it has exited')
-        self.assertLess(self.peak_mb(), MEMORY_MB, 'memory in MB')
+        self.check_alive()
         self.assertLessEqual(
             descriptors.peak,
             MAX_DESCRIPTORS - FREE_DESCRIPTORS,
