Review: long item ids end each tenure of the shard's owner

Case 11 and the stand-ins of the cases from 11 on. A client's batch whose item ids have 316 characters is accepted; its progress records have keys that cannot be encoded, so that each owner fails half a second after it takes over and no batch is completed any more.

--- /dev/null
+++ b/review/common_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and checks that the cases from 11 on share."""
--- /dev/null
+++ b/review/common_3/sampler.py
@@ -0,0 +1,149 @@
+"""A sampler that records how each of its runs ended."""
+
+import json
+import threading
+import time
+import typing
+import uuid
+
+from baobabpond.edge import http_exchange
+from baobabpond.transport import sockets
+from standins.emulator import outputs
+from standins.emulator import serving
+from standins.emulator import upstream as upstream_module
+
+EVENT_GAP_S = 0.04
+SLOTS = 12
+# How a run ended.
+FINISHED = 'finished'
+FAILED = 'failed'
+LEFT = 'closed by its sender'
+
+# Receives what happens, for the record.
+Note = typing.Callable[..., None]
+
+
+class Run:
+    """A request that a sampler began to work on."""
+
+    def __init__(self, request_id: str, sampler: str) -> None:
+        self.request_id = request_id
+        self.sampler = sampler
+        self.started_at = time.monotonic()
+        self.ended_at: float | None = None
+        self.ending = ''
+
+
+class Sampler(upstream_module.Upstream):
+    """Behave as the platform's pages say, and record the runs.
+
+    The number of events of a stream stands in X-Events, a header of the
+    client's own. A request whose X-Expected-Version differs gets 421.
+    """
+
+    def __init__(
+        self,
+        runs: list[Run],
+        note: Note,
+        *args: typing.Any,
+        **options: typing.Any,
+    ) -> None:
+        self._runs = runs
+        self._note = note
+        self._runs_lock = threading.Lock()
+        super().__init__(*args, slots=SLOTS, **options)
+
+    @property
+    def slots(self) -> int:
+        """Return how many requests run at a time."""
+        return SLOTS
+
+    def _handle_request(
+        self, exchange: http_exchange.Exchange, body: bytes
+    ) -> None:
+        expected = exchange.headers.get('X-Expected-Version')
+        model = exchange.headers.get('X-Model', '')
+        if expected and int(expected) != self.versions.get(model):
+            request_id = exchange.headers.get('X-Request-Id', '')
+            self._note(
+                'refused 421',
+                sampler=self.id,
+                request=request_id[:16],
+                expected=expected,
+                version=self.versions.get(model),
+            )
+            serving.reply(
+                exchange,
+                421,
+                None,
+                [('X-Request-Id', request_id), ('X-Instance-Id', self.id)],
+            )
+            return
+        super()._handle_request(exchange, body)
+
+    def _send_stream(
+        self,
+        exchange: http_exchange.Exchange,
+        request_id: str,
+        model: str,
+        common_headers: http_exchange.Headers,
+        is_crashing: bool,
+    ) -> None:
+        run = Run(request_id, self.id)
+        with self._runs_lock:
+            self._runs.append(run)
+        self._note('run begins', sampler=self.id, request=request_id[:16])
+        run.ending = LEFT
+        try:
+            run.ending = self._stream(
+                exchange, request_id, model, common_headers
+            )
+        finally:
+            run.ended_at = time.monotonic()
+            self._note(
+                f'run {run.ending}',
+                sampler=self.id,
+                request=request_id[:16],
+                after_s=round(run.ended_at - run.started_at, 3),
+            )
+
+    def _stream(
+        self,
+        exchange: http_exchange.Exchange,
+        request_id: str,
+        model: str,
+        common_headers: http_exchange.Headers,
+    ) -> str:
+        after = int(exchange.headers.get('Last-Event-Id', '0'))
+        last = int(exchange.headers.get('X-Events', '12'))
+        version = self.versions[model]
+        exchange.begin_stream(
+            200,
+            'OK',
+            [
+                *common_headers,
+                ('Content-Type', 'text/event-stream'),
+                ('X-Weight-Versions', str(version)),
+            ],
+        )
+        for number in range(after + 1, last + 1):
+            time.sleep(EVENT_GAP_S * self.slow_factor)
+            if sockets.is_closed_by_peer(exchange.socket):
+                return LEFT
+            data = outputs.event_data(request_id, number, self.software)
+            block = f'id: {number}\ndata: {data}\n\n'
+            if self.versions[model] != version:
+                version = self.versions[model]
+                block = f'x-weight-versions: {version}\n{block}'
+            exchange.write(block.encode())
+        return FINISHED
+
+
+def new_id() -> str:
+    """Return an id as clients choose them."""
+    return uuid.uuid4().hex[:16]
+
+
+def as_json(value: typing.Any) -> bytes:
+    """Encode a body."""
+    return json.dumps(value).encode()
