Review: a stream without end takes the memory of every owner

One faulty sampler sends events without end; the bytes of one run are bounded, those of an item over its runs are not, so that each owner of the shard exceeds its memory in turn. The store of the stand-ins also rewrites registrations where a view asks for it.

--- a/review/common_3/memory.py
+++ b/review/common_3/memory.py
@@ -18,8 +18,12 @@
     """Watch the memory of all instances of a deployment."""
 
     def __init__(
-        self, deployment: platform.Deployment, record: record_module.Record
+        self,
+        deployment: platform.Deployment,
+        record: record_module.Record,
+        restart_s: float = RESTART_S,
     ) -> None:
+        self._restart_s = restart_s
         self._deployment = deployment
         self._record = record
         self._stopped = threading.Event()
@@ -59,7 +63,7 @@
             limit_mb=self._deployment.memory_mb,
             times=self.ends[instance.name],
         )
-        time.sleep(RESTART_S)
+        time.sleep(self._restart_s)
         if not self._stopped.is_set():
             self._deployment.start_instance(instance.name)
 
--- a/review/common_3/sampler.py
+++ b/review/common_3/sampler.py
@@ -1,6 +1,8 @@
 """A sampler that records how each of its runs ended."""
 
 import json
+import random
+import string
 import threading
 import time
 import typing
@@ -14,6 +16,8 @@
 
 EVENT_GAP_S = 0.04
 SLOTS = 12
+# Of an event of an answer without end, as large as those of the sheets get.
+ENDLESS_DATA_BYTES = 1900
 # How a run ended.
 FINISHED = 'finished'
 FAILED = 'failed'
@@ -51,6 +55,8 @@
         self._runs = runs
         self._note = note
         self._runs_lock = threading.Lock()
+        # Whether streams go on with events until their callers close.
+        self.is_endless = False
         super().__init__(*args, slots=SLOTS, **options)
 
     @property
@@ -126,6 +132,9 @@
                 ('X-Weight-Versions', str(version)),
             ],
         )
+        if self.is_endless:
+            self._send_without_end(exchange, after)
+            return LEFT
         for number in range(after + 1, last + 1):
             time.sleep(EVENT_GAP_S * self.slow_factor)
             if sockets.is_closed_by_peer(exchange.socket):
@@ -138,6 +147,17 @@
             exchange.write(block.encode())
         return FINISHED
 
+    def _send_without_end(
+        self, exchange: http_exchange.Exchange, after: int
+    ) -> None:
+        """Send events as fast as the caller reads, until it closes."""
+        letters = string.ascii_letters + string.digits
+        data = ''.join(random.choices(letters, k=ENDLESS_DATA_BYTES))
+        number = after
+        while self.is_endless:
+            number += 1
+            exchange.write(f'id: {number}\ndata: {data}\n\n'.encode())
+
 
 def new_id() -> str:
     """Return an id as clients choose them."""
--- a/review/common_3/store.py
+++ b/review/common_3/store.py
@@ -66,6 +66,11 @@
         if self._outage_of(query['topic']) is not None:
             serving.close_without_response(exchange)
             return
+        if query['topic'] == store_module.UPSTREAMS_TOPIC:
+            records = [
+                store_module._rewrite_record(record, rewrite)
+                for record in records
+            ]
         data = bytearray(store_module.READ_HEADER.pack(end, start))
         for number, record in enumerate(records):
             if number and len(data) + len(record) > limit:
@@ -79,6 +84,8 @@
         query: dict[str, str],
         rewrite: store_module.Rewrite,
     ) -> None:
+        if query['topic'] != store_module.UPSTREAMS_TOPIC:
+            rewrite = bytes
         after = query.get('after', '')
         items = []
         size = 0
@@ -87,6 +94,7 @@
             keys = sorted(key for key in partition.newest if key > after)
             for key in keys[: store_module.PAGE_ITEMS]:
                 offset, value = partition.newest[key]
+                value = rewrite(value)
                 size += len(value)
                 if items and size > PAGE_BYTES:
                     break
