--- a/review/common_3/platform.py
+++ b/review/common_3/platform.py
@@ -51,6 +51,8 @@
         self.record = record
         self.runs: list[sampler_module.Run] = []
         self.models: tuple[str, ...] = (MODEL,)
+        # Fields of routes that differ from those of the emulator, by name.
+        self.route_fields: dict[str, dict[str, typing.Any]] = {}
 
     def add_sampler(
         self, checks_fence: bool = True, *_: typing.Any, **__: typing.Any
@@ -78,7 +80,10 @@
             sampler_module.as_json(
                 {
                     'version': self.operator.version,
-                    'routes': deployment_module.routes(),
+                    'routes': [
+                        route | self.route_fields.get(route['name'], {})
+                        for route in deployment_module.routes()
+                    ],
                     'services': self._services(),
                     'limits': LIMITS,
                 }
@@ -109,10 +114,12 @@
     memory_mb: int = 320,
     models: tuple[str, ...] = (MODEL,),
     plain_services: int = 2,
+    route_fields: dict[str, dict[str, typing.Any]] | None = None,
 ) -> typing.Iterator[Deployment]:
     """Start a deployment; end all its processes on exit."""
     deployment = Deployment(record, memory_mb)
     deployment.models = models
+    deployment.route_fields = route_fields or {}
     with deployment:
         deployment.start(instances, samplers, plain_services=plain_services)
         record.say('started', instances=instances, samplers=samplers)
--- a/review/common_3/sampler.py
+++ b/review/common_3/sampler.py
@@ -18,6 +18,8 @@
 SLOTS = 12
 # Of an event of an answer without end, as large as those of the sheets get.
 ENDLESS_DATA_BYTES = 1900
+PREEMPTED_AFTER = 3
+POLL_S = 0.02
 # How a run ended.
 FINISHED = 'finished'
 FAILED = 'failed'
@@ -57,6 +59,9 @@
         self._runs_lock = threading.Lock()
         # Whether streams go on with events until their callers close.
         self.is_endless = False
+        # For how long each run is preempted once, after PREEMPTED_AFTER of
+        # its events.
+        self.preempted_s = 0.0
         super().__init__(*args, slots=SLOTS, **options)
 
     @property
@@ -136,8 +141,10 @@
             self._send_without_end(exchange, after)
             return LEFT
         for number in range(after + 1, last + 1):
-            time.sleep(EVENT_GAP_S * self.slow_factor)
-            if sockets.is_closed_by_peer(exchange.socket):
+            gap_s = EVENT_GAP_S * self.slow_factor
+            if number == after + PREEMPTED_AFTER + 1:
+                gap_s += self.preempted_s
+            if _is_left_within(exchange, gap_s):
                 return LEFT
             data = outputs.event_data(request_id, number, self.software)
             block = f'id: {number}\ndata: {data}\n\n'
@@ -159,6 +166,18 @@
             exchange.write(f'id: {number}\ndata: {data}\n\n'.encode())
 
 
+def _is_left_within(exchange: http_exchange.Exchange, wait_s: float) -> bool:
+    """Wait for a time; return at once if the caller closes its channel."""
+    ends_at = time.monotonic() + wait_s
+    while True:
+        if sockets.is_closed_by_peer(exchange.socket):
+            return True
+        remaining_s = ends_at - time.monotonic()
+        if remaining_s <= 0:
+            return False
+        time.sleep(min(POLL_S, remaining_s))
+
+
 def new_id() -> str:
     """Return an id as clients choose them."""
     return uuid.uuid4().hex[:16]
