--- a/review/common_3/memory.py
+++ b/review/common_3/memory.py
@@ -5,6 +5,8 @@
 import threading
 import time
 
+from standins.emulator import deployment as deployment_module
+
 from . import platform
 from . import record as record_module
 
@@ -53,7 +55,7 @@
                 if held > limit:
                     self._end(instance, held)
 
-    def _end(self, instance: object, held: int) -> None:
+    def _end(self, instance: deployment_module.Instance, held: int) -> None:
         instance.kill()
         self.ends[instance.name] += 1
         self._record.say(
--- a/review/common_3/trainer.py
+++ b/review/common_3/trainer.py
@@ -161,8 +161,8 @@
 ) -> list[str]:
     """Return the items that break rule LOST when a step runs out of time.
 
-    The step is over at a monotonic time. Only callers that name no version
-    and train one model may use it.
+    The step is over at a monotonic time. For plays of one model whose last
+    version was named 6 s or more before the last 5 s of the step.
     """
     # Whether a run is a short one shows only when it is over.
     time.sleep(max(0.0, deadline + 2 * SHORT_RUN_S - time.monotonic()))
