--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -9,8 +9,7 @@
 import importlib
 
 for name in (
-    'case', 'memory', 'plain', 'platform', 'record', 'sampler', 'store',
-    'trainer',
+    'case', 'memory', 'platform', 'record', 'sampler', 'store', 'trainer',
 ):
     importlib.import_module(f'review.common_3.{name}')
 print('the stand-ins are ready')
--- a/review/common_3/platform.py
+++ b/review/common_3/platform.py
@@ -16,9 +16,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 HOST = deployment_module.HOST
 ROLLOUTS = deployment_module.ROLLOUTS
-ENTRIES = deployment_module.ENTRIES
 MODEL = deployment_module.MODEL
-PLAIN_SERVICE = deployment_module.PLAIN_SERVICE
 OTHER_MODEL = 'fit-drafts'
 # As on the users' sheets.
 HEARTBEAT_S = 1.2
